--- /dev/null
+++ b/peridotknot/main.go
@@ -0,0 +1,102 @@
+// Command peridotknot is the operators' client.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"peridotknot.example/pkversion"
+	"peridotknot.example/pkyaml"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitBadInput = 2
+)
+
+// global is the options of every command.
+type global struct {
+	Output  string `long:"output" choice:"text" choice:"json" default:"text" description:"how tables are printed"`
+	Version bool   `long:"version" description:"print the version and exit"`
+}
+
+var options global
+
+// errBad marks an error of the operator's input, errNo an answer of "no".
+var (
+	errBad = errors.New("bad input")
+	errNo  = errors.New("")
+)
+
+func bad(format string, args ...any) error {
+	return fmt.Errorf("%w: %w", errBad, fmt.Errorf(format, args...))
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	p := flags.NewParser(&options, flags.HelpFlag|flags.PassDoubleDash)
+	p.ShortDescription = "operators' client of the peridotknot router"
+	p.SubcommandsOptional = true
+	for _, add := range []func(*flags.Parser) error{addManifest, addStatus, addReplay, addTry, addKeys, addTrace} {
+		if err := add(p); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitFailed
+		}
+	}
+	_, err := p.ParseArgs(args)
+	if err == nil && options.Version {
+		fmt.Println(pkversion.Text())
+		return exitOK
+	}
+	if err == nil && p.Active == nil {
+		p.WriteHelp(os.Stderr)
+		return exitBadInput
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var flagErr *flags.Error
+	var faults pkyaml.Faults
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
+		fmt.Println(flagErr.Message)
+		return exitOK
+	case errors.Is(err, errNo):
+		return exitFailed
+	case errors.As(err, &flagErr), errors.Is(err, errBad), errors.As(err, &faults):
+		fmt.Fprintln(os.Stderr, err)
+		return exitBadInput
+	default:
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+}
+
+// interruptible returns a context that ends when the operator stops the client.
+func interruptible() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
+
+// add adds a command under a parser or another command.
+func add(to interface {
+	AddCommand(name, short, long string, data any) (*flags.Command, error)
+}, name, short string, data any,
+) error {
+	_, err := to.AddCommand(name, short, short, data)
+	return err
+}
+
+// none is the data of commands that only hold others.
+type none struct{}
--- /dev/null
+++ b/peridotknot/try.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jessevdk/go-flags"
+
+	"peridotknot.example/pklab"
+	"peridotknot.example/pkmanifest"
+	"peridotknot.example/pksample"
+	"peridotknot.example/pkstandin"
+	"peridotknot.example/pktrace"
+)
+
+// tryCommand runs both samples in this process.
+type tryCommand struct {
+	Keep    bool   `long:"keep" description:"leave the deployment of the first sample up until interrupted"`
+	Sample  string `long:"sample" choice:"aare" choice:"glenmore" description:"only this sample"`
+	Entries int    `long:"entries" default:"3" description:"how many entry daemons"`
+	Calm    bool   `long:"calm" description:"leave the faults out"`
+	Report  string `long:"report" default:"report" description:"folder for the JSON and HTML reports"`
+	Verbose bool   `long:"verbose" description:"log what the entries do"`
+}
+
+const startTimeout = 15 * time.Second
+
+func addTry(p *flags.Parser) error {
+	return add(p, "try", "run stand-ins, entries and both users' traces in one process", &tryCommand{})
+}
+
+// Execute runs the command.
+func (c *tryCommand) Execute([]string) error {
+	if c.Entries < 1 {
+		return bad("--entries must be at least 1")
+	}
+	ctx, cancel := interruptible()
+	defer cancel()
+	names := pksample.Names
+	if c.Sample != "" {
+		names = []string{c.Sample}
+	}
+	if c.Keep {
+		return c.keep(ctx, names[0])
+	}
+	held := true
+	for _, name := range names {
+		r, err := c.sample(ctx, name)
+		if err != nil {
+			return err
+		}
+		held = held && r.Held()
+	}
+	fmt.Printf("reports are in %s\n", c.Report)
+	if !held {
+		return errNo
+	}
+	return nil
+}
+
+func (c *tryCommand) start(ctx context.Context, name string) (*pklab.Lab, error) {
+	raw, err := pksample.File(name, pksample.FileStandins)
+	if err != nil {
+		return nil, err
+	}
+	standins, err := pkstandin.ParseSettings(name+"/"+pksample.FileStandins, raw)
+	if err != nil {
+		return nil, err
+	}
+	manifest, err := pksample.File(name, pksample.FileManifest)
+	if err != nil {
+		return nil, err
+	}
+	log := hclog.NewNullLogger()
+	if c.Verbose {
+		log = hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: os.Stderr})
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	return pklab.Start(ctx, pklab.Options{Standins: standins, Manifest: manifest, Entries: c.Entries, Log: log})
+}
+
+func (c *tryCommand) sample(ctx context.Context, name string) (pktrace.Report, error) {
+	lab, err := c.start(ctx, name)
+	if err != nil {
+		return pktrace.Report{}, err
+	}
+	report, err := c.replay(ctx, lab, name)
+	if err := errors.Join(err, lab.Close()); err != nil {
+		return report, err
+	}
+	if err := report.WriteText(os.Stdout); err != nil {
+		return report, err
+	}
+	return report, writeReports(c.Report, &report)
+}
+
+func (c *tryCommand) replay(ctx context.Context, lab *pklab.Lab, name string) (pktrace.Report, error) {
+	file := pksample.FileTrace
+	if c.Calm {
+		file = pksample.FileCalm
+	}
+	raw, err := pksample.File(name, file)
+	if err != nil {
+		return pktrace.Report{}, err
+	}
+	lines, expect, err := readTrace(name, file, raw)
+	if err != nil {
+		return pktrace.Report{}, err
+	}
+	keys, err := pksample.Keys(name)
+	if err != nil {
+		return pktrace.Report{}, err
+	}
+	capacity, err := lab.World.Capacity(modelOf(lines))
+	if err != nil {
+		return pktrace.Report{}, err
+	}
+	replay := pktrace.Replay{Lines: lines, Entries: lab.Addresses(), Keys: keys, Inject: lab.Inject, Progress: progress(name)}
+	out, err := replay.Run(ctx)
+	fmt.Fprintln(os.Stderr)
+	if err != nil {
+		return pktrace.Report{}, err
+	}
+	return pktrace.Judge(name, out, lab.World.Ledger(), expect, capacity), nil
+}
+
+func readTrace(name, file string, raw []byte) ([]pktrace.Line, pktrace.Expect, error) {
+	lines, err := pktrace.Read(name+"/"+file, bytes.NewReader(raw))
+	if err != nil {
+		return nil, pktrace.Expect{}, bad("%w", err)
+	}
+	stated, err := pksample.File(name, pksample.FileExpect)
+	if err != nil {
+		return nil, pktrace.Expect{}, err
+	}
+	expect, err := pktrace.ParseExpect(name+"/"+pksample.FileExpect, stated)
+	return lines, expect, err
+}
+
+func progress(name string) func(done, all int) {
+	return func(done, all int) { fmt.Fprintf(os.Stderr, "\r%s: %d of %d", name, done, all) }
+}
+
+// keep leaves a deployment up and prints how to use it.
+func (c *tryCommand) keep(ctx context.Context, name string) error {
+	lab, err := c.start(ctx, name)
+	if err != nil {
+		return err
+	}
+	if err := printUse(lab, name); err != nil {
+		return errors.Join(err, lab.Close())
+	}
+	<-ctx.Done()
+	return lab.Close()
+}
+
+func printUse(lab *pklab.Lab, name string) error {
+	raw, err := pksample.File(name, pksample.FileManifest)
+	if err != nil {
+		return err
+	}
+	m, err := pkmanifest.Parse(pksample.FileManifest, raw)
+	if err != nil {
+		return err
+	}
+	keys, err := pksample.Keys(name)
+	if err != nil {
+		return err
+	}
+	key := keys[m.Accounts[0].ID]
+	for i, a := range lab.Addresses() {
+		fmt.Printf("entry %d: callers http://%s  operators http://%s\n", i, a.Callers, a.Admin)
+	}
+	fmt.Printf("key-value service %s, VM list %s, stand-ins' faults and ledger http://%s\n", lab.World.StoreAddr(), lab.World.PlatformAddr(), lab.World.AdminAddr())
+	fmt.Printf("API key of %s: %s\n\n", m.Accounts[0].ID, key)
+	at := lab.Addresses()[0].Callers
+	fmt.Printf("curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"%s\",\"stream\":true,\"max_tokens\":20,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n", at, key, m.Models[0].ID)
+	fmt.Printf("curl http://%s/services/%s/records/1 -H 'Authorization: Bearer %s'\n", at, m.Services[0].ID, key)
+	fmt.Println("\ninterrupt to stop")
+	return nil
+}
+
+func writeReports(folder string, r *pktrace.Report) error {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return fmt.Errorf("make report folder: %w", err)
+	}
+	raw, err := r.JSON()
+	if err != nil {
+		return err
+	}
+	base := filepath.Join(folder, r.Name)
+	if err := os.WriteFile(base+".json", raw, 0o644); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	page, err := r.HTML()
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(base+".html", page, 0o644); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkanswer/run.go
@@ -0,0 +1,300 @@
+package pkanswer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"peridotknot.example/pkengine"
+	"peridotknot.example/pkid"
+	"peridotknot.example/pkroute"
+	"peridotknot.example/pkstream"
+	"peridotknot.example/pktarget"
+	"peridotknot.example/pkverdict"
+)
+
+// Request is one model request that was admitted.
+type Request struct {
+	ID           pkid.RequestID
+	Want         pkroute.Want
+	Prompt       string
+	PromptTokens pkid.Tokens
+	MaxTokens    pkid.Tokens
+	Priority     int
+	Deadline     time.Time
+}
+
+// Finish is how a whole answer ended.
+type Finish struct {
+	Reason   string
+	Tokens   pkid.Tokens
+	Attempts int
+}
+
+// Sink takes the tokens of an answer in order; an error means that the caller
+// is gone.
+type Sink interface {
+	Token(index pkid.Index, text string) error
+}
+
+// Router chooses a chain that avoids some targets.
+type Router interface {
+	Choose(now time.Time, want pkroute.Want, avoid []pkid.TargetID) (pkroute.Chain, error)
+}
+
+// Budget says whether one more attempt may be made.
+type Budget interface {
+	Spend() bool
+}
+
+// Watcher is told what happens to an answer; calls come from its goroutine.
+type Watcher interface {
+	// AttemptBegan returns the context to run the attempt in.
+	AttemptBegan(ctx context.Context, attempt pkid.Attempt, chain pkroute.Chain) context.Context
+	// AttemptEnded is told how the attempt ended; nil is a whole answer.
+	AttemptEnded(ctx context.Context, attempt pkid.Attempt, err error)
+}
+
+// Options bounds the recovery of an answer.
+type Options struct {
+	// Attempts is how many attempts an answer may take.
+	Attempts int
+	// Patience is how long an answer in progress waits for a chain when none
+	// is usable.
+	Patience time.Duration
+	// Poll is how often it looks again.
+	Poll time.Duration
+}
+
+// DefaultOptions returns bounds for links within one region.
+func DefaultOptions() Options {
+	return Options{Attempts: 6, Patience: 2 * time.Second, Poll: 25 * time.Millisecond}
+}
+
+// Runner runs answers.
+type Runner struct {
+	Engine  pkengine.Engine
+	Router  Router
+	Options Options
+	// Cancel is told of attempts that were given up.
+	Cancel func(addr string, id pkid.RequestID, attempt pkid.Attempt)
+}
+
+// run is one answer in progress.
+type run struct {
+	*Runner
+	req      Request
+	sink     Sink
+	watch    Watcher
+	budget   Budget
+	relay    pkstream.Relay
+	said     strings.Builder
+	avoid    []pkid.TargetID
+	verdict  pkverdict.Verdict
+	attempts int
+}
+
+// errCaller marks an error of the caller's side, which no attempt can mend.
+var errCaller = errors.New("the caller is gone")
+
+// Run runs an answer; the error is a *pkverdict.Error.
+func (r *Runner) Run(ctx context.Context, req Request, sink Sink, budget Budget, watch Watcher) (Finish, error) {
+	a := &run{Runner: r, req: req, sink: sink, budget: budget, watch: watch, verdict: pkverdict.NotRun}
+	for {
+		chain, err := a.chain(ctx)
+		if err != nil {
+			return a.finish(""), a.fail(pkverdict.ReasonNoRoute, err)
+		}
+		reason, err := a.attempt(ctx, chain)
+		if err == nil {
+			return a.finish(reason), nil
+		}
+		if errors.Is(err, errCaller) || ctx.Err() != nil {
+			return a.finish(""), a.fail(reasonOf(ctx), err)
+		}
+		if a.attempts >= r.Options.Attempts {
+			return a.finish(""), a.fail(pkverdict.ReasonTargetLost, fmt.Errorf("gave up after %d attempts: %w", a.attempts, err))
+		}
+		if !a.budget.Spend() {
+			return a.finish(""), a.fail(pkverdict.ReasonTargetLost, fmt.Errorf("the pool's retry budget is spent: %w", err))
+		}
+	}
+}
+
+func reasonOf(ctx context.Context) pkverdict.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return pkverdict.ReasonDeadline
+	}
+	return pkverdict.ReasonCanceled
+}
+
+func (a *run) finish(reason string) Finish {
+	return Finish{Reason: reason, Tokens: pkid.Tokens(a.relay.Next()), Attempts: a.attempts}
+}
+
+func (a *run) fail(reason pkverdict.Reason, err error) error {
+	return &pkverdict.Error{Verdict: a.verdict, Reason: reason, Err: err}
+}
+
+// chain chooses a chain. An answer in progress waits a little when there is
+// none: most losses heal within a second, and refusing would waste what the
+// caller has. A request that has not begun is refused at once instead.
+func (a *run) chain(ctx context.Context) (pkroute.Chain, error) {
+	var waited time.Duration
+	for {
+		chain, err := a.Router.Choose(time.Now(), a.req.Want, a.avoid)
+		if err != nil && len(a.avoid) > 0 {
+			// A target that failed once is better than none.
+			chain, err = a.Router.Choose(time.Now(), a.req.Want, nil)
+		}
+		if err == nil || a.attempts == 0 || waited >= a.Options.Patience {
+			return chain, err
+		}
+		if !sleep(ctx, a.Options.Poll) {
+			return pkroute.Chain{}, ctx.Err()
+		}
+		waited += a.Options.Poll
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// attempt runs one attempt to its end and returns the finish reason.
+func (a *run) attempt(ctx context.Context, chain pkroute.Chain) (string, error) {
+	a.attempts++
+	number := a.relay.Begin()
+	for _, t := range chain.Stages {
+		t.Begin()
+		defer t.Done()
+	}
+	ctx = a.watch.AttemptBegan(ctx, number, chain)
+	reason, err := a.stream(ctx, number, chain)
+	a.watch.AttemptEnded(ctx, number, err)
+	if err != nil && !a.refused(err) {
+		a.Cancel(chain.Stages[0].Info.Addr, a.req.ID, number)
+	}
+	return reason, err
+}
+
+func (a *run) refused(err error) bool {
+	var failure *pkverdict.Error
+	return errors.As(err, &failure) && failure.Verdict == pkverdict.NotRun
+}
+
+func (a *run) stream(ctx context.Context, number pkid.Attempt, chain pkroute.Chain) (string, error) {
+	head := chain.Stages[0]
+	stream, err := a.Engine.Open(ctx, head.Info.Addr, a.open(number, chain))
+	if err != nil {
+		if !a.refused(err) {
+			a.verdict = pkverdict.MayHaveRun
+		}
+		a.blame(ctx, head)
+		return "", err
+	}
+	a.verdict = pkverdict.MayHaveRun
+	defer func() { _ = stream.Close() }() // the connection goes either way
+	for {
+		ev, err := stream.Next()
+		if err != nil {
+			a.blame(ctx, head)
+			return "", err
+		}
+		done, err := a.event(number, chain, ev, time.Now())
+		if err != nil {
+			return "", err
+		}
+		if done {
+			succeed(chain)
+			return ev.End, nil
+		}
+	}
+}
+
+func (a *run) open(number pkid.Attempt, chain pkroute.Chain) pkengine.Open {
+	o := pkengine.Open{
+		Stream:       a.req.ID,
+		Attempt:      number,
+		Model:        a.req.Want.Model,
+		Version:      a.req.Want.Version,
+		Adapter:      a.req.Want.Adapter,
+		Prompt:       a.req.Prompt,
+		PromptTokens: a.req.PromptTokens,
+		Delivered:    a.said.String(),
+		Next:         a.relay.Next(),
+		MaxTokens:    a.req.MaxTokens,
+		Priority:     a.req.Priority,
+		DeadlineMS:   time.Until(a.req.Deadline).Milliseconds(),
+	}
+	for _, t := range chain.Stages {
+		h := t.Holding()
+		o.Route = append(o.Route, pkengine.Hop{Target: t.Info.ID, Addr: t.Info.Addr, First: h.Range.First, End: h.Range.End})
+	}
+	return o
+}
+
+// event takes one event and says whether it was the end of a whole answer.
+func (a *run) event(number pkid.Attempt, chain pkroute.Chain, ev pkengine.Event, now time.Time) (bool, error) {
+	switch {
+	case ev.Beat:
+		return false, nil
+	case ev.Lost != "":
+		return false, a.lost(chain, ev.Lost, now)
+	case ev.End != "":
+		if err := a.relay.End(number, ev.Total); err != nil {
+			chain.Stages[0].Failed(now)
+			return false, err
+		}
+		return true, nil
+	}
+	switch a.relay.Token(number, ev.Index) {
+	case pkstream.Drop:
+		return false, nil
+	case pkstream.Replace:
+		chain.Stages[0].Failed(now)
+		a.avoid = append(a.avoid, chain.Stages[0].Info.ID)
+		return false, fmt.Errorf("token %d came while %d was next", ev.Index, a.relay.Next())
+	default:
+	}
+	a.said.WriteString(ev.Text)
+	if err := a.sink.Token(ev.Index, ev.Text); err != nil {
+		return false, fmt.Errorf("%w: %w", errCaller, err)
+	}
+	return false, nil
+}
+
+// lost blames the stage that the engines say they lost.
+func (a *run) lost(chain pkroute.Chain, id pkid.TargetID, now time.Time) error {
+	a.avoid = append(a.avoid, id)
+	for _, t := range chain.Stages {
+		if t.Info.ID == id {
+			t.Failed(now)
+		}
+	}
+	return fmt.Errorf("stage %s was lost", id)
+}
+
+func (a *run) blame(ctx context.Context, t *pktarget.Target) {
+	if ctx.Err() != nil {
+		// The caller left or its time was up; that is not the target's doing.
+		return
+	}
+	t.Failed(time.Now())
+	a.avoid = append(a.avoid, t.Info.ID)
+}
+
+func succeed(chain pkroute.Chain) {
+	for _, t := range chain.Stages {
+		t.Succeeded()
+	}
+}
--- /dev/null
+++ b/pkengine/engine.go
@@ -0,0 +1,133 @@
+package pkengine
+
+import (
+	"context"
+	"time"
+
+	"peridotknot.example/pkid"
+)
+
+// BeatEvery is how often an open stream sends an event at the least.
+const BeatEvery = 150 * time.Millisecond
+
+// Hop is one stage of a route.
+type Hop struct {
+	Target pkid.TargetID `json:"target"`
+	Addr   string        `json:"addr"`
+	First  pkid.Layer    `json:"first"`
+	End    pkid.Layer    `json:"end"`
+}
+
+// Open asks the first engine of a route for a stream.
+type Open struct {
+	Stream       pkid.RequestID `json:"stream"`
+	Attempt      pkid.Attempt   `json:"attempt"`
+	Model        pkid.ModelID   `json:"model"`
+	Version      pkid.Version   `json:"version"`
+	Adapter      pkid.AdapterID `json:"adapter,omitempty"`
+	Route        []Hop          `json:"route"`
+	Prompt       string         `json:"prompt"`
+	PromptTokens pkid.Tokens    `json:"prompt_tokens"`
+	// Delivered is the text that the caller has already, Next the index of
+	// the first token that it still needs.
+	Delivered  string      `json:"delivered,omitempty"`
+	Next       pkid.Index  `json:"next,omitempty"`
+	MaxTokens  pkid.Tokens `json:"max_tokens"`
+	Priority   int         `json:"priority,omitempty"`
+	DeadlineMS int64       `json:"deadline_ms"`
+}
+
+// Event is one line of a stream: a token, a beat, the end or a loss.
+type Event struct {
+	Index pkid.Index `json:"i"`
+	Text  string     `json:"t,omitempty"`
+	Beat  bool       `json:"beat,omitempty"`
+	// End is the finish reason on the last event of a whole answer, and Total
+	// the number of tokens that the answer has.
+	End   string     `json:"end,omitempty"`
+	Total pkid.Index `json:"total,omitempty"`
+	// Lost names a stage of the route that the engines lost.
+	Lost pkid.TargetID `json:"lost,omitempty"`
+}
+
+// Load is what an engine says of itself, late by its own lag.
+type Load struct {
+	Target   pkid.TargetID    `json:"target"`
+	Model    pkid.ModelID     `json:"model"`
+	Version  pkid.Version     `json:"version"`
+	Adapters []pkid.AdapterID `json:"adapters,omitempty"`
+	Role     pkid.Role        `json:"role,omitempty"`
+	First    pkid.Layer       `json:"first"`
+	End      pkid.Layer       `json:"end"`
+	Active   int              `json:"active"`
+	Queued   int              `json:"queued"`
+	MaxBatch int              `json:"max_batch"`
+	// StepUS is the time of the last decoding step in microseconds, PerSeqUS
+	// what one more sequence adds to it.
+	StepUS   int64 `json:"step_us"`
+	PerSeqUS int64 `json:"per_seq_us"`
+	// PrefillUS is the time of one prompt token in microseconds.
+	PrefillUS int64 `json:"prefill_us"`
+	Leaving   bool  `json:"leaving,omitempty"`
+	// Loading says that an order is being carried out.
+	Loading bool `json:"loading,omitempty"`
+	// Fence is the highest fencing number the engine has seen.
+	Fence pkid.Fence `json:"fence,omitempty"`
+	// Boot changes when the engine restarts.
+	Boot string `json:"boot,omitempty"`
+}
+
+// Order states what an engine should hold in the end, not a step towards it.
+// An engine that ignores fencing numbers may see an old owner's order after a
+// new one; both state an end, so the new owner only has to state it again.
+type Order struct {
+	Fence    pkid.Fence       `json:"fence"`
+	Model    pkid.ModelID     `json:"model"`
+	Version  pkid.Version     `json:"version"`
+	Adapters []pkid.AdapterID `json:"adapters,omitempty"`
+	Role     pkid.Role        `json:"role,omitempty"`
+	First    pkid.Layer       `json:"first"`
+	End      pkid.Layer       `json:"end"`
+}
+
+// Met says whether an engine that reports l holds what o wants.
+func (o Order) Met(l Load) bool {
+	return l.Model == o.Model && l.Version == o.Version && l.Role == o.Role &&
+		l.First == o.First && l.End == o.End && sameAdapters(l.Adapters, o.Adapters)
+}
+
+func sameAdapters(a, b []pkid.AdapterID) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	have := make(map[pkid.AdapterID]bool, len(a))
+	for _, id := range a {
+		have[id] = true
+	}
+	for _, id := range b {
+		if !have[id] {
+			return false
+		}
+	}
+	return true
+}
+
+// Stream is an open stream of events.
+type Stream interface {
+	// Next returns the next event, or a *pkverdict.Error.
+	Next() (Event, error)
+	// Close ends the stream and releases its connection.
+	Close() error
+}
+
+// Engine is a model engine at an address.
+type Engine interface {
+	// Open starts a stream; the error is a *pkverdict.Error.
+	Open(ctx context.Context, addr string, o Open) (Stream, error)
+	// Cancel stops an attempt of a stream, so that it frees its batch slot.
+	Cancel(ctx context.Context, addr string, stream pkid.RequestID, attempt pkid.Attempt) error
+	// Load returns the engine's report on itself.
+	Load(ctx context.Context, addr string) (Load, error)
+	// Order tells the engine what to hold; ErrFenced refuses an old owner.
+	Order(ctx context.Context, addr string, o Order) error
+}
--- /dev/null
+++ b/pkentry/admin.go
@@ -0,0 +1,124 @@
+package pkentry
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"peridotknot.example/pkid"
+	"peridotknot.example/pkmanifest"
+)
+
+// PathStatus is where an entry tells operators about itself.
+const PathStatus = "/status"
+
+// Status is what an entry tells operators about itself.
+type Status struct {
+	Entry      pkid.EntryID      `json:"entry"`
+	DataCenter pkid.DataCenter   `json:"data_center"`
+	Ready      bool              `json:"ready"`
+	Why        string            `json:"why,omitempty"`
+	Revision   pkid.Revision     `json:"revision"`
+	Digest     pkmanifest.Digest `json:"digest,omitempty"`
+	InForceFor string            `json:"in_force_for,omitempty"`
+	StoreOK    bool              `json:"store_ok"`
+	Alarm      string            `json:"alarm,omitempty"`
+	Pools      []PoolStatus      `json:"pools"`
+}
+
+// PoolStatus is one pool as an entry sees it.
+type PoolStatus struct {
+	Pool     pkid.PoolID `json:"pool"`
+	Targets  int         `json:"targets"`
+	Usable   int         `json:"usable"`
+	Leaving  int         `json:"leaving"`
+	InFlight int         `json:"in_flight"`
+	Waiting  int         `json:"waiting"`
+	Limit    int         `json:"limit"`
+}
+
+func (e *Entry) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", e.readyz)
+	mux.HandleFunc("GET "+PathStatus, e.status)
+	mux.Handle("GET /metrics", promhttp.HandlerFor(e.metrics.registry, promhttp.HandlerOpts{}))
+	if e.settings.Listen.Profile {
+		mux.HandleFunc("/debug/pprof/", pprof.Index)
+		mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+		mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	}
+	return mux
+}
+
+// ready says whether callers should be sent here, and if not, why.
+func (e *Entry) ready() (bool, string) {
+	switch {
+	case e.stopping.Load():
+		return false, "stopping"
+	case e.view.Load() == nil:
+		return false, "no manifest: neither the store nor a peer gave one"
+	case len(e.targets.All()) == 0:
+		return false, "no targets: the VM list was not read yet"
+	case !e.warm.Load():
+		return false, "the targets were not asked for their loads yet"
+	default:
+		return true, ""
+	}
+}
+
+func (e *Entry) readyz(w http.ResponseWriter, _ *http.Request) {
+	ok, why := e.ready()
+	if !ok {
+		http.Error(w, why, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (e *Entry) status(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(e.Status(time.Now())); err != nil {
+		e.log.Debug("status was not taken", "error", err)
+	}
+}
+
+// Status returns what the entry tells operators about itself.
+func (e *Entry) Status(now time.Time) Status {
+	s := Status{Entry: e.settings.Entry, DataCenter: e.settings.DataCenter, Pools: []PoolStatus{}}
+	s.Ready, s.Why = e.ready()
+	e.follow.mu.Lock()
+	s.StoreOK = e.follow.storeOK
+	s.Alarm = e.follow.alarm
+	since := e.follow.since
+	e.follow.mu.Unlock()
+	view := e.view.Load()
+	if view == nil {
+		return s
+	}
+	s.Revision = view.Revision
+	s.Digest = view.Digest
+	s.InForceFor = now.Sub(since).Round(time.Millisecond).String()
+	for _, id := range view.Pools() {
+		s.Pools = append(s.Pools, e.poolStatus(id, now))
+	}
+	return s
+}
+
+func (e *Entry) poolStatus(id pkid.PoolID, now time.Time) PoolStatus {
+	p := PoolStatus{Pool: id}
+	for _, t := range e.pool(id) {
+		p.Targets++
+		if t.Usable(now) {
+			p.Usable++
+		}
+		if t.Leaving() {
+			p.Leaving++
+		}
+	}
+	p.InFlight, p.Waiting, p.Limit = e.gate(id).Counts()
+	return p
+}
--- /dev/null
+++ b/pkentry/entry.go
@@ -0,0 +1,208 @@
+package pkentry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/run"
+	"go.opentelemetry.io/otel/trace"
+
+	"peridotknot.example/pkanswer"
+	"peridotknot.example/pkconn"
+	"peridotknot.example/pkengine"
+	"peridotknot.example/pketcd"
+	"peridotknot.example/pkmanifest"
+	"peridotknot.example/pkplatform"
+	"peridotknot.example/pkservice"
+	"peridotknot.example/pktarget"
+)
+
+const (
+	// streamSilence is how long a stream may say nothing: four beats, so that
+	// one late beat is no fault and a lost engine is known within 0.6 s.
+	streamSilence  = 4 * pkengine.BeatEvery
+	serviceTries   = 4
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 60 * time.Second
+	maxHeaderBytes = 32 << 10
+)
+
+// Entry is one running entry daemon.
+type Entry struct {
+	settings Settings
+	log      hclog.Logger
+	tracer   trace.Tracer
+
+	store    *pketcd.Client
+	platform *pkplatform.Client
+	engine   *pkengine.Client
+	proxy    *pkservice.Proxy
+	runner   *pkanswer.Runner
+
+	view     atomic.Pointer[pkmanifest.View]
+	targets  pktarget.Table
+	routes   routes
+	gates    gates
+	metrics  *metrics
+	recorder *recorder
+
+	// warm is set once the targets were asked for their loads: an entry that
+	// is sent callers before it knows what its targets hold refuses them all.
+	warm      atomic.Bool
+	stopping  atomic.Bool
+	refusing  atomic.Bool
+	callers   net.Listener
+	admin     net.Listener
+	follow    follower
+	cancelled chan cancelled
+}
+
+// New returns an entry that listens already and serves once Run is called.
+func New(s Settings, log hclog.Logger, tracer trace.Tracer) (*Entry, error) {
+	o := pkconn.DefaultOptions()
+	e := &Entry{
+		settings:  s,
+		log:       log.With("entry", s.Entry),
+		tracer:    tracer,
+		store:     pketcd.New(s.Store, o),
+		platform:  pkplatform.New(s.Platform, o),
+		engine:    pkengine.NewClient(o, streamSilence),
+		proxy:     pkservice.New(o, serviceTries),
+		metrics:   newMetrics(),
+		cancelled: make(chan cancelled, cancelQueue),
+	}
+	e.routes.links = s.links()
+	e.routes.from = s.DataCenter
+	e.runner = &pkanswer.Runner{Engine: e.engine, Router: e, Options: pkanswer.DefaultOptions(), Cancel: e.cancel}
+	e.metrics.watch(e)
+	var err error
+	if e.recorder, err = newRecorder(s.Record); err != nil {
+		return nil, err
+	}
+	if err := e.listen(); err != nil {
+		return nil, errors.Join(err, e.close())
+	}
+	return e, nil
+}
+
+func (e *Entry) listen() error {
+	var err error
+	if e.callers, err = net.Listen("tcp", e.settings.Listen.Callers); err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	if e.admin, err = net.Listen("tcp", e.settings.Listen.Admin); err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	return nil
+}
+
+// Callers returns the address that callers reach.
+func (e *Entry) Callers() string { return e.callers.Addr().String() }
+
+// Admin returns the address that operators reach.
+func (e *Entry) Admin() string { return e.admin.Addr().String() }
+
+// Run serves until ctx ends, then stops gracefully and returns once
+// everything that the entry started has ended.
+func (e *Entry) Run(ctx context.Context) error {
+	// The loops outlive ctx: requests in progress need them until the end.
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	callers := e.server(e.callersHandler())
+	admin := e.server(e.adminHandler())
+	var g run.Group
+	g.Add(func() error { return e.waitAndStop(ctx, callers) }, func(error) { cancel() })
+	g.Add(func() error { return serve(callers, e.callers, inner) }, func(error) { _ = callers.Close() })
+	g.Add(func() error { return serve(admin, e.admin, inner) }, func(error) { _ = admin.Close() })
+	for _, loop := range []func(context.Context){e.followManifest, e.followVMs, e.followLoads, e.tendGates, e.sendCancels} {
+		g.Add(func() error { loop(inner); return nil }, func(error) { cancel() })
+	}
+	err := g.Run()
+	return errors.Join(err, e.close())
+}
+
+func (e *Entry) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          e.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+}
+
+// serve serves until the server is closed; it stays until ctx ends, so that a
+// closed server does not end the group before the stop is done.
+func serve(s *http.Server, l net.Listener, ctx context.Context) error {
+	err := s.Serve(l)
+	if !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// waitAndStop waits for the end of ctx and stops gracefully: first not ready,
+// while the balancer still sends; then no new requests; then what is in
+// progress ends, within the limit.
+func (e *Entry) waitAndStop(ctx context.Context, callers *http.Server) error {
+	<-ctx.Done()
+	e.log.Info("stopping", "delay", e.settings.Stop.Delay, "limit", e.settings.Stop.Limit)
+	e.stopping.Store(true)
+	limit := time.NewTimer(e.settings.Stop.Limit)
+	defer limit.Stop()
+	delay := time.NewTimer(e.settings.Stop.Delay)
+	defer delay.Stop()
+	select {
+	case <-delay.C:
+	case <-limit.C:
+	}
+	e.refusing.Store(true)
+	within, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go func() {
+		select {
+		case <-limit.C:
+			cancel()
+		case <-within.Done():
+		}
+	}()
+	if err := callers.Shutdown(within); err != nil {
+		e.log.Warn("requests were still running at the limit of the stop")
+		return callers.Close()
+	}
+	return nil
+}
+
+func (e *Entry) close() error {
+	var errs []error
+	for _, l := range []net.Listener{e.callers, e.admin} {
+		if l != nil {
+			if err := l.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+				errs = append(errs, err)
+			}
+		}
+	}
+	errs = append(errs, e.recorder.Close(), e.store.Close(), e.platform.Close(), e.engine.Close(), e.proxy.Close())
+	return errors.Join(errs...)
+}
+
+// every calls do at once and then each period until ctx ends.
+func every(ctx context.Context, period time.Duration, do func(context.Context)) {
+	t := time.NewTicker(period)
+	defer t.Stop()
+	for {
+		do(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
--- /dev/null
+++ b/pkentry/routes.go
@@ -0,0 +1,178 @@
+package pkentry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"peridotknot.example/pkadmit"
+	"peridotknot.example/pkid"
+	"peridotknot.example/pkmanifest"
+	"peridotknot.example/pkroute"
+	"peridotknot.example/pktarget"
+)
+
+// routes keeps the plan of each want until the table changes.
+type routes struct {
+	links pkroute.Links
+	from  pkid.DataCenter
+
+	mu      sync.RWMutex
+	changes uint64
+	plans   map[pkroute.Want]*pkroute.Plan
+	pools   map[pkid.PoolID][]*pktarget.Target
+}
+
+func (s Settings) links() pkroute.Links {
+	l := pkroute.Links{Far: 250 * time.Microsecond, Times: map[pkroute.Link]time.Duration{}}
+	for _, one := range s.Links {
+		l.Times[pkroute.Link{From: one.From, To: one.To}] = one.Time
+		l.Times[pkroute.Link{From: one.To, To: one.From}] = one.Time
+	}
+	return l
+}
+
+// Choose returns a chain for want that avoids some targets.
+func (e *Entry) Choose(now time.Time, want pkroute.Want, avoid []pkid.TargetID) (pkroute.Chain, error) {
+	return e.plan(want).Choose(e.ask(now, avoid))
+}
+
+func (e *Entry) ask(now time.Time, avoid []pkid.TargetID) pkroute.Ask {
+	return pkroute.Ask{Now: now, From: e.routes.from, Avoid: avoid, Links: e.routes.links, Rand: newRand()}
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func (e *Entry) plan(want pkroute.Want) *pkroute.Plan {
+	r := &e.routes
+	r.mu.RLock()
+	p, found := r.plans[want]
+	fresh := r.changes == e.targets.Changes()
+	r.mu.RUnlock()
+	if found && fresh {
+		return p
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refresh(&e.targets)
+	p, found = r.plans[want]
+	if !found {
+		p = pkroute.NewPlan(want, r.pools[want.Pool])
+		r.plans[want] = p
+	}
+	return p
+}
+
+// refresh forgets all plans if the table changed since they were made.
+func (r *routes) refresh(t *pktarget.Table) {
+	changes := t.Changes()
+	if r.plans != nil && r.changes == changes {
+		return
+	}
+	r.changes = changes
+	r.plans = map[pkroute.Want]*pkroute.Plan{}
+	r.pools = map[pkid.PoolID][]*pktarget.Target{}
+	for _, one := range t.All() {
+		r.pools[one.Info.Pool] = append(r.pools[one.Info.Pool], one)
+	}
+}
+
+func (e *Entry) pool(id pkid.PoolID) []*pktarget.Target {
+	r := &e.routes
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refresh(&e.targets)
+	return r.pools[id]
+}
+
+func wantOf(m *pkmanifest.Model, adapter pkid.AdapterID) pkroute.Want {
+	return pkroute.Want{Pool: m.Pool, Model: m.ID, Version: m.Version, Adapter: adapter, Layers: m.Layers}
+}
+
+// gates keeps the gate and the retry budget of each pool.
+type gates struct {
+	mu  sync.Mutex
+	all map[pkid.PoolID]*gate
+}
+
+type gate struct {
+	*pkadmit.Gate
+	budget *pkadmit.Budget
+}
+
+const (
+	// retryShare is how many retries each request allows, and retryMost how
+	// many can be saved up.
+	retryShare = 0.2
+	retryMost  = 200
+	tendEvery  = 20 * time.Millisecond
+	sizeEvery  = 10
+	// slotsBeyond lets a few more requests in than engines have slots, so
+	// that a slot that becomes free is taken without a round trip.
+	slotsBeyond = 1.1
+)
+
+func (e *Entry) gate(id pkid.PoolID) *gate {
+	e.gates.mu.Lock()
+	defer e.gates.mu.Unlock()
+	if g, found := e.gates.all[id]; found {
+		return g
+	}
+	if e.gates.all == nil {
+		e.gates.all = map[pkid.PoolID]*gate{}
+	}
+	g := &gate{
+		Gate:   pkadmit.NewGate(pkadmit.DefaultOptions(), e.slots(id)),
+		budget: pkadmit.NewBudget(retryShare, retryMost),
+	}
+	e.gates.all[id] = g
+	return g
+}
+
+// tendGates sizes the gates by what their pools can run, and refuses waiting
+// requests whose time is up.
+func (e *Entry) tendGates(ctx context.Context) {
+	round := 0
+	every(ctx, tendEvery, func(context.Context) {
+		now := time.Now()
+		e.gates.mu.Lock()
+		defer e.gates.mu.Unlock()
+		for id, g := range e.gates.all {
+			if round%sizeEvery == 0 {
+				g.SetLimit(now, e.slots(id))
+			}
+			g.Expire(now)
+		}
+		round++
+	})
+}
+
+// slots returns how many requests this entry may have in a pool at once.
+func (e *Entry) slots(id pkid.PoolID) int {
+	now := time.Now()
+	usable := func(t *pktarget.Target) float64 {
+		if !t.Usable(now) {
+			return 0
+		}
+		return t.Slots()
+	}
+	total := 0.0
+	view := e.view.Load()
+	if view == nil {
+		return 0
+	}
+	models := 0
+	for i := range view.Manifest.Models {
+		if m := &view.Manifest.Models[i]; m.Pool == id {
+			models++
+			total += e.plan(wantOf(m, "")).Flow(usable)
+		}
+	}
+	if models == 0 {
+		for _, t := range e.pool(id) {
+			total += usable(t)
+		}
+	}
+	return max(int(total*slotsBeyond), 1)
+}
--- /dev/null
+++ b/pkentry/settings.go
@@ -0,0 +1,144 @@
+package pkentry
+
+import (
+	"net"
+	"time"
+
+	"peridotknot.example/pkid"
+	"peridotknot.example/pkyaml"
+)
+
+// Settings is what an entry learns from its settings file.
+type Settings struct {
+	Entry      pkid.EntryID    `yaml:"entry"`
+	Region     pkid.Region     `yaml:"region"`
+	DataCenter pkid.DataCenter `yaml:"data_center"`
+	Listen     Listen          `yaml:"listen"`
+	// Store and Platform are host and port of the key-value service and of
+	// the VM list.
+	Store    string      `yaml:"store"`
+	Platform string      `yaml:"platform"`
+	Peers    Peers       `yaml:"peers"`
+	Links    []LinkTime  `yaml:"links"`
+	Log      Log         `yaml:"log"`
+	Stop     Stop        `yaml:"stop"`
+	Trace    TraceExport `yaml:"trace"`
+	// Record is the file that a trace of what is served is appended to.
+	Record string `yaml:"record"`
+}
+
+// Listen is the addresses an entry listens on.
+type Listen struct {
+	Callers string `yaml:"callers"`
+	Admin   string `yaml:"admin"`
+	Peers   string `yaml:"peers"`
+	// Profile serves processor and memory profiles on the admin address.
+	Profile bool `yaml:"profile"`
+}
+
+// Peers says how an entry finds and meets the others.
+type Peers struct {
+	// Seeds are peer addresses to try first.
+	Seeds []string `yaml:"seeds"`
+	// Neighborhood is data_center or region: how far full detail is shared.
+	Neighborhood string `yaml:"neighborhood"`
+	TLS          TLS    `yaml:"tls"`
+}
+
+// TLS names the files of a mutual TLS identity; empty names mean no TLS.
+type TLS struct {
+	Cert string `yaml:"cert"`
+	Key  string `yaml:"key"`
+	CA   string `yaml:"ca"`
+}
+
+// LinkTime is the one-way time between two data centres.
+type LinkTime struct {
+	From pkid.DataCenter `yaml:"from"`
+	To   pkid.DataCenter `yaml:"to"`
+	Time time.Duration   `yaml:"time"`
+}
+
+// Log says what is logged and how.
+type Log struct {
+	Level  string `yaml:"level"`
+	Format string `yaml:"format"`
+}
+
+// Stop bounds a planned stop.
+type Stop struct {
+	// Delay is how long the balancer may still send after /readyz fails.
+	Delay time.Duration `yaml:"delay"`
+	// Limit bounds the whole stop.
+	Limit time.Duration `yaml:"limit"`
+}
+
+// TraceExport says where spans go; an empty address exports none.
+type TraceExport struct {
+	OTLP string `yaml:"otlp"`
+}
+
+// Values of settings.
+const (
+	NeighborhoodDataCenter = "data_center"
+	NeighborhoodRegion     = "region"
+	LogText                = "text"
+	LogJSON                = "json"
+)
+
+// ParseSettings reads and checks a settings file; the error is a
+// pkyaml.Faults.
+func ParseSettings(file string, body []byte) (Settings, error) {
+	s, doc, err := pkyaml.Decode[Settings](file, body)
+	if err != nil {
+		return s, err
+	}
+	var faults pkyaml.Faults
+	want := func(ok bool, text string, path ...any) {
+		if !ok {
+			faults = append(faults, doc.Fault(text, path...))
+		}
+	}
+	want(s.Entry != "", "entry is missing", "entry")
+	want(s.Region != "", "region is missing", "region")
+	want(s.DataCenter != "", "data_center is missing", "data_center")
+	want(isAddress(s.Listen.Callers), "expected IP:port", "listen", "callers")
+	want(isAddress(s.Listen.Admin), "expected IP:port", "listen", "admin")
+	want(s.Listen.Peers == "" || isAddress(s.Listen.Peers), "expected IP:port", "listen", "peers")
+	want(isAddress(s.Store), "expected IP:port", "store")
+	want(isAddress(s.Platform), "expected IP:port", "platform")
+	for i, seed := range s.Peers.Seeds {
+		want(isAddress(seed), "expected IP:port", "peers", "seeds", i)
+	}
+	n := s.Peers.Neighborhood
+	want(n == "" || n == NeighborhoodDataCenter || n == NeighborhoodRegion, "expected data_center or region", "peers", "neighborhood")
+	t := s.Peers.TLS
+	want(t == TLS{} || (t.Cert != "" && t.Key != "" && t.CA != ""), "cert, key and ca go together", "peers", "tls")
+	want(s.Log.Format == "" || s.Log.Format == LogText || s.Log.Format == LogJSON, "expected text or json", "log", "format")
+	want(s.Stop.Delay >= 0 && s.Stop.Limit >= s.Stop.Delay, "limit must not be below delay, nor delay below zero", "stop")
+	if len(faults) > 0 {
+		return s, faults
+	}
+	return s.withDefaults(), nil
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.Peers.Neighborhood == "" {
+		s.Peers.Neighborhood = NeighborhoodDataCenter
+	}
+	if s.Log.Format == "" {
+		s.Log.Format = LogText
+	}
+	if s.Log.Level == "" {
+		s.Log.Level = "info"
+	}
+	if s.Stop.Limit == 0 {
+		s.Stop = Stop{Delay: 2 * time.Second, Limit: 60 * time.Second}
+	}
+	return s
+}
+
+func isAddress(addr string) bool {
+	host, port, err := net.SplitHostPort(addr)
+	return err == nil && port != "" && net.ParseIP(host) != nil
+}
--- /dev/null
+++ b/pkopenai/answer.go
@@ -0,0 +1,107 @@
+package pkopenai
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"peridotknot.example/pkid"
+)
+
+// Usage counts the tokens of a request.
+type Usage struct {
+	PromptTokens     pkid.Tokens `json:"prompt_tokens"`
+	CompletionTokens pkid.Tokens `json:"completion_tokens"`
+	TotalTokens      pkid.Tokens `json:"total_tokens"`
+}
+
+// NewUsage returns the usage of a request.
+func NewUsage(prompt, completion pkid.Tokens) Usage {
+	return Usage{PromptTokens: prompt, CompletionTokens: completion, TotalTokens: prompt + completion}
+}
+
+// Head is what every part of one answer repeats.
+type Head struct {
+	ID       pkid.RequestID
+	Model    pkid.ModelID
+	Created  time.Time
+	Endpoint Endpoint
+}
+
+func (h Head) prefix() string {
+	if h.Endpoint == Chat {
+		return "chatcmpl-"
+	}
+	return "cmpl-"
+}
+
+func (h Head) object(chunk bool) string {
+	switch {
+	case h.Endpoint == Completion:
+		return "text_completion"
+	case chunk:
+		return "chat.completion.chunk"
+	default:
+		return "chat.completion"
+	}
+}
+
+type text struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type choice struct {
+	Index        int     `json:"index"`
+	Message      *text   `json:"message,omitempty"`
+	Text         *string `json:"text,omitempty"`
+	FinishReason string  `json:"finish_reason"`
+}
+
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+// WriteWhole answers with the whole text at once.
+func WriteWhole(w http.ResponseWriter, h Head, said, finish string, u Usage) error {
+	c := choice{FinishReason: finish}
+	if h.Endpoint == Chat {
+		c.Message = &text{Role: "assistant", Content: said}
+	} else {
+		c.Text = &said
+	}
+	w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(w).Encode(completion{
+		ID:      h.prefix() + string(h.ID),
+		Object:  h.object(false),
+		Created: h.Created.Unix(),
+		Model:   string(h.Model),
+		Choices: []choice{c},
+		Usage:   &u,
+	})
+}
+
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// WriteModels answers with the models that an account may use.
+func WriteModels(w http.ResponseWriter, ids []pkid.ModelID) error {
+	list := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list", Data: []model{}}
+	for _, id := range ids {
+		list.Data = append(list.Data, model{ID: string(id), Object: "model", OwnedBy: "peridotknot"})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(w).Encode(list)
+}
--- /dev/null
+++ b/pkstandin/settings.go
@@ -0,0 +1,81 @@
+package pkstandin
+
+import (
+	"fmt"
+	"time"
+
+	"peridotknot.example/pkid"
+	"peridotknot.example/pkyaml"
+)
+
+const anyPort = "127.0.0.1:0"
+
+// Settings says which stand-ins there are.
+type Settings struct {
+	// Store, Platform and Admin are the addresses to listen on.
+	Store    string `yaml:"store"`
+	Platform string `yaml:"platform"`
+	Admin    string `yaml:"admin"`
+	// Link is the one-way time between data centres.
+	Link time.Duration `yaml:"link"`
+	// LoadTime is how long an engine takes to carry out an order.
+	LoadTime time.Duration       `yaml:"load_time"`
+	Kinds    map[pkid.Kind]Speed `yaml:"kinds"`
+	Engines  []EngineGroup       `yaml:"engines"`
+	Services []ServiceGroup      `yaml:"services"`
+}
+
+// EngineGroup is engines that are alike.
+type EngineGroup struct {
+	Pool        pkid.PoolID       `yaml:"pool"`
+	Kind        pkid.Kind         `yaml:"kind"`
+	Count       int               `yaml:"count"`
+	DataCenters []pkid.DataCenter `yaml:"data_centers"`
+	Model       pkid.ModelID      `yaml:"model"`
+	Version     pkid.Version      `yaml:"version"`
+	Adapters    []pkid.AdapterID  `yaml:"adapters"`
+	First       pkid.Layer        `yaml:"first"`
+	End         pkid.Layer        `yaml:"end"`
+	Enforces    bool              `yaml:"enforces_fencing"`
+}
+
+// ServiceGroup is services that are alike.
+type ServiceGroup struct {
+	Pool        pkid.PoolID       `yaml:"pool"`
+	Count       int               `yaml:"count"`
+	DataCenters []pkid.DataCenter `yaml:"data_centers"`
+	Takes       time.Duration     `yaml:"takes"`
+	Max         int               `yaml:"max"`
+}
+
+// ParseSettings reads and checks settings; the error is a pkyaml.Faults.
+func ParseSettings(file string, body []byte) (Settings, error) {
+	s, doc, err := pkyaml.Decode[Settings](file, body)
+	if err != nil {
+		return s, err
+	}
+	var faults pkyaml.Faults
+	want := func(ok bool, text string, path ...any) {
+		if !ok {
+			faults = append(faults, doc.Fault(text, path...))
+		}
+	}
+	for i, g := range s.Engines {
+		_, found := s.Kinds[g.Kind]
+		want(found, fmt.Sprintf("kind %q is not among kinds", g.Kind), "engines", i, "kind")
+		want(g.Pool != "" && g.Count > 0 && len(g.DataCenters) > 0, "an engine group needs pool, count and data_centers", "engines", i)
+		want(g.End > g.First, "end must be above first", "engines", i)
+	}
+	for i, g := range s.Services {
+		want(g.Pool != "" && g.Count > 0 && len(g.DataCenters) > 0 && g.Max > 0, "a service group needs pool, count, data_centers and max", "services", i)
+	}
+	if len(faults) > 0 {
+		return s, faults
+	}
+	for _, addr := range []*string{&s.Store, &s.Platform, &s.Admin} {
+		if *addr == "" {
+			*addr = anyPort
+		}
+	}
+	return s, nil
+}
--- /dev/null
+++ b/pktrace/expect.go
@@ -0,0 +1,46 @@
+package pktrace
+
+import (
+	"time"
+
+	"peridotknot.example/pkyaml"
+)
+
+// Expect is the stated outcome of a trace. What must always hold (nothing
+// doubled, crossed or out of layer order, and no run call told as not run) is
+// not stated: it is checked in every replay.
+type Expect struct {
+	// Shares are of all requests of the trace.
+	MaxLostShare    float64 `yaml:"max_lost_share" json:"max_lost_share"`
+	MaxLateShare    float64 `yaml:"max_late_share" json:"max_late_share"`
+	MaxRefusedShare float64 `yaml:"max_refused_share" json:"max_refused_share"`
+	// The 95th percentiles over the whole trace.
+	FirstTokenP95    time.Duration `yaml:"first_token_p95" json:"first_token_p95"`
+	BetweenTokensP95 time.Duration `yaml:"between_tokens_p95" json:"between_tokens_p95"`
+	// MinGoodputShare is whole and timely tokens against the bound.
+	MinGoodputShare float64 `yaml:"min_goodput_share" json:"min_goodput_share"`
+	// MaxRecovery bounds the recovery time of each fault.
+	MaxRecovery time.Duration `yaml:"max_recovery" json:"max_recovery"`
+}
+
+// ParseExpect reads a stated outcome; the error is a pkyaml.Faults.
+func ParseExpect(file string, body []byte) (Expect, error) {
+	x, doc, err := pkyaml.Decode[Expect](file, body)
+	if err != nil {
+		return x, err
+	}
+	var faults pkyaml.Faults
+	for key, d := range map[string]time.Duration{
+		"first_token_p95":    x.FirstTokenP95,
+		"between_tokens_p95": x.BetweenTokensP95,
+		"max_recovery":       x.MaxRecovery,
+	} {
+		if d <= 0 {
+			faults = append(faults, doc.Fault(key+" is missing or not above zero", key))
+		}
+	}
+	if len(faults) > 0 {
+		return x, faults
+	}
+	return x, nil
+}
--- /dev/null
+++ b/pkversion/doc.go
@@ -0,0 +1,2 @@
+// Package pkversion says which build of the router this is.
+package pkversion
