--- /dev/null
+++ b/pkadmit/gate_test.go
@@ -0,0 +1,144 @@
+package pkadmit
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotknot.example/pkid"
+)
+
+var start = time.Unix(1000, 0)
+
+func request(account pkid.AccountID, weight int, tokens pkid.Tokens) Ask {
+	return Ask{Account: account, Weight: weight, MaxInFlight: 1000, Tokens: tokens, Deadline: start.Add(time.Hour)}
+}
+
+func admitted(t *Ticket) bool {
+	select {
+	case <-t.Ready():
+		return t.Refused() == nil
+	default:
+		return false
+	}
+}
+
+// One account sends a burst that fills the queue; another sends a little. The
+// pool is full. Each must get its share by weight, in tokens: counted in
+// requests, the account with the longer prompts would take all of the pool.
+func TestSharesFollowWeightsInTokens(t *testing.T) {
+	g := NewGate(Options{Queue: 1000, Hold: time.Second}, 1)
+	var waiting []*Ticket
+	for range 300 {
+		for _, ask := range []Ask{request("burst", 1, 400), request("small", 1, 100), request("heavy", 2, 100)} {
+			one, refusal := g.Enter(start, ask)
+			assert.Assert(t, refusal == nil)
+			waiting = append(waiting, one)
+		}
+	}
+	served := map[pkid.AccountID]pkid.Tokens{}
+	for range 300 {
+		for i, one := range waiting {
+			if !admitted(one) {
+				continue
+			}
+			waiting = append(waiting[:i], waiting[i+1:]...)
+			served[one.ask.Account] += one.ask.Tokens
+			g.Leave(start, one, one.ask.Tokens)
+			break
+		}
+	}
+	total := float64(served["burst"] + served["small"] + served["heavy"])
+	for account, share := range map[pkid.AccountID]float64{"burst": 0.25, "small": 0.25, "heavy": 0.5} {
+		got := float64(served[account]) / total
+		assert.Assert(t, got > share-0.03 && got < share+0.03, "%s has %.3f", account, got)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	full := func() *Gate {
+		g := NewGate(Options{Queue: 2, Hold: time.Second}, 1)
+		_, refusal := g.Enter(start, request("a", 1, 1))
+		assert.Assert(t, refusal == nil)
+		return g
+	}
+	t.Run("queue full", func(t *testing.T) {
+		g := full()
+		for range 2 {
+			_, refusal := g.Enter(start, request("a", 1, 1))
+			assert.Assert(t, refusal == nil)
+		}
+		_, refusal := g.Enter(start, request("a", 1, 1))
+		var r *Refusal
+		assert.Assert(t, errors.As(refusal, &r))
+		assert.Assert(t, !r.Late && r.RetryAfter >= time.Second)
+		_, refusal = g.Enter(start, request("b", 1, 1))
+		assert.Assert(t, refusal == nil, "another account still gets in")
+	})
+	t.Run("deadline cannot be met", func(t *testing.T) {
+		g := full()
+		ask := request("b", 1, 1)
+		ask.Deadline = start.Add(100 * time.Millisecond)
+		_, refusal := g.Enter(start, ask)
+		assert.Assert(t, refusal != nil && refusal.Late)
+	})
+	t.Run("limit of the account", func(t *testing.T) {
+		ask := request("a", 1, 1)
+		ask.MaxInFlight = 1
+		_, refusal := full().Enter(start, ask)
+		assert.Assert(t, refusal != nil && !refusal.Late)
+	})
+}
+
+// A request waits and its time runs out. It must be refused then, not when its
+// turn comes, and its place must not count against the account any more.
+func TestExpireRefusesAtOnce(t *testing.T) {
+	g := NewGate(Options{Queue: 10, Hold: time.Millisecond}, 1)
+	running, _ := g.Enter(start, request("a", 1, 1))
+	ask := request("b", 1, 1)
+	ask.Deadline = start.Add(time.Second)
+	ask.Least = 100 * time.Millisecond
+	one, refusal := g.Enter(start, ask)
+	assert.Assert(t, refusal == nil)
+	g.Expire(start.Add(800 * time.Millisecond))
+	assert.Assert(t, !admitted(one))
+	g.Expire(start.Add(950 * time.Millisecond))
+	<-one.Ready()
+	assert.Assert(t, one.Refused().Late)
+	g.Leave(start, running, 1)
+	inFlight, waiting, _ := g.Counts()
+	assert.Equal(t, inFlight+waiting, 0)
+}
+
+func TestWithdraw(t *testing.T) {
+	g := NewGate(DefaultOptions(), 1)
+	running, _ := g.Enter(start, request("a", 1, 1))
+	one, _ := g.Enter(start, request("a", 1, 1))
+	assert.Assert(t, !g.Withdraw(start, one))
+	assert.Assert(t, g.Withdraw(start, running))
+	g.Leave(start, running, 1)
+	inFlight, waiting, _ := g.Counts()
+	assert.Equal(t, inFlight+waiting, 0)
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	b := NewBudget(0.1, 5)
+	spent := 0
+	for range 1000 {
+		b.Earn()
+		if b.Spend() {
+			spent++
+		}
+	}
+	assert.Assert(t, spent >= 100 && spent <= 106, spent)
+}
+
+func BenchmarkEnterLeave(b *testing.B) {
+	g := NewGate(DefaultOptions(), 1000)
+	for b.Loop() {
+		one, _ := g.Enter(start, request("a", 1, 10))
+		g.Leave(start, one, 10)
+	}
+}
--- /dev/null
+++ b/pkcontract/memory_test.go
@@ -0,0 +1,11 @@
+package pkcontract
+
+import (
+	"testing"
+
+	"peridotknot.example/pkstore"
+)
+
+func TestMemoryIsAStore(t *testing.T) {
+	Store(t, func(*testing.T) pkstore.Store { return NewMemory() })
+}
--- /dev/null
+++ b/pkverdict/verdict_test.go
@@ -0,0 +1,59 @@
+package pkverdict
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestDecide(t *testing.T) {
+	cases := map[string]struct {
+		progress Progress
+		want     Verdict
+	}{
+		"no connection":              {Progress{}, NotRun},
+		"connection, nothing sent":   {Progress{Connected: true}, NotRun},
+		"sent, no answer":            {Progress{Connected: true, Written: true}, MayHaveRun},
+		"sent, answered":             {Progress{Connected: true, Written: true, Answered: true}, Ran},
+		"sent, target did not start": {Progress{Connected: true, Written: true, Refused: true}, NotRun},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, Decide(c.progress), c.want) })
+	}
+}
+
+// A caller who reads "not run" sends the request again. If any byte of the
+// first one had left, the target may run it twice; so no sequence of attempts
+// in which one was written may end as NotRun unless the target refused it.
+func TestNotRunIsAPromise(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := NotRun
+		unsafe := false
+		for range rapid.IntRange(1, 5).Draw(t, "attempts") {
+			p := Progress{
+				Connected: rapid.Bool().Draw(t, "connected"),
+				Written:   rapid.Bool().Draw(t, "written"),
+				Refused:   rapid.Bool().Draw(t, "refused"),
+				Answered:  rapid.Bool().Draw(t, "answered"),
+			}
+			unsafe = unsafe || ((p.Written || p.Answered) && !p.Refused)
+			total = Join(total, Decide(p))
+		}
+		if unsafe && total == NotRun {
+			t.Fatal("told not run after a request was sent")
+		}
+		if !unsafe && total != NotRun {
+			t.Fatal("nothing was sent, but the verdict is not NotRun")
+		}
+	})
+}
+
+func TestMayRepeat(t *testing.T) {
+	assert.Assert(t, NotRun.MayRepeat(false))
+	assert.Assert(t, !MayHaveRun.MayRepeat(false))
+	assert.Assert(t, MayHaveRun.MayRepeat(true))
+	assert.Assert(t, !Ran.MayRepeat(true))
+	var forgotten Verdict
+	assert.Assert(t, !forgotten.MayRepeat(false))
+}
