pkroute: let entries share counts, reports and the manifest among themselves

Cause: each entry saw only its own requests, polled every target and watched the store; a fresh VM could not start while the store was down.

Entries now speak CBOR over WebSocket, full detail inside a neighborhood and two links to each other one. Rendezvous hashing splits the polling of targets and lets two entries a neighborhood watch the store.

Ruled out: one connection for both directions of a pair (a link that works one way would then carry nothing) and an elected leader (a second consensus).

--- a/pkentry/admin.go
+++ b/pkentry/admin.go
@@ -1,7 +1,9 @@
 package pkentry
 
 import (
+	"cmp"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/pprof"
 	"time"
@@ -26,7 +28,12 @@
 	InForceFor string            `json:"in_force_for,omitempty"`
 	StoreOK    bool              `json:"store_ok"`
 	Alarm      string            `json:"alarm,omitempty"`
-	Pools      []PoolStatus      `json:"pools"`
+	Neighbors  []pkid.EntryID    `json:"neighbors"`
+	// SentBytes and ReceivedBytes count control traffic with other entries.
+	SentBytes     int64        `json:"sent_bytes"`
+	ReceivedBytes int64        `json:"received_bytes"`
+	StoreCalls    int64        `json:"store_calls"`
+	Pools         []PoolStatus `json:"pools"`
 }
 
 // PoolStatus is one pool as an entry sees it.
@@ -90,9 +97,19 @@
 func (e *Entry) Status(now time.Time) Status {
 	s := Status{Entry: e.settings.Entry, DataCenter: e.settings.DataCenter, Pools: []PoolStatus{}}
 	s.Ready, s.Why = e.ready()
+	s.SentBytes, s.ReceivedBytes = e.peers.net.Bytes()
+	s.StoreCalls = e.store.Calls()
+	for _, m := range e.peers.table.Neighbors(now) {
+		if m.Instance != e.peers.table.Self().Instance {
+			s.Neighbors = append(s.Neighbors, m.Entry)
+		}
+	}
+	if twins := e.peers.table.Twins(now); len(twins) > 0 {
+		s.Alarm = fmt.Sprintf("two VMs have the entry id %s; give one another id in its settings", twins[0].Entry)
+	}
 	e.follow.mu.Lock()
 	s.StoreOK = e.follow.storeOK
-	s.Alarm = e.follow.alarm
+	s.Alarm = cmp.Or(e.follow.alarm, s.Alarm)
 	since := e.follow.since
 	e.follow.mu.Unlock()
 	view := e.view.Load()
--- a/pkentry/entry.go
+++ b/pkentry/entry.go
@@ -57,10 +57,14 @@
 	warm      atomic.Bool
 	stopping  atomic.Bool
 	refusing  atomic.Bool
+	peers     *peers
 	callers   net.Listener
+	peerSide  net.Listener
 	admin     net.Listener
 	follow    follower
 	cancelled chan cancelled
+	// registration belongs to the loop that meets seeds.
+	registration registration
 }
 
 // New returns an entry that listens already and serves once Run is called.
@@ -88,6 +92,7 @@
 	if err := e.listen(); err != nil {
 		return nil, errors.Join(err, e.close())
 	}
+	e.peers = e.newPeers(e.Peers())
 	return e, nil
 }
 
@@ -99,6 +104,12 @@
 	if e.admin, err = net.Listen("tcp", e.settings.Listen.Admin); err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
+	if e.settings.Listen.Peers == "" {
+		return nil
+	}
+	if e.peerSide, err = net.Listen("tcp", e.settings.Listen.Peers); err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
 	return nil
 }
 
@@ -108,6 +119,15 @@
 // Admin returns the address that operators reach.
 func (e *Entry) Admin() string { return e.admin.Addr().String() }
 
+// Peers returns the address that other entries reach; it is empty for an entry
+// that stays alone.
+func (e *Entry) Peers() string {
+	if e.peerSide == nil {
+		return ""
+	}
+	return e.peerSide.Addr().String()
+}
+
 // Run serves until ctx ends, then stops gracefully and returns once
 // everything that the entry started has ended.
 func (e *Entry) Run(ctx context.Context) error {
@@ -120,7 +140,13 @@
 	g.Add(func() error { return e.waitAndStop(ctx, callers) }, func(error) { cancel() })
 	g.Add(func() error { return serve(callers, e.callers, inner) }, func(error) { _ = callers.Close() })
 	g.Add(func() error { return serve(admin, e.admin, inner) }, func(error) { _ = admin.Close() })
-	for _, loop := range []func(context.Context){e.followManifest, e.followVMs, e.followLoads, e.tendGates, e.sendCancels} {
+	loops := []func(context.Context){e.followManifest, e.followVMs, e.followLoads, e.tendGates, e.sendCancels}
+	if e.peerSide != nil {
+		peers := e.server(e.peersHandler())
+		g.Add(func() error { return serve(peers, e.peers.net.Listen(e.peerSide), inner) }, func(error) { _ = peers.Close() })
+		loops = append(loops, e.tendPeers, e.meetSeeds)
+	}
+	for _, loop := range loops {
 		g.Add(func() error { loop(inner); return nil }, func(error) { cancel() })
 	}
 	err := g.Run()
@@ -182,7 +208,7 @@
 
 func (e *Entry) close() error {
 	var errs []error
-	for _, l := range []net.Listener{e.callers, e.admin} {
+	for _, l := range []net.Listener{e.callers, e.admin, e.peerSide} {
 		if l != nil {
 			if err := l.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 				errs = append(errs, err)
--- a/pkentry/manifest.go
+++ b/pkentry/manifest.go
@@ -8,15 +8,20 @@
 
 	"peridotknot.example/pkhead"
 	"peridotknot.example/pkmanifest"
+	"peridotknot.example/pkmember"
 	"peridotknot.example/pkstore"
 )
 
 const (
 	storeTimeout = 2 * time.Second
 	// rereadEvery bounds the harm of a watch that went silent.
-	rereadEvery  = 10 * time.Second
-	backOffFirst = 100 * time.Millisecond
-	backOffMost  = 5 * time.Second
+	rereadEvery = 10 * time.Second
+	// watchers is how many entries of a neighborhood watch the store; the
+	// others hear from them, and reread now and then in case they do not.
+	watchers      = 2
+	rereadUnasked = 30 * time.Second
+	backOffFirst  = 100 * time.Millisecond
+	backOffMost   = 5 * time.Second
 )
 
 // follower is what the entry knows of the store's head.
@@ -66,6 +71,10 @@
 	if err := e.consider(ctx, item); err != nil {
 		e.log.Error("the head was not adopted", "error", err)
 	}
+	if !e.watches(time.Now()) {
+		e.waitAsNonWatcher(ctx)
+		return nil
+	}
 	watch, cancel := context.WithTimeout(ctx, rereadEvery)
 	defer cancel()
 	err = e.store.Watch(watch, pkhead.HeadKey, item.Revision, func(ev pkstore.Event) {
@@ -82,6 +91,29 @@
 	return err
 }
 
+// watches says whether it falls to this entry to watch the store. A watch
+// counts as a call for as long as it waits, so not every entry has one.
+func (e *Entry) watches(now time.Time) bool {
+	self := e.peers.table.Self()
+	for _, m := range pkmember.First(e.peers.table.Neighbors(now), pkhead.HeadKey, watchers) {
+		if m.Instance == self.Instance {
+			return true
+		}
+	}
+	return false
+}
+
+// waitAsNonWatcher waits for the next reread, or until it falls to this entry
+// to watch.
+func (e *Entry) waitAsNonWatcher(ctx context.Context) {
+	until := time.Now().Add(rereadUnasked/2 + time.Duration(newRand().Int64N(int64(rereadUnasked))))
+	for time.Now().Before(until) && !e.watches(time.Now()) {
+		if !sleep(ctx, tendPeersEvery) {
+			return
+		}
+	}
+}
+
 func (e *Entry) setStore(ok bool) {
 	e.follow.mu.Lock()
 	defer e.follow.mu.Unlock()
@@ -155,6 +187,9 @@
 	e.follow.since = now
 	e.follow.alarm = ""
 	e.targets.Changed()
+	if e.peers != nil {
+		e.peers.kick()
+	}
 	e.log.Info("manifest in force", "revision", head.Revision, "name", m.Name)
 	return nil
 }
--- /dev/null
+++ b/pkentry/register.go
@@ -0,0 +1,78 @@
+package pkentry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"peridotknot.example/pkhead"
+	"peridotknot.example/pkmember"
+	"peridotknot.example/pkstore"
+)
+
+const (
+	entryPrefix    = pkhead.Prefix + "entry/"
+	registerTTL    = 40 * time.Second
+	registerRounds = 10
+)
+
+// registration is the entry's own key in the store, by which a fresh VM
+// without seeds finds the others.
+type registration struct {
+	lease pkstore.LeaseID
+	read  bool
+}
+
+// register keeps the entry's key alive, and reads the others' once. At 380
+// nodes that is 38 calls a second; a node that knows peers reads no list again.
+func (e *Entry) register(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := e.renewKey(ctx); err != nil && ctx.Err() == nil {
+		e.log.Debug("the entry's key in the store was not renewed", "error", err)
+		return
+	}
+	alone := len(e.peers.table.Known(time.Now())) == 1
+	if e.registration.read && !alone {
+		return
+	}
+	items, _, err := e.store.List(ctx, entryPrefix)
+	if err != nil {
+		return
+	}
+	e.registration.read = true
+	var known []pkmember.Member
+	for _, item := range items {
+		var m pkmember.Member
+		if err := json.Unmarshal(item.Value, &m); err == nil {
+			known = append(known, m)
+		}
+	}
+	e.peers.table.Learn(time.Now(), known)
+}
+
+func (e *Entry) renewKey(ctx context.Context) error {
+	r := &e.registration
+	if r.lease != 0 {
+		err := e.store.Renew(ctx, r.lease)
+		if !errors.Is(err, pkstore.ErrNoLease) {
+			return err
+		}
+		r.lease = 0
+	}
+	id, err := e.store.Grant(ctx, registerTTL)
+	if err != nil {
+		return err
+	}
+	self := e.peers.table.Self()
+	value, err := json.Marshal(self)
+	if err != nil {
+		return err
+	}
+	_, err = e.store.Swap(ctx, pkstore.Swap{Key: entryPrefix + string(self.Instance), Value: value, Lease: id})
+	if err == nil {
+		r.lease = id
+	}
+	return err
+}
--- a/pkentry/routes.go
+++ b/pkentry/routes.go
@@ -174,5 +174,13 @@
 			total += usable(t)
 		}
 	}
-	return max(int(total*slotsBeyond), 1)
+	return max(int(e.ownShare(id, total*slotsBeyond, now)), 1)
+}
+
+// ownShare returns this entry's share of a pool's slots: what its neighbors leave
+// free, but never less than an even part, so that an entry whose neighbors'
+// counts are old is not starved by them.
+func (e *Entry) ownShare(id pkid.PoolID, total float64, now time.Time) float64 {
+	inFlight, neighbors := e.peers.table.Pool(now, id)
+	return max(total-float64(inFlight), total/float64(neighbors+1))
 }
--- a/pkentry/targets.go
+++ b/pkentry/targets.go
@@ -15,6 +15,7 @@
 	loadsEvery  = 200 * time.Millisecond
 	loadTimeout = 500 * time.Millisecond
 	loadsAtOnce = 32
+	staleAfter  = 2 * time.Second
 )
 
 // followVMs keeps the table up to date with the platform's list.
@@ -46,7 +47,12 @@
 		slots := make(chan struct{}, loadsAtOnce)
 		services := e.servicePools()
 		all := e.targets.All()
+		now := time.Now()
+		members := e.peers.table.Neighbors(now)
 		for _, t := range all {
+			if !e.looksAfter(members, t.Info.ID) && !stale(t, now) {
+				continue
+			}
 			slots <- struct{}{}
 			wg.Go(func() {
 				defer func() { <-slots }()
@@ -60,6 +66,13 @@
 	})
 }
 
+// stale says whether a target's report is so old that its keeper among the
+// neighbors seems to be lost.
+func stale(t *pktarget.Target, now time.Time) bool {
+	_, age, known := t.Reported(now)
+	return !known || age > staleAfter
+}
+
 func (e *Entry) servicePools() map[pkid.PoolID]bool {
 	out := map[pkid.PoolID]bool{}
 	if view := e.view.Load(); view != nil {
--- /dev/null
+++ b/pkpeer/conn.go
@@ -0,0 +1,90 @@
+package pkpeer
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+
+	"peridotknot.example/pkmember"
+)
+
+const (
+	// maxMessage holds a manifest of several megabytes; more is hostile.
+	maxMessage   = 8 << 20
+	writeTimeout = 2 * time.Second
+)
+
+// decode refuses what a broken or hostile peer could exhaust memory with.
+var decode = mustDecoder(cbor.DecOptions{
+	MaxNestedLevels:  16,
+	MaxArrayElements: 1 << 16,
+	MaxMapPairs:      1 << 16,
+	IndefLength:      cbor.IndefLengthForbidden,
+	DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+})
+
+func mustDecoder(o cbor.DecOptions) cbor.DecMode {
+	mode, err := o.DecMode()
+	if err != nil {
+		panic(err) // the options above are constant
+	}
+	return mode
+}
+
+// Conn is a connection to another entry.
+type Conn struct {
+	ws *websocket.Conn
+	// sent and received count bytes for the limits on control traffic.
+	sent     *atomic.Int64
+	received *atomic.Int64
+}
+
+// Send sends a message and returns its size.
+func (c *Conn) Send(ctx context.Context, m pkmember.Message) (int, error) {
+	raw, err := Encode(m)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if err := c.ws.Write(ctx, websocket.MessageBinary, raw); err != nil {
+		return 0, fmt.Errorf("send to peer: %w", err)
+	}
+	c.sent.Add(int64(len(raw)))
+	return len(raw), nil
+}
+
+// Receive waits for the next message.
+func (c *Conn) Receive(ctx context.Context) (pkmember.Message, error) {
+	_, raw, err := c.ws.Read(ctx)
+	if err != nil {
+		return pkmember.Message{}, fmt.Errorf("receive from peer: %w", err)
+	}
+	c.received.Add(int64(len(raw)))
+	return Decode(raw)
+}
+
+// Close closes the connection at once.
+func (c *Conn) Close() error { return c.ws.CloseNow() }
+
+// Encode writes a message.
+func Encode(m pkmember.Message) ([]byte, error) {
+	raw, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode message to peer: %w", err)
+	}
+	return raw, nil
+}
+
+// Decode reads a message.
+func Decode(raw []byte) (pkmember.Message, error) {
+	var m pkmember.Message
+	if err := decode.Unmarshal(raw, &m); err != nil {
+		return m, fmt.Errorf("message of a peer is not readable: %w", err)
+	}
+	return m, nil
+}
--- a/pktarget/target.go
+++ b/pktarget/target.go
@@ -105,6 +105,16 @@
 	t.report.Store(&stamped{Report: r, at: now, own: t.own.Load(), peers: t.peers.Load()})
 }
 
+// Numbers returns the target's last report and what it holds, for peers; the
+// holding is nil if the target did not report yet.
+func (t *Target) Numbers() (Report, *Holding) {
+	s := t.report.Load()
+	if s == nil {
+		return Report{}, nil
+	}
+	return s.Report, t.holding.Load()
+}
+
 // Reported returns the last report and its age at now.
 func (t *Target) Reported(now time.Time) (Report, time.Duration, bool) {
 	s := t.report.Load()
@@ -192,6 +202,9 @@
 	}
 }
 
+// LeavingBy says whether one witness says that the target is leaving.
+func (t *Target) LeavingBy(w Witness) bool { return t.leavingBy.Load()&uint32(w) != 0 }
+
 // Leaving says whether any witness says that the target is leaving.
 func (t *Target) Leaving() bool { return t.leavingBy.Load() != 0 }
 
--- a/pkyaml/decode_test.go
+++ b/pkyaml/decode_test.go
@@ -15,12 +15,12 @@
 
 func TestDecodeSaysWhereAndWhat(t *testing.T) {
 	cases := map[string]struct{ body, want string }{
-		"unknown key":   {"name: a\nnmae: b\n", `f.yaml:2: unknown key "nmae"`},
+		"unknown key":   {"name: a\nnick: b\n", `f.yaml:2: unknown key "nick"`},
 		"wrong unit":    {"wait: 20 parsecs\n", `f.yaml:1: found "20 parsecs", expected a duration such as 250ms or 20s`},
 		"wrong type":    {"many: three\n", `f.yaml:1: found "three", expected a list`},
 		"two documents": {"name: a\n---\nname: b\n", "f.yaml:1: expected one document, found more"},
 		"empty":         {"", "f.yaml:1: the file is empty"},
-		"two faults":    {"nmae: b\nwait: x\n", "f.yaml:1: unknown key \"nmae\"\nf.yaml:2: found \"x\", expected a duration such as 250ms or 20s"},
+		"two faults":    {"nick: b\nwait: x\n", "f.yaml:1: unknown key \"nick\"\nf.yaml:2: found \"x\", expected a duration such as 250ms or 20s"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
