pkroute: measure the cost of each dimension, and read the VM list by its tag

'peridotknot measure' varies replicas, accounts, tokens, nodes and changes one at a time and fits a line to processor time, bytes and memory. What the entry costs is the same load through it less straight to the engines, in turn.

The VM list would be 0.87 MB/s a node at 4,500 targets (97 bytes each, twice a second); it now travels only when its tag changed. A new manifest was asked of every neighbor at once; one is asked now.

--- a/pkentry/admin.go
+++ b/pkentry/admin.go
@@ -93,6 +93,14 @@
 	}
 }
 
+// Revision returns the revision of the manifest in force; zero is none.
+func (e *Entry) Revision() pkid.Revision {
+	if view := e.view.Load(); view != nil {
+		return view.Revision
+	}
+	return 0
+}
+
 // Status returns what the entry tells operators about itself.
 func (e *Entry) Status(now time.Time) Status {
 	s := Status{Entry: e.settings.Entry, DataCenter: e.settings.DataCenter, Pools: []PoolStatus{}}
--- a/pkentry/peers.go
+++ b/pkentry/peers.go
@@ -35,6 +35,26 @@
 	mu    sync.Mutex
 	links map[pkmember.Instance]*link
 	wg    sync.WaitGroup
+	// wanted is the revision that was asked for last, and when.
+	wanted   pkid.Revision
+	wantedAt time.Time
+}
+
+// wantAgain is how long an asked peer has before another one is asked.
+const wantAgain = 500 * time.Millisecond
+
+// mayWant says whether a revision should be asked for now. All neighbors tell
+// of a new manifest at once; asking each of them for it would bring its body
+// many times over.
+func (p *peers) mayWant(rev pkid.Revision, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.wanted >= rev && now.Sub(p.wantedAt) < wantAgain {
+		return false
+	}
+	p.wanted = rev
+	p.wantedAt = now
+	return true
 }
 
 // link is the connection that this entry dials to one other.
@@ -345,6 +365,9 @@
 	}
 	switch pkhead.Consider(rev, digest, s.Revision, s.Digest) {
 	case pkhead.Adopt:
+		if !e.peers.mayWant(s.Revision, time.Now()) {
+			return nil
+		}
 		_, err := c.Send(ctx, pkmember.Message{Want: &pkmember.Want{Revision: s.Revision}})
 		return err
 	case pkhead.Conflict:
--- a/pkentry/targets.go
+++ b/pkentry/targets.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"peridotknot.example/pkengine"
 	"peridotknot.example/pkid"
+	"peridotknot.example/pkplatform"
 	"peridotknot.example/pktarget"
 )
 
@@ -24,6 +26,9 @@
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
 		list, err := e.platform.VMs(call)
+		if errors.Is(err, pkplatform.ErrSame) {
+			return
+		}
 		if err != nil {
 			if ctx.Err() == nil {
 				e.log.Warn("the VM list cannot be read; the last one stays", "error", err)
@@ -35,6 +40,9 @@
 			e.log.Info("targets changed", "added", c.Added, "dropped", c.Dropped)
 		}
 		if c.Kept > 0 {
+			// Whether they stay depends on calls too, so the same list must
+			// be applied again.
+			e.platform.Forget()
 			e.log.Warn("the VM list lost more than half of a pool; its targets stay until calls fail too", "kept", c.Kept)
 		}
 	})
--- a/pklab/lab.go
+++ b/pklab/lab.go
@@ -15,11 +15,13 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"peridotknot.example/pkconn"
+	"peridotknot.example/pkengine"
 	"peridotknot.example/pkentry"
 	"peridotknot.example/pketcd"
 	"peridotknot.example/pkhead"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkmanifest"
+	"peridotknot.example/pkplatform"
 	"peridotknot.example/pkstandin"
 	"peridotknot.example/pktrace"
 )
@@ -206,7 +208,7 @@
 func (l *Lab) Inject(f pktrace.Fault) error {
 	switch f.Name {
 	case pktrace.FaultPublish:
-		return l.republish()
+		return l.Republish()
 	case pktrace.FaultEntry:
 		i, err := strconv.Atoi(f.Target)
 		if err != nil || i >= len(l.entries) {
@@ -218,8 +220,9 @@
 	return l.World.Fault(f)
 }
 
-// republish publishes the manifest with a changed limit.
-func (l *Lab) republish() error {
+// Republish publishes the manifest again with another comment, so that only
+// its digest differs.
+func (l *Lab) Republish() error {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	l.mu.Lock()
@@ -236,6 +239,35 @@
 	return nil
 }
 
+// Route returns a chain of engines for a model, as the VM list and the engines
+// themselves give it.
+func (l *Lab) Route(ctx context.Context, model pkid.ModelID) ([]pkengine.Hop, error) {
+	engines := pkengine.NewClient(pkconn.DefaultOptions(), time.Second)
+	platform := pkplatform.New(l.World.PlatformAddr(), pkconn.DefaultOptions())
+	defer func() { _ = errors.Join(engines.Close(), platform.Close()) }() // only idle connections are left
+	list, err := platform.VMs(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var route []pkengine.Hop
+	var at, last pkid.Layer
+	for _, vm := range list {
+		load, err := engines.Load(ctx, vm.Addr)
+		if err != nil || load.Model != model {
+			continue
+		}
+		last = max(last, load.End)
+		if load.First == at {
+			at = load.End
+			route = append(route, pkengine.Hop{Target: vm.ID, Addr: vm.Addr, First: load.First, End: load.End})
+		}
+	}
+	if at != last || at == 0 {
+		return nil, fmt.Errorf("the engines of %s make no chain", model)
+	}
+	return route, nil
+}
+
 // Close stops the entries and the stand-ins and waits for them.
 func (l *Lab) Close() error {
 	var errs []error
--- a/pklab/peers_test.go
+++ b/pklab/peers_test.go
@@ -52,7 +52,7 @@
 	assert.Assert(t, !fresh.StoreOK)
 
 	l.World.KV.SetDown(false)
-	assert.NilError(t, l.republish())
+	assert.NilError(t, l.Republish())
 	for i := range 3 {
 		eventually(t, "the next manifest is in force", func() bool { return status(l, i).Revision == 2 })
 	}
@@ -63,7 +63,7 @@
 func TestRestoredStoreIsRefused(t *testing.T) {
 	l := startLab(t, 2)
 	old := l.World.KV.Snapshot()
-	assert.NilError(t, l.republish())
+	assert.NilError(t, l.Republish())
 	for i := range 2 {
 		eventually(t, "revision 2 is in force", func() bool { return status(l, i).Revision == 2 })
 	}
--- /dev/null
+++ b/pkmeasure/state.go
@@ -0,0 +1,167 @@
+package pkmeasure
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"peridotknot.example/pkadmit"
+	"peridotknot.example/pkid"
+	"peridotknot.example/pkmanifest"
+	"peridotknot.example/pkplatform"
+	"peridotknot.example/pkroute"
+	"peridotknot.example/pktarget"
+)
+
+// perCall returns the processor time of one call of do in microseconds.
+func perCall(n int, do func()) float64 {
+	took := spent(func() {
+		for range n {
+			do()
+		}
+	})
+	return float64(took.Nanoseconds()) / 1000 / float64(n)
+}
+
+// heapOf returns the bytes of heap that what make returns keeps.
+func heapOf[T any](fill func() T) (T, float64) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := fill()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return kept, float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// replicas measures what grows with the targets.
+func replicas(_ context.Context, say func(string)) ([]Series, error) {
+	choose := Series{Name: "choose_by_replicas", X: "replicas", Y: "microseconds of processor time a choice of chain"}
+	plan := Series{Name: "plan_by_replicas", X: "replicas", Y: "microseconds of processor time a plan"}
+	apply := Series{Name: "vm_list_by_replicas", X: "replicas", Y: "microseconds of processor time a VM list"}
+	size := Series{Name: "vm_list_bytes_by_replicas", X: "replicas", Y: "bytes a VM list"}
+	heap := Series{Name: "heap_by_replicas", X: "replicas", Y: "bytes of heap"}
+	now := time.Now()
+	for _, n := range []int{40, 500, 1500, 4500} {
+		say(fmt.Sprintf("%d replicas", n))
+		x := float64(n)
+		list := listOf(n)
+		raw, err := json.Marshal(pkplatform.List{VMs: list})
+		if err != nil {
+			return nil, err
+		}
+		table, bytes := heapOf(func() *pktarget.Table { return tableOf(list, now) })
+		all := table.All()
+		want := pkroute.Want{Pool: "p", Model: "m", Version: "1", Layers: 32}
+		p := pkroute.NewPlan(want, all)
+		ask := pkroute.Ask{Now: now, Rand: rand.New(rand.NewPCG(1, 1))}
+		choose.Points = append(choose.Points, Point{x, perCall(20000, func() { _, err = p.Choose(ask) })})
+		if err != nil {
+			return nil, err
+		}
+		plan.Points = append(plan.Points, Point{x, perCall(50, func() { pkroute.NewPlan(want, all) })})
+		apply.Points = append(apply.Points, Point{x, perCall(20, func() { table.Apply(list) })})
+		size.Points = append(size.Points, Point{x, float64(len(raw))})
+		heap.Points = append(heap.Points, Point{x, bytes})
+	}
+	return []Series{choose.fit(), plan.fit(), apply.fit(), size.fit(), heap.fit()}, nil
+}
+
+func listOf(n int) []pktarget.Listed {
+	kinds := []pkid.Kind{"a", "b", "c", "d", "e"}
+	var out []pktarget.Listed
+	for i := range n {
+		id := pkid.TargetID(fmt.Sprintf("model-pool-%d-%s-%d", i%4*8, kinds[i%len(kinds)], i))
+		out = append(out, pktarget.Listed{Info: pktarget.Info{ID: id, Addr: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250), Pool: "p", Kind: kinds[i%len(kinds)], DataCenter: "dc-1"}})
+	}
+	return out
+}
+
+func tableOf(list []pktarget.Listed, now time.Time) *pktarget.Table {
+	t := &pktarget.Table{}
+	t.Apply(list)
+	for i, one := range t.All() {
+		first := pkid.Layer(i%4) * 8
+		one.Hold(pktarget.Holding{Model: "m", Version: "1", Range: pkid.Range{First: first, End: first + 8}})
+		step := time.Duration(1+i%5) * time.Millisecond
+		one.Observe(pktarget.Report{MaxBatch: 16, Step: step, PerSeq: step / 16}, now)
+	}
+	return t
+}
+
+// accounts measures what grows with the client accounts.
+func accounts(_ context.Context, say func(string)) ([]Series, error) {
+	admit := Series{Name: "admission_by_accounts", X: "accounts that wait at once", Y: "microseconds of processor time an admission"}
+	adopt := Series{Name: "manifest_by_accounts", X: "accounts", Y: "microseconds of processor time a manifest"}
+	size := Series{Name: "manifest_bytes_by_accounts", X: "accounts", Y: "bytes a manifest"}
+	for _, n := range []int{10, 50, 150, 440} {
+		say(fmt.Sprintf("%d accounts", n))
+		x := float64(n)
+		body := manifestOf(n)
+		var err error
+		adopt.Points = append(adopt.Points, Point{x, perCall(10, func() {
+			var m pkmanifest.Manifest
+			m, err = pkmanifest.Parse("measured", body)
+			pkmanifest.NewView(m, 1, pkmanifest.DigestOf(body))
+		})})
+		if err != nil {
+			return nil, err
+		}
+		size.Points = append(size.Points, Point{x, float64(len(body))})
+		admit.Points = append(admit.Points, Point{x, admissionOf(n)})
+	}
+	return []Series{admit.fit(), adopt.fit(), size.fit()}, nil
+}
+
+// admissionOf keeps one request of each account waiting and measures an entry
+// with its leave.
+func admissionOf(n int) float64 {
+	now := time.Now()
+	g := pkadmit.NewGate(pkadmit.DefaultOptions(), 1)
+	ask := func(i int) pkadmit.Ask {
+		return pkadmit.Ask{Account: pkid.AccountID(fmt.Sprint(i)), Weight: 1, MaxInFlight: 1000, Tokens: 10, Deadline: now.Add(time.Hour)}
+	}
+	var waiting []*pkadmit.Ticket
+	for i := range n + 1 {
+		if t, refusal := g.Enter(now, ask(i%n)); refusal == nil {
+			waiting = append(waiting, t)
+		}
+	}
+	i := 0
+	return perCall(5000, func() {
+		for at, t := range waiting {
+			select {
+			case <-t.Ready():
+			default:
+				continue
+			}
+			g.Leave(now, t, 10)
+			waiting = append(waiting[:at], waiting[at+1:]...)
+			break
+		}
+		if t, refusal := g.Enter(now, ask(i%n)); refusal == nil {
+			waiting = append(waiting, t)
+		}
+		i++
+	})
+}
+
+func manifestOf(n int) []byte {
+	body := []byte(`schema: 1
+name: measured
+limits: {default_deadline: 20s, max_deadline: 60s, max_body: 1000, max_prompt_tokens: 10, max_output_tokens: 10}
+models:
+`)
+	for i := range 27 {
+		body = fmt.Appendf(body, "  - {id: m%d, version: \"1\", pool: p%d, layers: 8, enforces_fencing: true, splits: [{first: 0, end: 4, weight: 1}, {first: 4, end: 8, weight: 1}]}\n", i, i)
+	}
+	body = append(body, "services: []\naccounts:\n"...)
+	for i := range n {
+		_, kept := pkmanifest.NewKey()
+		body = fmt.Appendf(body, "  - {id: a%d, weight: 1, max_in_flight: 10, keys: [{id: %s, salt: %s, hash: %s}], models: [m%d]}\n", i, kept.ID, kept.Salt, kept.Hash, i%27)
+	}
+	return body
+}
--- a/pkstandin/world.go
+++ b/pkstandin/world.go
@@ -4,10 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"peridotknot.example/pkengine"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkplatform"
@@ -155,12 +158,23 @@
 // AdminAddr returns where faults are set and ledgers are read.
 func (w *World) AdminAddr() string { return w.admin.addr }
 
-func (w *World) serveVMs(rw http.ResponseWriter, _ *http.Request) {
+func (w *World) serveVMs(rw http.ResponseWriter, r *http.Request) {
 	list := pkplatform.List{VMs: []pktarget.Listed{}}
 	if !w.emptyList.Load() {
 		list.VMs = w.listed()
 	}
-	_ = json.NewEncoder(rw).Encode(list) // a caller that is gone is no fault
+	raw, err := json.Marshal(list)
+	if err != nil {
+		http.Error(rw, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(raw), 16))
+	if r.Header.Get("If-None-Match") == tag {
+		rw.WriteHeader(http.StatusNotModified)
+		return
+	}
+	rw.Header().Set("ETag", tag)
+	_, _ = rw.Write(raw) // a caller that is gone is no fault
 }
 
 func (w *World) listed() []pktarget.Listed {
