--- a/pkengine/reader.go
+++ b/pkengine/reader.go
@@ -3,9 +3,7 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"time"
 
@@ -66,15 +64,3 @@
 	r.cancel(nil)
 	return r.body.Close()
 }
-
-// ParseEvent reads one line of a stream.
-func ParseEvent(line []byte) (Event, error) {
-	var ev Event
-	if err := json.Unmarshal(line, &ev); err != nil {
-		return Event{}, fmt.Errorf("event is not JSON: %w", err)
-	}
-	if ev.Index < 0 || ev.Total < 0 {
-		return Event{}, fmt.Errorf("event has a negative index")
-	}
-	return ev, nil
-}
