pkroute: roll models out by leases and fenced orders, never below the demand

Cause: a manifest with a new version reached the entries, but no engine held it, so every request was refused. One entry now owns each pool by a lease of the store, orders engines to hold what the manifest wants, and requests run on either version until the roll-out is done, each on one to its end.

Ruled out: the store outage (it came later) and the gate (it held what was left).

A request's least time now comes from what answers really use.

--- a/pkentry/admin.go
+++ b/pkentry/admin.go
@@ -30,10 +30,12 @@
 	Alarm      string            `json:"alarm,omitempty"`
 	Neighbors  []pkid.EntryID    `json:"neighbors"`
 	// SentBytes and ReceivedBytes count control traffic with other entries.
-	SentBytes     int64        `json:"sent_bytes"`
-	ReceivedBytes int64        `json:"received_bytes"`
-	StoreCalls    int64        `json:"store_calls"`
-	Pools         []PoolStatus `json:"pools"`
+	SentBytes     int64 `json:"sent_bytes"`
+	ReceivedBytes int64 `json:"received_bytes"`
+	StoreCalls    int64 `json:"store_calls"`
+	// Owns are the pools whose engines this entry gives orders to.
+	Owns  []pkid.PoolID `json:"owns,omitempty"`
+	Pools []PoolStatus  `json:"pools"`
 }
 
 // PoolStatus is one pool as an entry sees it.
@@ -106,6 +108,7 @@
 	s := Status{Entry: e.settings.Entry, DataCenter: e.settings.DataCenter, Pools: []PoolStatus{}}
 	s.Ready, s.Why = e.ready()
 	s.SentBytes, s.ReceivedBytes = e.peers.net.Bytes()
+	s.Owns = e.owned(now)
 	s.StoreCalls = e.store.Calls()
 	for _, m := range e.peers.table.Neighbors(now) {
 		if m.Instance != e.peers.table.Self().Instance {
--- a/pkentry/chat.go
+++ b/pkentry/chat.go
@@ -55,7 +55,7 @@
 	limits := c.view.Manifest.Limits
 	run := pkanswer.Request{
 		ID:           c.id,
-		Want:         wantOf(m, adapter),
+		Want:         c.wantNow(m, adapter),
 		Prompt:       prompt,
 		PromptTokens: pkopenai.CountTokens(prompt),
 		MaxTokens:    min(req.Max(limits.MaxOutputTokens), limits.MaxOutputTokens),
@@ -120,7 +120,7 @@
 		MaxInFlight: c.account.MaxInFlight,
 		Tokens:      run.PromptTokens + run.MaxTokens,
 		Deadline:    run.Deadline,
-		Least:       c.least(run),
+		Least:       c.least(run, g.output.Expect(run.MaxTokens)),
 	})
 	if err != nil {
 		return err
@@ -140,20 +140,19 @@
 	if err != nil {
 		return c.failed(&out, err)
 	}
+	g.output.Observe(run.MaxTokens, finish.Tokens)
 	return out.end(c.w, finish, pkopenai.NewUsage(run.PromptTokens, finish.Tokens))
 }
 
-// least returns the least time a request needs once it starts: its prompt, and
-// a few tokens. It must not be too high, or requests that could be served are
-// refused.
-func (c *call) least(run pkanswer.Request) time.Duration {
-	const fewTokens = 8
+// least returns the time that a request needs once it starts: its prompt, and
+// the tokens that it will probably use.
+func (c *call) least(run pkanswer.Request, output pkid.Tokens) time.Duration {
 	now := time.Now()
 	chain, err := c.Choose(now, run.Want, nil)
 	if err != nil {
 		return 0
 	}
-	least := time.Duration(min(run.MaxTokens, fewTokens)) * chain.Step
+	least := time.Duration(output) * chain.Step
 	for _, t := range chain.Stages {
 		if r, _, known := t.Reported(now); known {
 			least += time.Duration(run.PromptTokens) * r.Prefill
--- a/pkentry/entry.go
+++ b/pkentry/entry.go
@@ -58,6 +58,7 @@
 	stopping  atomic.Bool
 	refusing  atomic.Bool
 	peers     *peers
+	owners    owners
 	callers   net.Listener
 	peerSide  net.Listener
 	admin     net.Listener
@@ -140,7 +141,7 @@
 	g.Add(func() error { return e.waitAndStop(ctx, callers) }, func(error) { cancel() })
 	g.Add(func() error { return serve(callers, e.callers, inner) }, func(error) { _ = callers.Close() })
 	g.Add(func() error { return serve(admin, e.admin, inner) }, func(error) { _ = admin.Close() })
-	loops := []func(context.Context){e.followManifest, e.followVMs, e.followLoads, e.tendGates, e.sendCancels}
+	loops := []func(context.Context){e.followManifest, e.followVMs, e.followLoads, e.tendGates, e.sendCancels, e.ownPools}
 	if e.peerSide != nil {
 		peers := e.server(e.peersHandler())
 		g.Add(func() error { return serve(peers, e.peers.net.Listen(e.peerSide), inner) }, func(error) { _ = peers.Close() })
--- a/pkentry/routes.go
+++ b/pkentry/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"peridotknot.example/pkadmit"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkmanifest"
+	"peridotknot.example/pkorder"
 	"peridotknot.example/pkroute"
 	"peridotknot.example/pktarget"
 )
@@ -90,6 +92,45 @@
 	return pkroute.Want{Pool: m.Pool, Model: m.ID, Version: m.Version, Adapter: adapter, Layers: m.Layers}
 }
 
+// wantNow returns what a new request should run on. While a roll-out goes on,
+// engines hold two versions; the manifest's own takes what it has room for and
+// the former one the rest, so that the pool's capacity is used and no request
+// is refused because the new version has no whole chain yet. A request keeps
+// its version to the end.
+func (e *Entry) wantNow(m *pkmanifest.Model, adapter pkid.AdapterID) pkroute.Want {
+	want := wantOf(m, adapter)
+	versions := pkorder.Versions(m, e.pool(m.Pool))
+	if len(versions) == 1 {
+		return want
+	}
+	now := time.Now()
+	best, bestStep := want, time.Duration(math.MaxInt64)
+	for _, v := range versions {
+		one := want
+		one.Version = v
+		chain, err := e.Choose(now, one, nil)
+		if err != nil {
+			continue
+		}
+		if v == m.Version && hasRoom(chain) {
+			return one
+		}
+		if chain.Step < bestStep {
+			best, bestStep = one, chain.Step
+		}
+	}
+	return best
+}
+
+func hasRoom(c pkroute.Chain) bool {
+	for _, t := range c.Stages {
+		if t.Room() < 1 {
+			return false
+		}
+	}
+	return true
+}
+
 // gates keeps the gate and the retry budget of each pool.
 type gates struct {
 	mu  sync.Mutex
@@ -99,6 +140,7 @@
 type gate struct {
 	*pkadmit.Gate
 	budget *pkadmit.Budget
+	output pkadmit.Forecast
 }
 
 const (
@@ -166,7 +208,11 @@
 	for i := range view.Manifest.Models {
 		if m := &view.Manifest.Models[i]; m.Pool == id {
 			models++
-			total += e.plan(wantOf(m, "")).Flow(usable)
+			for _, v := range pkorder.Versions(m, e.pool(id)) {
+				want := wantOf(m, "")
+				want.Version = v
+				total += e.plan(want).Flow(usable)
+			}
 		}
 	}
 	if models == 0 {
--- a/pkentry/targets.go
+++ b/pkentry/targets.go
@@ -122,7 +122,7 @@
 		PerSeq:   time.Duration(l.PerSeqUS) * time.Microsecond,
 		Prefill:  time.Duration(l.PrefillUS) * time.Microsecond,
 	}, now)
-	t.Leave(pktarget.WitnessSelf, l.Leaving)
+	t.Leave(pktarget.WitnessSelf, l.Leaving || l.Loading)
 	changed := t.Hold(pktarget.Holding{
 		Model:    l.Model,
 		Version:  l.Version,
--- a/pklab/lab.go
+++ b/pklab/lab.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"regexp"
 	"strconv"
 	"sync"
 	"time"
@@ -208,6 +209,9 @@
 func (l *Lab) Inject(f pktrace.Fault) error {
 	switch f.Name {
 	case pktrace.FaultPublish:
+		if f.Target == Upgrade {
+			return l.Upgrade()
+		}
 		return l.Republish()
 	case pktrace.FaultEntry:
 		i, err := strconv.Atoi(f.Target)
@@ -239,6 +243,20 @@
 	return nil
 }
 
+// Upgrade is the target of a publish fault that gives each model its next
+// version, as the nightly upgrade does.
+const Upgrade = "upgrade"
+
+var versionLine = regexp.MustCompile(`(?m)^(    version: ")([^"]+)"$`)
+
+// Upgrade publishes the manifest with the next version of each model.
+func (l *Lab) Upgrade() error {
+	l.mu.Lock()
+	l.body = versionLine.ReplaceAll(l.body, []byte(`${1}${2}-next"`))
+	l.mu.Unlock()
+	return l.Republish()
+}
+
 // Route returns a chain of engines for a model, as the VM list and the engines
 // themselves give it.
 func (l *Lab) Route(ctx context.Context, model pkid.ModelID) ([]pkengine.Hop, error) {
--- a/pklab/lab_test.go
+++ b/pklab/lab_test.go
@@ -111,7 +111,12 @@
 
 func post(t testing.TB, l *Lab, path, key, body string, header ...string) (*http.Response, map[string]map[string]any) {
 	t.Helper()
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+l.Addresses()[0].Callers+path, strings.NewReader(body))
+	return postTo(t, l, 0, path, key, body, header...)
+}
+
+func postTo(t testing.TB, l *Lab, entry int, path, key, body string, header ...string) (*http.Response, map[string]map[string]any) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+l.Addresses()[entry].Callers+path, strings.NewReader(body))
 	assert.NilError(t, err)
 	req.Header.Set("Authorization", "Bearer "+key)
 	for i := 0; i+1 < len(header); i += 2 {
--- a/pkmanifest/check.go
+++ b/pkmanifest/check.go
@@ -72,6 +72,7 @@
 		c.want(one.Version != "", "version is missing", "models", i)
 		c.want(one.Pool != "", "pool is missing", "models", i)
 		c.want(one.Layers > 0, "layers is missing or not above zero", "models", i, "layers")
+		c.want(one.LoadsAtOnce > 0, "loads_at_once is missing or not above zero", "models", i)
 		c.splits(i, one)
 	}
 }
--- a/pkmanifest/manifest.go
+++ b/pkmanifest/manifest.go
@@ -40,6 +40,9 @@
 	// Enforces says that the pool's engines refuse an order with an old
 	// fencing number.
 	Enforces bool `yaml:"enforces_fencing" json:"enforces_fencing"`
+	// LoadsAtOnce is how many engines of the pool may load weights at the same
+	// time: what the weight store's rate allows.
+	LoadsAtOnce int `yaml:"loads_at_once" json:"loads_at_once"`
 }
 
 // Split is a layer range and the share of the pool's targets that hold it.
--- a/pkmanifest/manifest_test.go
+++ b/pkmanifest/manifest_test.go
@@ -11,7 +11,7 @@
 name: nightly
 limits: {default_deadline: 20s, max_deadline: 60s, max_body: 1000, max_prompt_tokens: 10, max_output_tokens: 10}
 models:
-  - {id: m, version: "1", pool: p, layers: 8, adapters: [x], enforces_fencing: true, splits: [{first: 0, end: 4, weight: 1}, {first: 4, end: 8, weight: 1}]}
+  - {id: m, version: "1", pool: p, layers: 8, adapters: [x], enforces_fencing: true, loads_at_once: 2, splits: [{first: 0, end: 4, weight: 1}, {first: 4, end: 8, weight: 1}]}
 services:
   - {id: s, pool: q, idempotent: [{method: GET, prefix: /records}]}
 accounts:
--- a/pkmeasure/state.go
+++ b/pkmeasure/state.go
@@ -156,7 +156,7 @@
 models:
 `)
 	for i := range 27 {
-		body = fmt.Appendf(body, "  - {id: m%d, version: \"1\", pool: p%d, layers: 8, enforces_fencing: true, splits: [{first: 0, end: 4, weight: 1}, {first: 4, end: 8, weight: 1}]}\n", i, i)
+		body = fmt.Appendf(body, "  - {id: m%d, version: \"1\", pool: p%d, layers: 8, enforces_fencing: true, loads_at_once: 2, splits: [{first: 0, end: 4, weight: 1}, {first: 4, end: 8, weight: 1}]}\n", i, i)
 	}
 	body = append(body, "services: []\naccounts:\n"...)
 	for i := range n {
--- a/pkroute/flow.go
+++ b/pkroute/flow.go
@@ -12,18 +12,26 @@
 // layer. With tokens a second it is the bound on throughput, with batch slots
 // the number of requests that can run at once.
 func (p *Plan) Flow(capacity func(*pktarget.Target) float64) float64 {
-	g := graph{}
+	ranges := map[pkid.Range]float64{}
 	for i := range p.spans {
 		s := &p.spans[i]
-		sum := 0.0
 		for _, t := range s.targets {
-			sum += capacity(t)
+			ranges[s.layers] += capacity(t)
 		}
-		g.add(s.layers, sum)
+	}
+	return MaxFlow(ranges, p.Want.Layers)
+}
+
+// MaxFlow returns the most that can pass from layer 0 to the last of layers
+// when each range can pass what ranges says.
+func MaxFlow(ranges map[pkid.Range]float64, layers pkid.Layer) float64 {
+	g := graph{}
+	for r, capacity := range ranges {
+		g.add(r, capacity)
 	}
 	total := 0.0
 	for {
-		more := g.augment(0, p.Want.Layers, math.Inf(1), map[pkid.Layer]bool{})
+		more := g.augment(0, layers, math.Inf(1), map[pkid.Layer]bool{})
 		if more <= 0 {
 			return total
 		}
--- a/pksample/make.go
+++ b/pksample/make.go
@@ -48,6 +48,7 @@
 		Model: "budget-de", Prompt: 180, Output: 48, Deadline: 8 * time.Second,
 		Service: "voting", Reads: 0.6, CallDeadline: 2 * time.Second,
 		Faults: []pktrace.Line{
+			fault(500*time.Millisecond, pktrace.Fault{Name: pktrace.FaultPublish, Target: "upgrade"}),
 			fault(2*time.Second, pktrace.Fault{Name: pktrace.FaultKill, Target: "aare-model-0-a-1", ForMS: 2500}),
 			fault(5*time.Second, pktrace.Fault{Name: pktrace.FaultStore, ForMS: 6000}),
 			fault(7*time.Second, pktrace.Fault{Name: pktrace.FaultSilence, Target: "aare-model-0-b-2"}),
--- a/pkstandin/engine.go
+++ b/pkstandin/engine.go
@@ -35,6 +35,7 @@
 
 	mu       sync.Mutex
 	holds    pkengine.Order
+	wanted   pkengine.Order
 	fence    pkid.Fence
 	enforces bool
 	boot     int
@@ -138,6 +139,13 @@
 		s.active.Add(1)
 		defer s.active.Add(-1)
 	}
+	// An order may have come since the route was checked; from here on the
+	// engines wait for this stream.
+	if _, err := e.world.stages(o); err != nil {
+		w.Header().Set(pkengine.HeaderNotStarted, "true")
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
 	g := &generation{world: e.world, open: o, stages: stages, w: w, control: control, stop: stop, gone: r.Context().Done()}
 	g.run()
 }
@@ -209,24 +217,47 @@
 	}
 	e.fence = max(e.fence, o.Fence)
 	e.world.ordered(e.info.ID, o)
+	if e.loading {
+		e.wanted = o
+		e.mu.Unlock()
+		return
+	}
 	if o.Met(pkengine.Load{Model: e.holds.Model, Version: e.holds.Version, Adapters: e.holds.Adapters, Role: e.holds.Role, First: e.holds.First, End: e.holds.End}) {
 		e.mu.Unlock()
 		return
 	}
 	e.loading = true
-	e.holds = pkengine.Order{}
+	e.wanted = o
 	boot := e.boot
 	e.mu.Unlock()
-	e.world.later(e.world.settings.LoadTime, func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		if e.boot == boot {
-			e.holds = o
-			e.loading = false
+	e.drain(boot)
+}
+
+const drainPoll = 20 * time.Millisecond
+
+// drain waits until what is in progress has ended, and then loads.
+func (e *Engine) drain(boot int) {
+	e.world.later(drainPoll, func() {
+		if e.active.Load() > 0 {
+			e.drain(boot)
+			return
 		}
+		e.mu.Lock()
+		e.holds = pkengine.Order{}
+		e.mu.Unlock()
+		e.world.later(e.world.settings.LoadTime, func() { e.loaded(boot) })
 	})
 }
 
+func (e *Engine) loaded(boot int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.boot == boot {
+		e.holds = e.wanted
+		e.loading = false
+	}
+}
+
 // generation is one attempt of a stream as its first engine runs it.
 type generation struct {
 	world   *World
@@ -354,8 +385,11 @@
 			return nil, fmt.Errorf("there is no engine %s", hop.Target)
 		}
 		e.mu.Lock()
-		holds := e.holds
+		holds, loading := e.holds, e.loading
 		e.mu.Unlock()
+		if loading {
+			return nil, fmt.Errorf("engine %s is about to load something else", hop.Target)
+		}
 		if holds.Model != o.Model || holds.Version != o.Version || holds.First != hop.First || holds.End != hop.End {
 			return nil, fmt.Errorf("engine %s does not hold layers %d to %d of %s %s", hop.Target, hop.First, hop.End, o.Model, o.Version)
 		}
--- a/pkstandin/fault.go
+++ b/pkstandin/fault.go
@@ -95,6 +95,7 @@
 func (e *Engine) restart() {
 	e.mu.Lock()
 	e.boot++
+	e.loading = false
 	clear(e.runs)
 	e.mu.Unlock()
 	e.dead.Store(false)
