--- a/peridotknot/replay.go
+++ b/peridotknot/replay.go
@@ -55,7 +55,7 @@
 		return err
 	}
 	report := pktrace.Judge("replay", out, ledger, expect, c.Capacity)
-	if err := report.WriteText(os.Stdout); err != nil {
+	if err := printReport(&report); err != nil {
 		return err
 	}
 	if err := writeReports(c.Report, &report); err != nil {
--- a/peridotknot/try.go
+++ b/peridotknot/try.go
@@ -7,13 +7,16 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jessevdk/go-flags"
 
+	"peridotknot.example/pkentry"
 	"peridotknot.example/pklab"
 	"peridotknot.example/pkmanifest"
+	"peridotknot.example/pkroute"
 	"peridotknot.example/pksample"
 	"peridotknot.example/pkstandin"
 	"peridotknot.example/pktrace"
@@ -25,6 +28,8 @@
 	Sample  string `long:"sample" choice:"aare" choice:"glenmore" description:"only this sample"`
 	Entries int    `long:"entries" default:"3" description:"how many entry daemons"`
 	Calm    bool   `long:"calm" description:"leave the faults out"`
+	Only    string `long:"only" description:"of the faults only those of this name"`
+	Policy  string `long:"policy" choice:"" choice:"random" choice:"best_of_two" choice:"least_connections" description:"choose targets this way, for comparison"`
 	Report  string `long:"report" default:"report" description:"folder for the JSON and HTML reports"`
 	Verbose bool   `long:"verbose" description:"log what the entries do"`
 }
@@ -57,7 +62,7 @@
 		}
 		held = held && r.Held()
 	}
-	fmt.Printf("reports are in %s\n", c.Report)
+	fmt.Fprintf(os.Stderr, "reports are in %s\n", c.Report)
 	if !held {
 		return errNo
 	}
@@ -83,7 +88,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	return pklab.Start(ctx, pklab.Options{Standins: standins, Manifest: manifest, Entries: c.Entries, Log: log})
+	change := func(_ int, s *pkentry.Settings) { s.Policy = pkroute.Policy(c.Policy) }
+	return pklab.Start(ctx, pklab.Options{Standins: standins, Manifest: manifest, Entries: c.Entries, Log: log, Change: change})
 }
 
 func (c *tryCommand) sample(ctx context.Context, name string) (pktrace.Report, error) {
@@ -95,7 +101,7 @@
 	if err := errors.Join(err, lab.Close()); err != nil {
 		return report, err
 	}
-	if err := report.WriteText(os.Stdout); err != nil {
+	if err := printReport(&report); err != nil {
 		return report, err
 	}
 	return report, writeReports(c.Report, &report)
@@ -114,6 +120,11 @@
 	if err != nil {
 		return pktrace.Report{}, err
 	}
+	if c.Only != "" {
+		lines = slices.DeleteFunc(lines, func(l pktrace.Line) bool {
+			return l.Kind == pktrace.KindFault && string(l.Fault.Name) != c.Only
+		})
+	}
 	keys, err := pksample.Keys(name)
 	if err != nil {
 		return pktrace.Report{}, err
@@ -187,6 +198,18 @@
 	return nil
 }
 
+func printReport(r *pktrace.Report) error {
+	if options.Output != "json" {
+		return r.WriteText(os.Stdout)
+	}
+	raw, err := r.JSON()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Printf("%s\n", raw)
+	return err
+}
+
 func writeReports(folder string, r *pktrace.Report) error {
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return fmt.Errorf("make report folder: %w", err)
--- a/pkentry/callers.go
+++ b/pkentry/callers.go
@@ -9,6 +9,7 @@
 
 	"github.com/oklog/ulid/v2"
 	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
@@ -201,14 +202,24 @@
 		f := failure(err)
 		f.RequestID = pkid.RequestID(c.givenID())
 		verdict = f.Verdict
-		c.span.RecordError(err)
+		c.span.SetStatus(codes.Error, f.Code)
 		if werr := c.answerFailure(err, f); werr != nil {
 			c.log.Debug("the caller did not take the answer", "request_id", c.givenID(), "error", werr)
 		}
 	}
 	c.metrics.requests.WithLabelValues(c.kind(), verdict.String()).Inc()
 	c.log.Debug("call", "request_id", c.givenID(), "trace_id", c.span.SpanContext().TraceID().String(),
-		"what", c.key, "verdict", verdict, "took", took, "error", err)
+		"what", c.key, "verdict", verdict, "took", took, "error", loggable(err))
+}
+
+// loggable returns what may be logged of an error. What callers are told can
+// quote what they sent; its code says enough for a log.
+func loggable(err error) any {
+	var f *pkopenai.Failure
+	if errors.As(err, &f) {
+		return f.Code
+	}
+	return err
 }
 
 // errBegun marks a failure after the answer began; the handler said so itself.
--- a/pkentry/chat.go
+++ b/pkentry/chat.go
@@ -260,7 +260,9 @@
 func (w *watcher) AttemptEnded(_ context.Context, attempt pkid.Attempt, err error) {
 	if err != nil {
 		w.span.SetStatus(codes.Error, "the attempt was given up")
-		w.call.log.Info("an attempt was given up", "request_id", w.call.givenID(), "attempt", attempt, "error", err)
+		w.call.metrics.givenUp.WithLabelValues(failure(err).Verdict.String()).Inc()
+		w.call.log.Info("an attempt was given up", "request_id", w.call.givenID(),
+			"trace_id", w.span.SpanContext().TraceID().String(), "attempt", attempt, "error", err)
 	}
 	w.span.End()
 }
--- a/pkentry/metrics.go
+++ b/pkentry/metrics.go
@@ -1,6 +1,8 @@
 package pkentry
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 )
@@ -13,6 +15,8 @@
 	firstToken    prometheus.Histogram
 	betweenTokens prometheus.Histogram
 	resumed       prometheus.Counter
+	givenUp       *prometheus.CounterVec
+	repeated      prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -37,7 +41,15 @@
 			Help: "Attempts that resumed an answer on another chain.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.firstToken, m.betweenTokens, m.resumed,
+	m.givenUp = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "peridotknot_attempts_given_up_total",
+		Help: "Attempts of model requests that were given up, by verdict.",
+	}, []string{"verdict"})
+	m.repeated = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "peridotknot_calls_repeated_total",
+		Help: "Attempts beyond the first of calls to services.",
+	})
+	m.registry.MustRegister(m.requests, m.firstToken, m.betweenTokens, m.resumed, m.givenUp, m.repeated,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -58,6 +70,19 @@
 		_, waiting := e.load()
 		return float64(waiting)
 	})
+	m.gauge("peridotknot_owned_pools", "Pools whose engines this entry gives orders to.", func() float64 {
+		return float64(len(e.owned(time.Now())))
+	})
+	m.gauge("peridotknot_neighbors", "Other entries of the neighborhood that are alive.", func() float64 {
+		return float64(len(e.peers.table.Neighbors(time.Now())) - 1)
+	})
+	for _, state := range []string{"usable", "leaving", "ejected"} {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name:        "peridotknot_targets",
+			Help:        "Targets by state.",
+			ConstLabels: prometheus.Labels{"state": state},
+		}, func() float64 { return float64(e.targetStates()[state]) }))
+	}
 	m.gauge("peridotknot_store_calls", "Calls sent to the key-value service.", func() float64 {
 		return float64(e.store.Calls())
 	})
@@ -67,6 +92,23 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 }
 
+// targetStates counts the targets by state.
+func (e *Entry) targetStates() map[string]int {
+	now := time.Now()
+	out := map[string]int{}
+	for _, t := range e.targets.All() {
+		switch {
+		case t.Leaving():
+			out["leaving"]++
+		case t.Usable(now):
+			out["usable"]++
+		default:
+			out["ejected"]++
+		}
+	}
+	return out
+}
+
 // load returns the requests in progress and waiting over all pools.
 func (e *Entry) load() (running, waiting int) {
 	e.gates.mu.Lock()
--- a/pkentry/peers.go
+++ b/pkentry/peers.go
@@ -278,7 +278,11 @@
 		return nil, errors.New("there is none")
 	}
 	head, err := json.Marshal(e.follow.head)
-	return &pkmember.Manifest{Head: head, Body: e.follow.body}, err
+	if err != nil {
+		return nil, err
+	}
+	packed, err := pkhead.Pack(e.follow.body)
+	return &pkmember.Manifest{Head: head, Body: packed}, err
 }
 
 func (e *Entry) peersHandler() http.Handler {
@@ -382,10 +386,14 @@
 	if err != nil {
 		return err
 	}
-	if got := pkmanifest.DigestOf(m.Body); got != head.Digest {
+	body, err := pkhead.Unpack(m.Body)
+	if err != nil {
+		return err
+	}
+	if got := pkmanifest.DigestOf(body); got != head.Digest {
 		return fmt.Errorf("revision %d has digest %s, its head says %s", head.Revision, got, head.Digest)
 	}
-	return e.adopt(head, m.Body, now)
+	return e.adopt(head, body, now)
 }
 
 // meetSeeds looks for peers at the seeds of the settings and at those that the
--- a/pkentry/routes.go
+++ b/pkentry/routes.go
@@ -41,7 +41,7 @@
 }
 
 func (e *Entry) ask(now time.Time, avoid []pkid.TargetID) pkroute.Ask {
-	return pkroute.Ask{Now: now, From: e.routes.from, Avoid: avoid, Links: e.routes.links, Rand: newRand()}
+	return pkroute.Ask{Now: now, From: e.routes.from, Avoid: avoid, Links: e.routes.links, Rand: newRand(), Policy: e.settings.Policy}
 }
 
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/pkentry/service.go
+++ b/pkentry/service.go
@@ -87,6 +87,7 @@
 	if err != nil {
 		return err
 	}
+	c.metrics.repeated.Add(float64(reply.Attempts - 1))
 	span.SetAttributes(attribute.String("target", string(reply.Target.Info.ID)), attribute.Int("attempts", reply.Attempts))
 	defer reply.Target.Done()
 	defer func() { _ = reply.Response.Body.Close() }() // what was read is passed on; the rest is not needed
--- a/pkentry/settings.go
+++ b/pkentry/settings.go
@@ -1,10 +1,13 @@
 package pkentry
 
 import (
+	"fmt"
 	"net"
+	"slices"
 	"time"
 
 	"peridotknot.example/pkid"
+	"peridotknot.example/pkroute"
 	"peridotknot.example/pkyaml"
 )
 
@@ -23,6 +26,8 @@
 	Log      Log         `yaml:"log"`
 	Stop     Stop        `yaml:"stop"`
 	Trace    TraceExport `yaml:"trace"`
+	// Policy is how targets are chosen, for comparison; empty is the best one.
+	Policy pkroute.Policy `yaml:"policy"`
 	// Record is the file that a trace of what is served is appended to.
 	Record string `yaml:"record"`
 }
@@ -112,6 +117,8 @@
 	}
 	n := s.Peers.Neighborhood
 	want(n == "" || n == NeighborhoodDataCenter || n == NeighborhoodRegion, "expected data_center or region", "peers", "neighborhood")
+	policies := []pkroute.Policy{pkroute.ByCost, pkroute.AtRandom, pkroute.BestOfTwo, pkroute.LeastConnections}
+	want(slices.Contains(policies, s.Policy), fmt.Sprintf("expected one of %q", policies), "policy")
 	t := s.Peers.TLS
 	want(t == TLS{} || (t.Cert != "" && t.Key != "" && t.CA != ""), "cert, key and ca go together", "peers", "tls")
 	want(s.Log.Format == "" || s.Log.Format == LogText || s.Log.Format == LogJSON, "expected text or json", "log", "format")
--- a/pkhead/head.go
+++ b/pkhead/head.go
@@ -117,7 +117,7 @@
 
 // Body returns the body of a publication, checked against its digest.
 func Body(ctx context.Context, s pkstore.Store, p Publication) ([]byte, error) {
-	var body []byte
+	var packed []byte
 	for _, name := range p.Chunks {
 		item, err := s.Load(ctx, chunkPrefix+name)
 		if err != nil {
@@ -126,7 +126,11 @@
 		if item.Revision == 0 {
 			return nil, fmt.Errorf("chunk %s of revision %d is missing", name, p.Revision)
 		}
-		body = append(body, item.Value...)
+		packed = append(packed, item.Value...)
+	}
+	body, err := Unpack(packed)
+	if err != nil {
+		return nil, fmt.Errorf("revision %d: %w", p.Revision, err)
 	}
 	if got := pkmanifest.DigestOf(body); got != p.Digest {
 		return nil, fmt.Errorf("the body of revision %d has digest %s, its head says %s", p.Revision, got, p.Digest)
@@ -136,10 +140,14 @@
 
 // putChunks stores the body's chunks; one that is there already is left.
 func putChunks(ctx context.Context, s pkstore.Store, body []byte) ([]string, error) {
+	packed, err := Pack(body)
+	if err != nil {
+		return nil, err
+	}
 	var names []string
-	for len(body) > 0 {
-		part := body[:min(len(body), chunkSize)]
-		body = body[len(part):]
+	for len(packed) > 0 {
+		part := packed[:min(len(packed), chunkSize)]
+		packed = packed[len(part):]
 		name := string(pkmanifest.DigestOf(part))
 		names = append(names, name)
 		if err := putChunk(ctx, s, name, part); err != nil {
--- a/pklab/lab.go
+++ b/pklab/lab.go
@@ -37,6 +37,8 @@
 	Log      hclog.Logger
 	// Stop bounds the planned stop of an entry.
 	Stop pkentry.Stop
+	// Tracer takes the entries' spans; nil drops them.
+	Tracer trace.Tracer
 	// Change adapts the settings of an entry; nil changes nothing.
 	Change func(i int, s *pkentry.Settings)
 }
@@ -65,6 +67,9 @@
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
+	if o.Tracer == nil {
+		o.Tracer = noop.NewTracerProvider().Tracer("lab")
+	}
 	if o.Stop == (pkentry.Stop{}) {
 		o.Stop = pkentry.Stop{Delay: 200 * time.Millisecond, Limit: 10 * time.Second}
 	}
@@ -76,7 +81,7 @@
 		World:  world,
 		Store:  pketcd.New(world.StoreAddr(), pkconn.DefaultOptions()),
 		opts:   o,
-		tracer: noop.NewTracerProvider().Tracer("lab"),
+		tracer: o.Tracer,
 		body:   o.Manifest,
 	}
 	if err := l.begin(ctx); err != nil {
--- a/pkmeasure/state.go
+++ b/pkmeasure/state.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"peridotknot.example/pkadmit"
+	"peridotknot.example/pkhead"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkmanifest"
 	"peridotknot.example/pkplatform"
@@ -97,6 +98,7 @@
 	admit := Series{Name: "admission_by_accounts", X: "accounts that wait at once", Y: "microseconds of processor time an admission"}
 	adopt := Series{Name: "manifest_by_accounts", X: "accounts", Y: "microseconds of processor time a manifest"}
 	size := Series{Name: "manifest_bytes_by_accounts", X: "accounts", Y: "bytes a manifest"}
+	packed := Series{Name: "manifest_packed_bytes_by_accounts", X: "accounts", Y: "bytes a manifest as it travels"}
 	for _, n := range []int{10, 50, 150, 440} {
 		say(fmt.Sprintf("%d accounts", n))
 		x := float64(n)
@@ -111,9 +113,14 @@
 			return nil, err
 		}
 		size.Points = append(size.Points, Point{x, float64(len(body))})
+		small, err := pkhead.Pack(body)
+		if err != nil {
+			return nil, err
+		}
+		packed.Points = append(packed.Points, Point{x, float64(len(small))})
 		admit.Points = append(admit.Points, Point{x, admissionOf(n)})
 	}
-	return []Series{admit.fit(), adopt.fit(), size.fit()}, nil
+	return []Series{admit.fit(), adopt.fit(), size.fit(), packed.fit()}, nil
 }
 
 // admissionOf keeps one request of each account waiting and measures an entry
--- a/pkmember/share.go
+++ b/pkmember/share.go
@@ -82,6 +82,7 @@
 type Manifest struct {
 	// Head is the head's value as it stands in the store.
 	Head []byte `cbor:"1,keyasint"`
+	// Body is packed as in the store.
 	Body []byte `cbor:"2,keyasint"`
 }
 
--- a/pkroute/chain.go
+++ b/pkroute/chain.go
@@ -39,6 +39,8 @@
 	Avoid []pkid.TargetID
 	Links Links
 	Rand  *rand.Rand
+	// Policy is how targets are chosen; the zero value is by cost.
+	Policy Policy
 }
 
 func (a *Ask) usable(t *pktarget.Target) bool {
@@ -63,7 +65,7 @@
 	for i := range p.spans {
 		s := &p.spans[i]
 		var picks [drawn]*pktarget.Target
-		for _, t := range picks[:s.pick(&a, picks[:])] {
+		for _, t := range picks[:s.pick(&a, picks[:a.Policy.draws()])] {
 			n := node{target: t, layers: s.layers}
 			if !n.join(nodes, &a) {
 				continue
@@ -84,7 +86,7 @@
 // join finds the cheapest way to reach n and says whether there is one. Spans
 // are in order of their first layer, so whatever ends where n begins is there.
 func (n *node) join(nodes []node, a *Ask) bool {
-	own := stageCost(n.target)
+	own := a.Policy.cost(n.target)
 	if n.layers.First == 0 {
 		n.before = nobody
 		n.cost = own + a.Links.Time(a.From, n.target.Info.DataCenter)
@@ -132,7 +134,7 @@
 func (s *span) pick(a *Ask, out []*pktarget.Target) int {
 	found := 0
 	for range len(out) + extraDraws {
-		t := s.targets[s.draw(a.Rand.Float64())]
+		t := s.targets[a.Policy.draw(s, a.Rand)]
 		if !a.usable(t) || slices.Contains(out[:found], t) {
 			continue
 		}
