pkroute: run a call with an idempotency key once, whichever entry it comes to

Cause: a caller that sends its booking again through another entry had it run twice; only the service could have noticed.

Two neighbors, first in the rendezvous order of the key, keep it in memory, and both must grant it. Ruled out: a key of the store for each call (its writes are too few at size, and nothing could be booked while it is down) and one keeper.

--- a/peridotknot/try.go
+++ b/peridotknot/try.go
@@ -24,14 +24,15 @@
 
 // tryCommand runs both samples in this process.
 type tryCommand struct {
-	Keep    bool   `long:"keep" description:"leave the deployment of the first sample up until interrupted"`
-	Sample  string `long:"sample" choice:"aare" choice:"glenmore" description:"only this sample"`
-	Entries int    `long:"entries" default:"3" description:"how many entry daemons"`
-	Calm    bool   `long:"calm" description:"leave the faults out"`
-	Only    string `long:"only" description:"of the faults only those of this name"`
-	Policy  string `long:"policy" choice:"" choice:"random" choice:"best_of_two" choice:"least_connections" description:"choose targets this way, for comparison"`
-	Report  string `long:"report" default:"report" description:"folder for the JSON and HTML reports"`
-	Verbose bool   `long:"verbose" description:"log what the entries do"`
+	Keep    bool    `long:"keep" description:"leave the deployment of the first sample up until interrupted"`
+	Sample  string  `long:"sample" choice:"aare" choice:"glenmore" description:"only this sample"`
+	Entries int     `long:"entries" default:"3" description:"how many entry daemons"`
+	Calm    bool    `long:"calm" description:"leave the faults out"`
+	Only    string  `long:"only" description:"of the faults only those of this name"`
+	Speed   float64 `long:"speed" default:"1" description:"how many times faster than recorded, for overload"`
+	Policy  string  `long:"policy" choice:"" choice:"random" choice:"best_of_two" choice:"least_connections" description:"choose targets this way, for comparison"`
+	Report  string  `long:"report" default:"report" description:"folder for the JSON and HTML reports"`
+	Verbose bool    `long:"verbose" description:"log what the entries do"`
 }
 
 const startTimeout = 15 * time.Second
@@ -133,7 +134,7 @@
 	if err != nil {
 		return pktrace.Report{}, err
 	}
-	replay := pktrace.Replay{Lines: lines, Entries: lab.Addresses(), Keys: keys, Inject: lab.Inject, Progress: progress(name)}
+	replay := pktrace.Replay{Lines: lines, Entries: lab.Addresses(), Keys: keys, Inject: lab.Inject, Progress: progress(name), Speed: c.Speed}
 	out, err := replay.Run(ctx)
 	fmt.Fprintln(os.Stderr)
 	if err != nil {
--- a/pkentry/entry.go
+++ b/pkentry/entry.go
@@ -59,6 +59,7 @@
 	refusing  atomic.Bool
 	peers     *peers
 	owners    owners
+	claims    claims
 	callers   net.Listener
 	peerSide  net.Listener
 	admin     net.Listener
--- a/pkentry/peers.go
+++ b/pkentry/peers.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -62,6 +63,18 @@
 	to   pkmember.Member
 	stop context.CancelFunc
 	kick chan struct{}
+	// conn is the connection while it stands.
+	conn atomic.Pointer[pkpeer.Conn]
+}
+
+// connTo returns the connection to a member; nil if there is none now.
+func (p *peers) connTo(id pkmember.Instance) *pkpeer.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l, found := p.links[id]; found {
+		return l.conn.Load()
+	}
+	return nil
 }
 
 func (e *Entry) newPeers(addr string) *peers {
@@ -169,6 +182,8 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
+	l.conn.Store(c)
+	defer l.conn.Store(nil)
 	wg.Go(func() {
 		defer cancel()
 		e.serveWants(ctx, c)
@@ -257,6 +272,9 @@
 		if err != nil {
 			return
 		}
+		if m.Claimed != nil {
+			e.claims.answered(m.Claimed)
+		}
 		if m.Want == nil {
 			continue
 		}
@@ -345,6 +363,8 @@
 	case m.Leaving:
 		e.peers.table.Leave(now, from.Instance)
 		return errors.New("the peer is leaving")
+	case m.Claim != nil:
+		return e.answerClaim(ctx, c, m.Claim)
 	case m.Manifest != nil:
 		if err := e.takeManifest(m.Manifest, now); err != nil {
 			e.log.Warn("a peer's manifest was not taken", "peer", from.Entry, "error", err)
--- a/pkentry/service.go
+++ b/pkentry/service.go
@@ -21,6 +21,7 @@
 	"peridotknot.example/pkservice"
 	"peridotknot.example/pktarget"
 	"peridotknot.example/pktrace"
+	"peridotknot.example/pkverdict"
 )
 
 // copyBuffer is the size of the pieces that bodies are passed on in.
@@ -61,7 +62,15 @@
 		return err
 	}
 	defer leave(1)
-	return c.pass(ctx, s, deadline, limit, g)
+	release, err := c.claim(s.ID, s.Repeatable(c.r.Method, servicePath(c.r.URL, s.ID).Path))
+	if err != nil {
+		return err
+	}
+	err = c.pass(ctx, s, deadline, limit, g)
+	if err != nil && failure(err).Verdict == pkverdict.NotRun {
+		release()
+	}
+	return err
 }
 
 func (c *call) pass(ctx context.Context, s *pkmanifest.Service, deadline time.Time, limit int64, g *gate) error {
--- a/pkmember/share.go
+++ b/pkmember/share.go
@@ -23,6 +23,23 @@
 	Want     *Want     `cbor:"3,keyasint,omitempty"`
 	Manifest *Manifest `cbor:"4,keyasint,omitempty"`
 	Leaving  bool      `cbor:"5,keyasint,omitempty"`
+	Claim    *Claim    `cbor:"6,keyasint,omitempty"`
+	Claimed  *Claimed  `cbor:"7,keyasint,omitempty"`
+}
+
+// Claim asks a neighbor to keep an idempotency key for a request, or to let it
+// go again.
+type Claim struct {
+	ID      uint64         `cbor:"1,keyasint,omitempty"`
+	Key     string         `cbor:"2,keyasint"`
+	Holder  pkid.RequestID `cbor:"3,keyasint"`
+	Release bool           `cbor:"4,keyasint,omitempty"`
+}
+
+// Claimed answers a Claim.
+type Claimed struct {
+	ID      uint64 `cbor:"1,keyasint"`
+	Granted bool   `cbor:"2,keyasint"`
 }
 
 // Hello opens a connection.
--- a/pktrace/report.go
+++ b/pktrace/report.go
@@ -127,11 +127,13 @@
 			continue
 		}
 		offered += int(one.Line.OutputTokens)
-		last = max(last, one.Line.At())
 		if one.Class == Whole {
 			good += one.Tokens
+			last = max(last, one.Ended)
 		}
 	}
+	// Until the last whole answer: what queued in an overload is made after
+	// the last request came, and would otherwise count beyond the capacity.
 	seconds := max(last, time.Second).Seconds()
 	r.Goodput = Goodput{TokensPerSecond: float64(good) / seconds, Offered: float64(offered) / seconds, Capacity: capacity}
 	bound := r.Goodput.Offered
