pkroute: tie a peer's counts to its connection, and mend what a reading found

Found by reading the tree again: - a probe of a seed, or an old connection that was seen to break late, started a living peer's counts over or marked it as gone. Counts now belong to a numbered connection; the table of fates has the case. - an engine that was dead but listed counted as capacity in a roll-out and was ordered again and again. Ejected targets are tried last. - status waited for the owner's loop, and so for the store; it reads what the loop published. - handlers of peers could outlive the stop. - the race detector found the owners' map used by two goroutines.

The series for a rush stays.

--- a/pkadmit/gate.go
+++ b/pkadmit/gate.go
@@ -16,7 +16,7 @@
 }
 
 // DefaultOptions returns bounds that suit an entry of today's size.
-func DefaultOptions() Options { return Options{Queue: 256, Hold: time.Second} }
+func DefaultOptions() Options { return Options{Queue: 256, Hold: 300 * time.Millisecond} }
 
 // Gate admits the requests of one pool.
 type Gate struct {
@@ -28,7 +28,9 @@
 	// clock is the virtual time of the request that started last.
 	clock    float64
 	accounts map[pkid.AccountID]*account
-	hold     time.Duration
+	// hold is the mean time that a request holds its place, of the last ones.
+	hold time.Duration
+	seen int
 }
 
 // account is the queue of one client account.
@@ -120,12 +122,19 @@
 	// The account pays for what it used, not for what it asked for, or an
 	// account that asks for much and gets little would starve.
 	a.behind += float64(used-t.ask.Tokens) / a.weight
-	const keep = 0.9
-	g.hold = time.Duration(keep*float64(g.hold) + (1-keep)*float64(now.Sub(t.began)))
+	g.learn(now.Sub(t.began))
 	g.dispatch(now)
 	g.forget(t.ask.Account, a)
 }
 
+// learn takes a request's time into the mean: fully at first, so that a wrong
+// guess at the start refuses nobody for long, then as one of the last few.
+func (g *Gate) learn(took time.Duration) {
+	const last = 20
+	g.seen = min(g.seen+1, last)
+	g.hold += (took - g.hold) / time.Duration(g.seen)
+}
+
 // Withdraw takes a ticket back that its caller no longer waits for. It says
 // whether the request had started, and so must be given back with Leave.
 func (g *Gate) Withdraw(now time.Time, t *Ticket) bool {
--- a/pkentry/admin.go
+++ b/pkentry/admin.go
@@ -108,7 +108,7 @@
 	s := Status{Entry: e.settings.Entry, DataCenter: e.settings.DataCenter, Pools: []PoolStatus{}}
 	s.Ready, s.Why = e.ready()
 	s.SentBytes, s.ReceivedBytes = e.peers.net.Bytes()
-	s.Owns = e.owned(now)
+	s.Owns = e.owned()
 	s.StoreCalls = e.store.Calls()
 	for _, m := range e.peers.table.Neighbors(now) {
 		if m.Instance != e.peers.table.Self().Instance {
--- a/pkentry/entry.go
+++ b/pkentry/entry.go
@@ -136,15 +136,15 @@
 	// The loops outlive ctx: requests in progress need them until the end.
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	callers := e.server(e.callersHandler())
-	admin := e.server(e.adminHandler())
+	callers := e.server(inner, e.callersHandler())
+	admin := e.server(inner, e.adminHandler())
 	var g run.Group
 	g.Add(func() error { return e.waitAndStop(ctx, callers) }, func(error) { cancel() })
 	g.Add(func() error { return serve(callers, e.callers, inner) }, func(error) { _ = callers.Close() })
 	g.Add(func() error { return serve(admin, e.admin, inner) }, func(error) { _ = admin.Close() })
 	loops := []func(context.Context){e.followManifest, e.followVMs, e.followLoads, e.tendGates, e.sendCancels, e.ownPools}
 	if e.peerSide != nil {
-		peers := e.server(e.peersHandler())
+		peers := e.server(inner, e.peersHandler())
 		g.Add(func() error { return serve(peers, e.peers.net.Listen(e.peerSide), inner) }, func(error) { _ = peers.Close() })
 		loops = append(loops, e.tendPeers, e.meetSeeds)
 	}
@@ -155,8 +155,10 @@
 	return errors.Join(err, e.close())
 }
 
-func (e *Entry) server(h http.Handler) *http.Server {
+// server returns a server whose requests end with ctx at the latest.
+func (e *Entry) server(ctx context.Context, h http.Handler) *http.Server {
 	return &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return ctx },
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
--- /dev/null
+++ b/pkentry/listen.go
@@ -0,0 +1,131 @@
+package pkentry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"peridotknot.example/pkhead"
+	"peridotknot.example/pkid"
+	"peridotknot.example/pkmanifest"
+	"peridotknot.example/pkmember"
+	"peridotknot.example/pkpeer"
+)
+
+func (e *Entry) peersHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pkpeer.Path, func(w http.ResponseWriter, r *http.Request) {
+		// The server forgets connections that became WebSockets; the group
+		// keeps the stop waiting for them.
+		if !e.peers.enter() {
+			return
+		}
+		defer e.peers.wg.Done()
+		c, err := e.peers.net.Accept(w, r)
+		if err != nil {
+			e.log.Debug("a peer was not accepted", "error", err)
+			return
+		}
+		defer func() { _ = c.Close() }()
+		if err := e.listenTo(r.Context(), c); err != nil {
+			e.log.Debug("a peer's connection ended", "error", err)
+		}
+	})
+	return mux
+}
+
+// listenTo takes what a peer that dialed in says.
+func (e *Entry) listenTo(ctx context.Context, c *pkpeer.Conn) error {
+	m, err := c.Receive(ctx)
+	if err != nil {
+		return err
+	}
+	h := m.Hello
+	if h == nil || h.Oldest > pkmember.Version || h.Version < pkmember.OldestVersion {
+		return errors.New("the peer said no hello of a version that is spoken here")
+	}
+	if _, err := c.Send(ctx, pkmember.Message{Hello: e.hello()}); err != nil {
+		return err
+	}
+	table := e.peers.table
+	table.Learn(time.Now(), append(h.Known, h.From))
+	// A probe of a seed says hello and goes; only what follows is a link, and
+	// only a link may start the counts over.
+	var connection uint64
+	defer func() { table.Break(h.From.Instance, connection) }()
+	for {
+		wait, cancel := context.WithTimeout(ctx, peerSilence)
+		m, err := c.Receive(wait)
+		cancel()
+		if err != nil {
+			return err
+		}
+		if connection == 0 {
+			connection = table.Connected(time.Now(), h.From)
+		}
+		if err := e.hear(ctx, c, h.From, m); err != nil {
+			return err
+		}
+	}
+}
+
+func (e *Entry) hear(ctx context.Context, c *pkpeer.Conn, from pkmember.Member, m pkmember.Message) error {
+	now := time.Now()
+	switch {
+	case m.Leaving:
+		e.peers.table.Leave(now, from.Instance)
+		return errors.New("the peer is leaving")
+	case m.Claim != nil:
+		return e.answerClaim(ctx, c, m.Claim)
+	case m.Manifest != nil:
+		if err := e.takeManifest(m.Manifest, now); err != nil {
+			e.log.Warn("a peer's manifest was not taken", "peer", from.Entry, "error", err)
+		}
+	case m.Share != nil:
+		e.peers.table.Take(now, from.Instance, m.Share)
+		e.takeReports(m.Share.Reports, now)
+		return e.wantNewer(ctx, c, m.Share)
+	}
+	return nil
+}
+
+// wantNewer asks for a peer's manifest if it is newer than the one in force.
+func (e *Entry) wantNewer(ctx context.Context, c *pkpeer.Conn, s *pkmember.Share) error {
+	if s.Revision == 0 {
+		return nil
+	}
+	var rev pkid.Revision
+	var digest pkmanifest.Digest
+	if view := e.view.Load(); view != nil {
+		rev, digest = view.Revision, view.Digest
+	}
+	switch pkhead.Consider(rev, digest, s.Revision, s.Digest) {
+	case pkhead.Adopt:
+		if !e.peers.mayWant(s.Revision, time.Now()) {
+			return nil
+		}
+		_, err := c.Send(ctx, pkmember.Message{Want: &pkmember.Want{Revision: s.Revision}})
+		return err
+	case pkhead.Conflict:
+		e.raise(fmt.Sprintf("a peer has another manifest as revision %d", rev))
+	default:
+	}
+	return nil
+}
+
+func (e *Entry) takeManifest(m *pkmember.Manifest, now time.Time) error {
+	head, err := pkhead.Decode(m.Head)
+	if err != nil {
+		return err
+	}
+	body, err := pkhead.Unpack(m.Body)
+	if err != nil {
+		return err
+	}
+	if got := pkmanifest.DigestOf(body); got != head.Digest {
+		return fmt.Errorf("revision %d has digest %s, its head says %s", head.Revision, got, head.Digest)
+	}
+	return e.adopt(head, body, now)
+}
--- a/pkentry/metrics.go
+++ b/pkentry/metrics.go
@@ -71,7 +71,7 @@
 		return float64(waiting)
 	})
 	m.gauge("peridotknot_owned_pools", "Pools whose engines this entry gives orders to.", func() float64 {
-		return float64(len(e.owned(time.Now())))
+		return float64(len(e.owned()))
 	})
 	m.gauge("peridotknot_neighbors", "Other entries of the neighborhood that are alive.", func() float64 {
 		return float64(len(e.peers.table.Neighbors(time.Now())) - 1)
--- a/pkentry/owner.go
+++ b/pkentry/owner.go
@@ -4,7 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"sync"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"peridotknot.example/pkengine"
@@ -22,6 +23,8 @@
 	ownerPrefix  = pkhead.Prefix + "owner/"
 	ownEvery     = 500 * time.Millisecond
 	orderTimeout = time.Second
+	// lostAfter is the age of a report from which on its engine counts as lost.
+	lostAfter = 3 * staleAfter
 	// takeEvery is how often an entry that does not own a pool looks whether
 	// it is free, counted in rounds of ownEvery.
 	takeEvery = 4
@@ -41,12 +44,13 @@
 // demandFades is what remains of an old demand after a round.
 const demandFades = 0.98
 
-// owners is the pools that this entry looks after; the loop alone changes it,
-// status reads it.
+// owners is the pools that this entry owns or may come to own. Only its loop
+// uses it, but for what it publishes: the loop waits for the store and for
+// engines, and status must not wait with it.
 type owners struct {
-	mu    sync.Mutex
 	pools map[pkid.PoolID]*ownership
 	round int
+	owned atomic.Pointer[[]pkid.PoolID]
 }
 
 // ownPools takes, keeps and uses the ownership of pools of models.
@@ -57,12 +61,11 @@
 		if view == nil || !e.warm.Load() {
 			return
 		}
-		e.owners.mu.Lock()
-		defer e.owners.mu.Unlock()
 		e.owners.round++
 		for i := range view.Manifest.Models {
 			e.ownPool(ctx, &view.Manifest.Models[i])
 		}
+		e.owners.publish(time.Now())
 	})
 	e.releasePools()
 }
@@ -95,7 +98,7 @@
 		return e.owners.round%takeEvery == 1
 	}
 	const seldom = 30
-	return e.owners.round%(takeEvery*seldom) == 1+newRand().IntN(seldom)
+	return e.owners.round%takeEvery == 1 && newRand().IntN(seldom) == 0
 }
 
 func (e *Entry) take(ctx context.Context, pool pkid.PoolID, o *ownership) {
@@ -149,8 +152,6 @@
 func (e *Entry) releasePools() {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	e.owners.mu.Lock()
-	defer e.owners.mu.Unlock()
 	for _, o := range e.owners.pools {
 		if o.lease.Fence() == 0 {
 			continue
@@ -160,6 +161,7 @@
 			e.log.Debug("a lease was left to end by itself", "error", err)
 		}
 	}
+	e.owners.publish(time.Now())
 }
 
 // order tells engines what to hold, as far as the pool can spare them.
@@ -196,7 +198,9 @@
 		if t.LeavingBy(pktarget.WitnessList) {
 			continue
 		}
-		if _, _, known := t.Reported(now); !known {
+		if _, age, known := t.Reported(now); !known || age > lostAfter {
+			// An engine that does not answer adds nothing to the capacity, and
+			// ordering it again and again would hold up the others.
 			continue
 		}
 		s.Targets = append(s.Targets, t)
@@ -211,15 +215,22 @@
 	return s
 }
 
-// owned returns the pools that this entry owns at now.
-func (e *Entry) owned(now time.Time) []pkid.PoolID {
-	e.owners.mu.Lock()
-	defer e.owners.mu.Unlock()
-	var out []pkid.PoolID
-	for id, o := range e.owners.pools {
-		if o.lease.MayAct(now) {
-			out = append(out, id)
+// publish makes the pools that are owned at now known to status.
+func (o *owners) publish(now time.Time) {
+	var owned []pkid.PoolID
+	for id, one := range o.pools {
+		if one.lease.MayAct(now) {
+			owned = append(owned, id)
 		}
 	}
-	return out
+	slices.Sort(owned)
+	o.owned.Store(&owned)
+}
+
+// owned returns the pools that this entry owned when its loop last looked.
+func (e *Entry) owned() []pkid.PoolID {
+	if owned := e.owners.owned.Load(); owned != nil {
+		return *owned
+	}
+	return nil
 }
--- a/pkentry/routes.go
+++ b/pkentry/routes.go
@@ -35,9 +35,28 @@
 	return l
 }
 
-// Choose returns a chain for want that avoids some targets.
+// Choose returns a chain for want that avoids some targets. If ejection leaves
+// no chain, ejected targets are tried: after a fault that failed all of them at
+// once they are more likely back than gone.
 func (e *Entry) Choose(now time.Time, want pkroute.Want, avoid []pkid.TargetID) (pkroute.Chain, error) {
-	return e.plan(want).Choose(e.ask(now, avoid))
+	p, a := e.plan(want), e.ask(now, avoid)
+	c, err := p.Choose(a)
+	if err == nil {
+		return c, nil
+	}
+	a.Ejected = true
+	return p.Choose(a)
+}
+
+// chooseTarget returns a target of a pool of services in the same way.
+func (e *Entry) chooseTarget(now time.Time, pool pkid.PoolID, avoid []pkid.TargetID) (*pktarget.Target, error) {
+	all, a := e.pool(pool), e.ask(now, avoid)
+	t, err := pkroute.Service(all, a)
+	if err == nil {
+		return t, nil
+	}
+	a.Ejected = true
+	return pkroute.Service(all, a)
 }
 
 func (e *Entry) ask(now time.Time, avoid []pkid.TargetID) pkroute.Ask {
--- a/pkentry/service.go
+++ b/pkentry/service.go
@@ -17,7 +17,6 @@
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkmanifest"
 	"peridotknot.example/pkopenai"
-	"peridotknot.example/pkroute"
 	"peridotknot.example/pkservice"
 	"peridotknot.example/pktarget"
 	"peridotknot.example/pktrace"
@@ -105,7 +104,7 @@
 
 func (c *call) chooseService(pool pkid.PoolID) pkservice.Chooser {
 	return func(now time.Time, avoid []pkid.TargetID) (*pktarget.Target, error) {
-		return pkroute.Service(c.pool(pool), c.ask(now, avoid))
+		return c.chooseTarget(now, pool, avoid)
 	}
 }
 
--- a/pkmeasure/datapath.go
+++ b/pkmeasure/datapath.go
@@ -78,32 +78,41 @@
 // dataPath measures what a streamed answer costs the entry, by its tokens: the
 // slope is the cost of a token, the value at 0 that of a request.
 func dataPath(ctx context.Context, say func(string)) ([]Series, error) {
-	l, err := lab(ctx, 1, tokenTime, nil)
+	paced, err := dataPathAt(ctx, tokenTime, "entry_processor_time_by_tokens", say)
 	if err != nil {
 		return nil, err
 	}
+	rush, err := dataPathAt(ctx, 0, "entry_processor_time_by_tokens_in_a_rush", say)
+	return []Series{paced, rush}, err
+}
+
+func dataPathAt(ctx context.Context, step time.Duration, name string, say func(string)) (Series, error) {
+	l, err := lab(ctx, 1, step, nil)
+	if err != nil {
+		return Series{}, err
+	}
 	defer func() { _ = l.Close() }() // what was measured stands either way
 	routed, err := routedPath(l)
 	if err != nil {
-		return nil, err
+		return Series{}, err
 	}
 	direct, closeDirect, err := directPath(ctx, l)
 	if err != nil {
-		return nil, err
+		return Series{}, err
 	}
 	defer closeDirect()
-	s := Series{Name: "entry_processor_time_by_tokens", X: "tokens of a streamed answer", Y: "microseconds of processor time a request"}
+	s := Series{Name: name, X: "tokens of a streamed answer", Y: "microseconds of processor time a request"}
 	for _, tokens := range []int{16, 48, 96, 192} {
 		say(fmt.Sprintf("answers of %d tokens", tokens))
 		const budget = 60_000
 		n := min(budget/tokens, 3000)
 		cost, err := difference(ctx, n, tokens, routed, direct)
 		if err != nil {
-			return nil, err
+			return s, err
 		}
 		s.Points = append(s.Points, Point{X: float64(tokens), Y: cost})
 	}
-	return []Series{s.fit()}, nil
+	return s.fit(), nil
 }
 
 // difference returns the processor time of n requests through one path less
--- a/pkmember/table.go
+++ b/pkmember/table.go
@@ -35,10 +35,12 @@
 	Member
 	heard time.Time
 	spoke bool
-	// broken is set while no connection from the member stands.
-	broken bool
-	counts map[pkid.TargetID]int64
-	pools  map[pkid.PoolID]PoolCount
+	// broken is set while no connection from the member stands, and connection
+	// counts those that stood.
+	broken     bool
+	connection uint64
+	counts     map[pkid.TargetID]int64
+	pools      map[pkid.PoolID]PoolCount
 }
 
 // NewTable returns a table that knows only self.
@@ -74,21 +76,22 @@
 	return one
 }
 
-// Heard records a message from a member, and a new connection of it if fresh:
-// counts are told as changes on one connection, so a new one starts them over.
-func (t *Table) Heard(now time.Time, m Member, fresh bool) {
+// Connected records a new connection from a member and returns its number for
+// Break. Counts are told as changes on one connection, so a new one starts them
+// over.
+func (t *Table) Connected(now time.Time, m Member) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	one := t.learn(now, m)
 	if one == nil {
-		return
+		return 0
 	}
 	one.heard = now
 	one.spoke = true
 	one.broken = false
-	if fresh {
-		clear(one.counts)
-	}
+	one.connection++
+	clear(one.counts)
+	return one.connection
 }
 
 // Take records the counts of a Share.
@@ -115,13 +118,14 @@
 	}
 }
 
-// Break records that the connection from a member broke. If its VM died, the
+// Break records that a connection from a member broke. If its VM died, the
 // engines drop what it had in progress, so its counts go at once; if only the
-// connection did, its next Hello brings them back.
-func (t *Table) Break(id Instance) {
+// connection did, the next one brings them back. An old connection may be seen
+// to break after the next one stands; that changes nothing.
+func (t *Table) Break(id Instance, connection uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if one, found := t.members[id]; found {
+	if one, found := t.members[id]; found && one.connection == connection {
 		one.broken = true
 		clear(one.counts)
 	}
--- a/pkmember/table_test.go
+++ b/pkmember/table_test.go
@@ -38,16 +38,17 @@
 		"falls silent":                {func(*Table) {}, 20 * time.Second, false, true},
 		"is cut off for an hour":      {func(*Table) {}, time.Hour, false, true},
 		"never comes back":            {func(*Table) {}, 3 * time.Hour, false, false},
-		"its connection breaks":       {func(t *Table) { t.Break("b") }, time.Second, false, true},
+		"its connection breaks":       {func(t *Table) { t.Break("b", 1) }, time.Second, false, true},
 		"says goodbye":                {func(t *Table) { t.Leave(start, "b") }, time.Second, false, false},
 		"is rumored after a goodbye":  {func(t *Table) { t.Leave(start, "b"); t.Learn(start, []Member{near("b")}) }, time.Second, false, false},
-		"breaks and comes back":       {func(t *Table) { t.Break("b"); t.Heard(start, near("b"), true) }, time.Second, true, true},
-		"pauses, others go on, wakes": {func(t *Table) { t.Heard(start.Add(time.Hour), near("b"), true) }, time.Hour, true, true},
+		"its old connection breaks":   {func(t *Table) { t.Connected(start, near("b")); t.Break("b", 1) }, time.Second, true, true},
+		"breaks and comes back":       {func(t *Table) { t.Break("b", 1); t.Connected(start, near("b")) }, time.Second, true, true},
+		"pauses, others go on, wakes": {func(t *Table) { t.Connected(start.Add(time.Hour), near("b")) }, time.Hour, true, true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			table := NewTable(near("a"))
-			table.Heard(start, near("b"), true)
+			table.Connected(start, near("b"))
 			c.then(table)
 			now := start.Add(c.after)
 			table.Tend(now)
@@ -73,15 +74,15 @@
 	table := NewTable(near("a"))
 	count := func(now time.Time) int64 { return table.Counts(now)["t"] }
 	share := func(n int64) *Share { return &Share{Counts: []Count{{Target: "t", N: n}}} }
-	table.Heard(start, near("b"), true)
+	table.Connected(start, near("b"))
 	table.Take(start, "b", share(7))
 	assert.Equal(t, count(start), int64(7))
-	table.Heard(start, near("b"), true)
+	table.Connected(start, near("b"))
 	assert.Equal(t, count(start), int64(0))
 	table.Take(start, "b", share(3))
 	assert.Equal(t, count(start.Add(time.Hour)), int64(0))
-	table.Break("b")
-	table.Heard(start, near("b"), false)
+	table.Break("b", 2)
+	table.Take(start, "b", &Share{})
 	assert.Equal(t, count(start), int64(0))
 }
 
@@ -94,7 +95,7 @@
 			if n == 0 {
 				m = near(id)
 			}
-			table.Heard(start, m, true)
+			table.Connected(start, m)
 		}
 	}
 	assert.Equal(t, len(table.Links(start)), 22+16*farLinks)
--- a/pkroute/chain.go
+++ b/pkroute/chain.go
@@ -39,12 +39,18 @@
 	Avoid []pkid.TargetID
 	Links Links
 	Rand  *rand.Rand
+	// Ejected lets targets in that failed lately: the floor under ejection, for
+	// when there is nothing else.
+	Ejected bool
 	// Policy is how targets are chosen; the zero value is by cost.
 	Policy Policy
 }
 
 func (a *Ask) usable(t *pktarget.Target) bool {
-	return t.Usable(a.Now) && (len(a.Avoid) == 0 || !slices.Contains(a.Avoid, t.Info.ID))
+	if a.Ejected && t.Leaving() || !a.Ejected && !t.Usable(a.Now) {
+		return false
+	}
+	return len(a.Avoid) == 0 || !slices.Contains(a.Avoid, t.Info.ID)
 }
 
 // node is a drawn target with the cheapest path that leads to it.
