pkroute: judge deadlines by the time of steps, not by the cost of a path

Cause: in overload, requests were refused for deadlines that they met: a chain's step was its cost, which adds what a newcomer would queue, so a request seemed to need several times its time. Ruled out: the account's limits and the queue's length (all refusals said 'deadline'), and the mean time a request holds its place (learning it faster moved little).

--- a/pkroute/chain.go
+++ b/pkroute/chain.go
@@ -119,14 +119,28 @@
 }
 
 func chainOf(nodes []node, last int, a *Ask) Chain {
-	c := Chain{Step: nodes[last].back(a)}
+	var c Chain
 	for i := last; i != nobody; i = nodes[i].before {
 		c.Stages = append(c.Stages, nodes[i].target)
 	}
 	slices.Reverse(c.Stages)
+	c.Step = stepTime(c.Stages, a)
 	return c
 }
 
+// stepTime is what a token takes. It is not the cost of the path: that holds
+// what queueing would add for a newcomer, and a deadline judged by it would
+// refuse requests that only have to wait their turn.
+func stepTime(stages []*pktarget.Target, a *Ask) time.Duration {
+	at := a.From
+	var sum time.Duration
+	for _, t := range stages {
+		sum += t.StepTime() + a.Links.Time(at, t.Info.DataCenter)
+		at = t.Info.DataCenter
+	}
+	return sum + a.Links.Time(at, a.From)
+}
+
 // stageCost is the time of a step, with what queueing would add.
 func stageCost(t *pktarget.Target) time.Duration {
 	step := t.StepTime()
--- a/pkroute/chain_test.go
+++ b/pkroute/chain_test.go
@@ -147,3 +147,16 @@
 		})
 	}
 }
+
+// A pool is busy. What a request needs once it runs is still the time of its
+// steps; if the cost of queueing were taken for it, admission would refuse
+// requests for deadlines that they meet.
+func TestStepIsATimeAndNotACost(t *testing.T) {
+	busy := target("busy", 0, 4, 10*time.Millisecond)
+	for range 40 {
+		busy.Begin()
+	}
+	chain, err := NewPlan(want(4), []*pktarget.Target{busy}).Choose(ask(1))
+	assert.NilError(t, err)
+	assert.Equal(t, chain.Step, busy.StepTime())
+}
