--- a/peridotknot/main.go
+++ b/peridotknot/main.go
@@ -11,17 +11,11 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"peridotknot.example/pkcli"
 	"peridotknot.example/pkversion"
 	"peridotknot.example/pkyaml"
 )
 
-// Exit codes.
-const (
-	exitOK       = 0
-	exitFailed   = 1
-	exitBadInput = 2
-)
-
 // global is the options of every command.
 type global struct {
 	Output  string `long:"output" choice:"text" choice:"json" default:"text" description:"how tables are printed"`
@@ -49,17 +43,17 @@
 	for _, add := range []func(*flags.Parser) error{addManifest, addStatus, addReplay, addTry, addKeys, addTrace, addMeasure} {
 		if err := add(p); err != nil {
 			fmt.Fprintln(os.Stderr, err)
-			return exitFailed
+			return pkcli.ExitFailed
 		}
 	}
 	_, err := p.ParseArgs(args)
 	if err == nil && options.Version {
 		fmt.Println(pkversion.Text())
-		return exitOK
+		return pkcli.ExitOK
 	}
 	if err == nil && p.Active == nil {
 		p.WriteHelp(os.Stderr)
-		return exitBadInput
+		return pkcli.ExitBadInput
 	}
 	return exitCode(err)
 }
@@ -69,18 +63,18 @@
 	var faults pkyaml.Faults
 	switch {
 	case err == nil:
-		return exitOK
-	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
+		return pkcli.ExitOK
+	case pkcli.IsHelp(err):
 		fmt.Println(flagErr.Message)
-		return exitOK
+		return pkcli.ExitOK
 	case errors.Is(err, errNo):
-		return exitFailed
+		return pkcli.ExitFailed
 	case errors.As(err, &flagErr), errors.Is(err, errBad), errors.As(err, &faults):
 		fmt.Fprintln(os.Stderr, err)
-		return exitBadInput
+		return pkcli.ExitBadInput
 	default:
 		fmt.Fprintln(os.Stderr, err)
-		return exitFailed
+		return pkcli.ExitFailed
 	}
 }
 
--- a/peridotknotd/main.go
+++ b/peridotknotd/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -12,67 +11,47 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/jessevdk/go-flags"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"peridotknot.example/pkcli"
 	"peridotknot.example/pkentry"
 	"peridotknot.example/pkversion"
 )
 
-const (
-	exitFailed   = 1
-	exitBadInput = 2
-	flushTimeout = 3 * time.Second
-)
+const flushTimeout = 3 * time.Second
 
 type options struct {
-	Settings string `long:"settings" description:"settings file, YAML"`
-	Check    bool   `long:"check" description:"check the settings file and exit"`
-	Version  bool   `long:"version" description:"print the version and exit"`
+	pkcli.Common
+	Check bool `long:"check" description:"check the settings file and exit"`
 }
 
 func main() { os.Exit(run()) }
 
 func run() int {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		var flagErr *flags.Error
-		if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
-			return 0
-		}
-		return exitBadInput
-	}
-	if o.Version {
-		fmt.Println(pkversion.Text())
-		return 0
+	if code, exit := pkcli.Parse(&o, &o.Common); exit {
+		return code
 	}
-	s, err := readSettings(o.Settings)
+	var s pkentry.Settings
+	err := o.ReadSettings(func(file string, body []byte) (err error) {
+		s, err = pkentry.ParseSettings(file, body)
+		return err
+	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return exitBadInput
+		return pkcli.ExitBadInput
 	}
 	if o.Check {
-		return 0
+		return pkcli.ExitOK
 	}
 	if err := serve(s); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return exitFailed
-	}
-	return 0
-}
-
-func readSettings(file string) (pkentry.Settings, error) {
-	if file == "" {
-		return pkentry.Settings{}, errors.New("--settings is missing")
-	}
-	raw, err := os.ReadFile(file)
-	if err != nil {
-		return pkentry.Settings{}, err
+		return pkcli.ExitFailed
 	}
-	return pkentry.ParseSettings(file, raw)
+	return pkcli.ExitOK
 }
 
 func serve(s pkentry.Settings) error {
--- a/pkanswer/run.go
+++ b/pkanswer/run.go
@@ -12,6 +12,7 @@
 	"peridotknot.example/pkroute"
 	"peridotknot.example/pkstream"
 	"peridotknot.example/pktarget"
+	"peridotknot.example/pktimer"
 	"peridotknot.example/pkverdict"
 )
 
@@ -124,6 +125,9 @@
 }
 
 func reasonOf(ctx context.Context) pkverdict.Reason {
+	if errors.Is(context.Cause(ctx), pkverdict.ErrStopping) {
+		return pkverdict.ReasonStopping
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return pkverdict.ReasonDeadline
 	}
@@ -152,24 +156,13 @@
 		if err == nil || a.attempts == 0 || waited >= a.Options.Patience {
 			return chain, err
 		}
-		if !sleep(ctx, a.Options.Poll) {
+		if !pktimer.Sleep(ctx, a.Options.Poll) {
 			return pkroute.Chain{}, ctx.Err()
 		}
 		waited += a.Options.Poll
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // attempt runs one attempt to its end and returns the finish reason.
 func (a *run) attempt(ctx context.Context, chain pkroute.Chain) (string, error) {
 	a.attempts++
--- /dev/null
+++ b/pkcli/doc.go
@@ -0,0 +1,3 @@
+// Package pkcli is what the programs' command lines have in common: exit codes,
+// help and version.
+package pkcli
--- a/pkentry/callers.go
+++ b/pkentry/callers.go
@@ -174,9 +174,9 @@
 	switch v.Reason {
 	case pkverdict.ReasonDeadline:
 		out.Status = http.StatusGatewayTimeout
-	case pkverdict.ReasonNoRoute:
+	case pkverdict.ReasonNoRoute, pkverdict.ReasonStopping:
 		out.Status = http.StatusServiceUnavailable
-	case pkverdict.ReasonOverload, pkverdict.ReasonTargetLost, pkverdict.ReasonRefused, pkverdict.ReasonStopping, pkverdict.ReasonCanceled:
+	case pkverdict.ReasonOverload, pkverdict.ReasonTargetLost, pkverdict.ReasonRefused, pkverdict.ReasonCanceled:
 	}
 	if v.Verdict == pkverdict.NotRun {
 		out.RetryAfter = comeBack
--- a/pkentry/chat.go
+++ b/pkentry/chat.go
@@ -175,6 +175,10 @@
 }
 
 func (c *call) record(run pkanswer.Request, req pkopenai.Request, f pkanswer.Finish) {
+	if f.Tokens == 0 {
+		// A replay could not tell what to ask for.
+		return
+	}
 	err := c.recorder.add(c.began, pktrace.Line{
 		Kind:         pktrace.KindModel,
 		Account:      c.account.ID,
--- a/pkentry/entry.go
+++ b/pkentry/entry.go
@@ -21,6 +21,7 @@
 	"peridotknot.example/pkplatform"
 	"peridotknot.example/pkservice"
 	"peridotknot.example/pktarget"
+	"peridotknot.example/pkverdict"
 )
 
 const (
@@ -31,6 +32,8 @@
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 60 * time.Second
 	maxHeaderBytes = 32 << 10
+	// lastWords is how long requests that are ended by a stop have to say so.
+	lastWords = time.Second
 )
 
 // Entry is one running entry daemon.
@@ -136,10 +139,12 @@
 	// The loops outlive ctx: requests in progress need them until the end.
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	callers := e.server(inner, e.callersHandler())
+	calls, endCalls := context.WithCancelCause(inner)
+	defer endCalls(nil)
+	callers := e.server(calls, e.callersHandler())
 	admin := e.server(inner, e.adminHandler())
 	var g run.Group
-	g.Add(func() error { return e.waitAndStop(ctx, callers) }, func(error) { cancel() })
+	g.Add(func() error { return e.waitAndStop(ctx, callers, endCalls) }, func(error) { cancel() })
 	g.Add(func() error { return serve(callers, e.callers, inner) }, func(error) { _ = callers.Close() })
 	g.Add(func() error { return serve(admin, e.admin, inner) }, func(error) { _ = admin.Close() })
 	loops := []func(context.Context){e.followManifest, e.followVMs, e.followLoads, e.tendGates, e.sendCancels, e.ownPools}
@@ -180,8 +185,9 @@
 
 // waitAndStop waits for the end of ctx and stops gracefully: first not ready,
 // while the balancer still sends; then no new requests; then what is in
-// progress ends, within the limit.
-func (e *Entry) waitAndStop(ctx context.Context, callers *http.Server) error {
+// progress ends, within the limit. What still runs then is told so: a stream
+// that is merely cut leaves its caller to guess.
+func (e *Entry) waitAndStop(ctx context.Context, callers *http.Server, endCalls context.CancelCauseFunc) error {
 	<-ctx.Done()
 	e.log.Info("stopping", "delay", e.settings.Stop.Delay, "limit", e.settings.Stop.Limit)
 	e.stopping.Store(true)
@@ -205,7 +211,12 @@
 	}()
 	if err := callers.Shutdown(within); err != nil {
 		e.log.Warn("requests were still running at the limit of the stop")
-		return callers.Close()
+		endCalls(pkverdict.ErrStopping)
+		last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastWords)
+		defer cancel()
+		if err := callers.Shutdown(last); err != nil {
+			return callers.Close()
+		}
 	}
 	return nil
 }
@@ -222,17 +233,3 @@
 	errs = append(errs, e.recorder.Close(), e.store.Close(), e.platform.Close(), e.engine.Close(), e.proxy.Close())
 	return errors.Join(errs...)
 }
-
-// every calls do at once and then each period until ctx ends.
-func every(ctx context.Context, period time.Duration, do func(context.Context)) {
-	t := time.NewTicker(period)
-	defer t.Stop()
-	for {
-		do(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
-}
--- a/pkentry/link.go
+++ b/pkentry/link.go
@@ -11,6 +11,7 @@
 	"peridotknot.example/pkhead"
 	"peridotknot.example/pkmember"
 	"peridotknot.example/pkpeer"
+	"peridotknot.example/pktimer"
 )
 
 // runLink dials a member again and again and sends to it while it can.
@@ -26,7 +27,7 @@
 		if time.Since(began) > backOffMost {
 			backOff = backOffFirst
 		}
-		if !sleep(ctx, backOff/2+time.Duration(newRand().Int64N(int64(backOff)))) {
+		if !pktimer.Sleep(ctx, backOff/2+time.Duration(newRand().Int64N(int64(backOff)))) {
 			return
 		}
 		backOff = min(2*backOff, backOffMost)
--- a/pkentry/manifest.go
+++ b/pkentry/manifest.go
@@ -10,6 +10,7 @@
 	"peridotknot.example/pkmanifest"
 	"peridotknot.example/pkmember"
 	"peridotknot.example/pkstore"
+	"peridotknot.example/pktimer"
 )
 
 const (
@@ -51,7 +52,7 @@
 		// Jitter: all entries lose the store at one moment, and must not all
 		// return at one moment.
 		pause := backOff/2 + time.Duration(newRand().Int64N(int64(backOff)))
-		if !sleep(ctx, pause) {
+		if !pktimer.Sleep(ctx, pause) {
 			return
 		}
 		backOff = min(2*backOff, backOffMost)
@@ -108,7 +109,7 @@
 func (e *Entry) waitAsNonWatcher(ctx context.Context) {
 	until := time.Now().Add(rereadUnasked/2 + time.Duration(newRand().Int64N(int64(rereadUnasked))))
 	for time.Now().Before(until) && !e.watches(time.Now()) {
-		if !sleep(ctx, tendPeersEvery) {
+		if !pktimer.Sleep(ctx, tendPeersEvery) {
 			return
 		}
 	}
@@ -193,14 +194,3 @@
 	e.log.Info("manifest in force", "revision", head.Revision, "name", m.Name)
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/pkentry/owner.go
+++ b/pkentry/owner.go
@@ -17,6 +17,7 @@
 	"peridotknot.example/pkorder"
 	"peridotknot.example/pkstore"
 	"peridotknot.example/pktarget"
+	"peridotknot.example/pktimer"
 )
 
 const (
@@ -56,7 +57,7 @@
 // ownPools takes, keeps and uses the ownership of pools of models.
 func (e *Entry) ownPools(ctx context.Context) {
 	e.owners.pools = map[pkid.PoolID]*ownership{}
-	every(ctx, ownEvery, func(ctx context.Context) {
+	pktimer.Every(ctx, ownEvery, func(ctx context.Context) {
 		view := e.view.Load()
 		if view == nil || !e.warm.Load() {
 			return
--- a/pkentry/peers.go
+++ b/pkentry/peers.go
@@ -12,6 +12,7 @@
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkmember"
 	"peridotknot.example/pkpeer"
+	"peridotknot.example/pktimer"
 )
 
 const (
@@ -128,7 +129,7 @@
 // tendPeers keeps a link to each member that should have one.
 func (e *Entry) tendPeers(ctx context.Context) {
 	defer e.peers.wait()
-	every(ctx, tendPeersEvery, func(ctx context.Context) {
+	pktimer.Every(ctx, tendPeersEvery, func(ctx context.Context) {
 		now := time.Now()
 		e.peers.table.Tend(now)
 		e.peers.relink(ctx, e, e.peers.table.Links(now))
@@ -165,7 +166,7 @@
 // store lists, until some are known.
 func (e *Entry) meetSeeds(ctx context.Context) {
 	round := 0
-	every(ctx, seedsEvery, func(ctx context.Context) {
+	pktimer.Every(ctx, seedsEvery, func(ctx context.Context) {
 		known := map[string]bool{}
 		for _, m := range e.peers.table.Known(time.Now()) {
 			known[m.Addr] = true
--- a/pkentry/routes.go
+++ b/pkentry/routes.go
@@ -1,6 +1,7 @@
 package pkentry
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"math/rand/v2"
@@ -13,6 +14,7 @@
 	"peridotknot.example/pkorder"
 	"peridotknot.example/pkroute"
 	"peridotknot.example/pktarget"
+	"peridotknot.example/pktimer"
 )
 
 // routes keeps the plan of each want until the table changes.
@@ -168,7 +170,10 @@
 	retryShare = 0.2
 	retryMost  = 200
 	tendEvery  = 20 * time.Millisecond
-	sizeEvery  = 10
+	// silentServiceSlots is what a service that reports no load may get at
+	// once from all entries.
+	silentServiceSlots = 64.0
+	sizeEvery          = 10
 	// slotsBeyond lets a few more requests in than engines have slots, so
 	// that a slot that becomes free is taken without a round trip.
 	slotsBeyond = 1.1
@@ -195,7 +200,7 @@
 // requests whose time is up.
 func (e *Entry) tendGates(ctx context.Context) {
 	round := 0
-	every(ctx, tendEvery, func(context.Context) {
+	pktimer.Every(ctx, tendEvery, func(context.Context) {
 		now := time.Now()
 		e.gates.mu.Lock()
 		defer e.gates.mu.Unlock()
@@ -236,7 +241,9 @@
 	}
 	if models == 0 {
 		for _, t := range e.pool(id) {
-			total += usable(t)
+			if t.Usable(now) {
+				total += cmp.Or(t.Slots(), silentServiceSlots)
+			}
 		}
 	}
 	return max(int(e.ownShare(id, total*slotsBeyond, now)), 1)
--- a/pkentry/service.go
+++ b/pkentry/service.go
@@ -114,6 +114,8 @@
 	resp := reply.Response
 	pkservice.CopyHeader(c.w.Header(), resp.Header)
 	c.w.Header().Set(pkopenai.HeaderRequestID, c.givenID())
+	// A verdict is the router's word; a service must not give it.
+	c.w.Header().Del(pkopenai.HeaderVerdict)
 	c.w.WriteHeader(resp.StatusCode)
 	control := http.NewResponseController(c.w)
 	buf := make([]byte, copyBuffer)
--- a/pkentry/settings.go
+++ b/pkentry/settings.go
@@ -98,33 +98,28 @@
 	if err != nil {
 		return s, err
 	}
-	var faults pkyaml.Faults
-	want := func(ok bool, text string, path ...any) {
-		if !ok {
-			faults = append(faults, doc.Fault(text, path...))
-		}
-	}
-	want(s.Entry != "", "entry is missing", "entry")
-	want(s.Region != "", "region is missing", "region")
-	want(s.DataCenter != "", "data_center is missing", "data_center")
-	want(isAddress(s.Listen.Callers), "expected IP:port", "listen", "callers")
-	want(isAddress(s.Listen.Admin), "expected IP:port", "listen", "admin")
-	want(s.Listen.Peers == "" || isAddress(s.Listen.Peers), "expected IP:port", "listen", "peers")
-	want(isAddress(s.Store), "expected IP:port", "store")
-	want(isAddress(s.Platform), "expected IP:port", "platform")
+	c := pkyaml.Checker{Doc: doc}
+	c.Want(s.Entry != "", "entry is missing", "entry")
+	c.Want(s.Region != "", "region is missing", "region")
+	c.Want(s.DataCenter != "", "data_center is missing", "data_center")
+	c.Want(isAddress(s.Listen.Callers), "listen.callers: expected IP:port", "listen", "callers")
+	c.Want(isAddress(s.Listen.Admin), "listen.admin: expected IP:port", "listen", "admin")
+	c.Want(s.Listen.Peers == "" || isReachable(s.Listen.Peers), "listen.peers: expected IP:port by which the other entries reach this one", "listen", "peers")
+	c.Want(isAddress(s.Store), "store: expected IP:port", "store")
+	c.Want(isAddress(s.Platform), "platform: expected IP:port", "platform")
 	for i, seed := range s.Peers.Seeds {
-		want(isAddress(seed), "expected IP:port", "peers", "seeds", i)
+		c.Want(isAddress(seed), "peers.seeds: expected IP:port", "peers", "seeds", i)
 	}
 	n := s.Peers.Neighborhood
-	want(n == "" || n == NeighborhoodDataCenter || n == NeighborhoodRegion, "expected data_center or region", "peers", "neighborhood")
+	c.Want(n == "" || n == NeighborhoodDataCenter || n == NeighborhoodRegion, "expected data_center or region", "peers", "neighborhood")
 	policies := []pkroute.Policy{pkroute.ByCost, pkroute.AtRandom, pkroute.BestOfTwo, pkroute.LeastConnections}
-	want(slices.Contains(policies, s.Policy), fmt.Sprintf("expected one of %q", policies), "policy")
+	c.Want(slices.Contains(policies, s.Policy), fmt.Sprintf("expected one of %q", policies), "policy")
 	t := s.Peers.TLS
-	want(t == TLS{} || (t.Cert != "" && t.Key != "" && t.CA != ""), "cert, key and ca go together", "peers", "tls")
-	want(s.Log.Format == "" || s.Log.Format == LogText || s.Log.Format == LogJSON, "expected text or json", "log", "format")
-	want(s.Stop.Delay >= 0 && s.Stop.Limit >= s.Stop.Delay, "limit must not be below delay, nor delay below zero", "stop")
-	if len(faults) > 0 {
-		return s, faults
+	c.Want(t == TLS{} || (t.Cert != "" && t.Key != "" && t.CA != ""), "cert, key and ca go together", "peers", "tls")
+	c.Want(s.Log.Format == "" || s.Log.Format == LogText || s.Log.Format == LogJSON, "expected text or json", "log", "format")
+	c.Want(s.Stop.Delay >= 0 && s.Stop.Limit >= s.Stop.Delay, "limit must not be below delay, nor delay below zero", "stop")
+	if err := c.Err(); err != nil {
+		return s, err
 	}
 	return s.withDefaults(), nil
 }
@@ -145,6 +140,12 @@
 	return s
 }
 
+// isReachable says whether others can be told addr as it stands.
+func isReachable(addr string) bool {
+	host, _, err := net.SplitHostPort(addr)
+	return err == nil && isAddress(addr) && !net.ParseIP(host).IsUnspecified()
+}
+
 func isAddress(addr string) bool {
 	host, port, err := net.SplitHostPort(addr)
 	return err == nil && port != "" && net.ParseIP(host) != nil
--- a/pkentry/share.go
+++ b/pkentry/share.go
@@ -118,14 +118,7 @@
 			continue
 		}
 		_, _, known := t.Reported(now)
-		t.Observe(pktarget.Report{
-			Active:   r.Active,
-			Queued:   r.Queued,
-			MaxBatch: r.MaxBatch,
-			Step:     time.Duration(r.StepUS) * time.Microsecond,
-			PerSeq:   time.Duration(r.PerSeqUS) * time.Microsecond,
-			Prefill:  time.Duration(r.PrefillUS) * time.Microsecond,
-		}, now)
+		t.Observe(pktarget.NewReport(r.Active, r.Queued, r.MaxBatch, r.StepUS, r.PerSeqUS, r.PrefillUS), now)
 		t.Leave(pktarget.WitnessSelf, r.Leaving)
 		changed := r.Holding != nil && t.Hold(*r.Holding)
 		if changed || !known {
--- a/pkentry/targets.go
+++ b/pkentry/targets.go
@@ -10,6 +10,7 @@
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkplatform"
 	"peridotknot.example/pktarget"
+	"peridotknot.example/pktimer"
 )
 
 const (
@@ -22,7 +23,7 @@
 
 // followVMs keeps the table up to date with the platform's list.
 func (e *Entry) followVMs(ctx context.Context) {
-	every(ctx, vmsEvery, func(ctx context.Context) {
+	pktimer.Every(ctx, vmsEvery, func(ctx context.Context) {
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
 		list, err := e.platform.VMs(call)
@@ -50,7 +51,7 @@
 
 // followLoads asks targets for their load.
 func (e *Entry) followLoads(ctx context.Context) {
-	every(ctx, loadsEvery, func(ctx context.Context) {
+	pktimer.Every(ctx, loadsEvery, func(ctx context.Context) {
 		var wg sync.WaitGroup
 		slots := make(chan struct{}, loadsAtOnce)
 		services := e.servicePools()
@@ -114,14 +115,7 @@
 	if _, _, known := t.Reported(now); !known {
 		first = true
 	}
-	t.Observe(pktarget.Report{
-		Active:   l.Active,
-		Queued:   l.Queued,
-		MaxBatch: l.MaxBatch,
-		Step:     time.Duration(l.StepUS) * time.Microsecond,
-		PerSeq:   time.Duration(l.PerSeqUS) * time.Microsecond,
-		Prefill:  time.Duration(l.PrefillUS) * time.Microsecond,
-	}, now)
+	t.Observe(pktarget.NewReport(l.Active, l.Queued, l.MaxBatch, l.StepUS, l.PerSeqUS, l.PrefillUS), now)
 	t.Leave(pktarget.WitnessSelf, l.Leaving || l.Loading)
 	changed := t.Hold(pktarget.Holding{
 		Model:    l.Model,
--- a/pkstandin/settings.go
+++ b/pkstandin/settings.go
@@ -54,23 +54,18 @@
 	if err != nil {
 		return s, err
 	}
-	var faults pkyaml.Faults
-	want := func(ok bool, text string, path ...any) {
-		if !ok {
-			faults = append(faults, doc.Fault(text, path...))
-		}
-	}
+	c := pkyaml.Checker{Doc: doc}
 	for i, g := range s.Engines {
 		_, found := s.Kinds[g.Kind]
-		want(found, fmt.Sprintf("kind %q is not among kinds", g.Kind), "engines", i, "kind")
-		want(g.Pool != "" && g.Count > 0 && len(g.DataCenters) > 0, "an engine group needs pool, count and data_centers", "engines", i)
-		want(g.End > g.First, "end must be above first", "engines", i)
+		c.Want(found, fmt.Sprintf("kind %q is not among kinds", g.Kind), "engines", i, "kind")
+		c.Want(g.Pool != "" && g.Count > 0 && len(g.DataCenters) > 0, "an engine group needs pool, count and data_centers", "engines", i)
+		c.Want(g.End > g.First, "end must be above first", "engines", i)
 	}
 	for i, g := range s.Services {
-		want(g.Pool != "" && g.Count > 0 && len(g.DataCenters) > 0 && g.Max > 0, "a service group needs pool, count, data_centers and max", "services", i)
+		c.Want(g.Pool != "" && g.Count > 0 && len(g.DataCenters) > 0 && g.Max > 0, "a service group needs pool, count, data_centers and max", "services", i)
 	}
-	if len(faults) > 0 {
-		return s, faults
+	if err := c.Err(); err != nil {
+		return s, err
 	}
 	for _, addr := range []*string{&s.Store, &s.Platform, &s.Admin} {
 		if *addr == "" {
--- a/pktarget/target.go
+++ b/pktarget/target.go
@@ -37,6 +37,19 @@
 	Prefill time.Duration
 }
 
+// NewReport returns a report from numbers as they travel: counts, and times in
+// microseconds.
+func NewReport(active, queued, maxBatch int, stepUS, perSeqUS, prefillUS int64) Report {
+	return Report{
+		Active:   active,
+		Queued:   queued,
+		MaxBatch: maxBatch,
+		Step:     time.Duration(stepUS) * time.Microsecond,
+		PerSeq:   time.Duration(perSeqUS) * time.Microsecond,
+		Prefill:  time.Duration(prefillUS) * time.Microsecond,
+	}
+}
+
 // Target is one target and its state. Info is fixed; the rest is safe for use
 // by many goroutines.
 type Target struct {
--- /dev/null
+++ b/pktimer/doc.go
@@ -0,0 +1,2 @@
+// Package pktimer waits in ways that end with a context.
+package pktimer
--- /dev/null
+++ b/pktimer/timer.go
@@ -0,0 +1,32 @@
+package pktimer
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d and says false if ctx ended before.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// Every calls do at once and then each period until ctx ends.
+func Every(ctx context.Context, period time.Duration, do func(context.Context)) {
+	t := time.NewTicker(period)
+	defer t.Stop()
+	for {
+		do(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
--- a/pktrace/expect.go
+++ b/pktrace/expect.go
@@ -29,18 +29,13 @@
 	if err != nil {
 		return x, err
 	}
-	var faults pkyaml.Faults
+	c := pkyaml.Checker{Doc: doc}
 	for key, d := range map[string]time.Duration{
 		"first_token_p95":    x.FirstTokenP95,
 		"between_tokens_p95": x.BetweenTokensP95,
 		"max_recovery":       x.MaxRecovery,
 	} {
-		if d <= 0 {
-			faults = append(faults, doc.Fault(key+" is missing or not above zero", key))
-		}
+		c.Want(d > 0, key+" is missing or not above zero", key)
 	}
-	if len(faults) > 0 {
-		return x, faults
-	}
-	return x, nil
+	return x, c.Err()
 }
--- a/pktrace/replay.go
+++ b/pktrace/replay.go
@@ -12,6 +12,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"peridotknot.example/pkid"
+	"peridotknot.example/pktimer"
 )
 
 // Address is where an entry serves callers and operators; without an admin
@@ -97,8 +98,8 @@
 	var helpers sync.WaitGroup
 	defer helpers.Wait()
 	defer cancel()
-	helpers.Go(func() { s.tick(ctx, readyEvery, func() { s.pollReady(ctx) }) })
-	helpers.Go(func() { s.tick(ctx, time.Second, s.progress) })
+	helpers.Go(func() { pktimer.Every(ctx, readyEvery, s.pollReady) })
+	helpers.Go(func() { pktimer.Every(ctx, time.Second, s.progress) })
 	err := s.send(ctx)
 	return Outcome{Results: s.results, Faults: s.faults, Took: time.Since(s.start), Between: s.between}, err
 }
@@ -122,7 +123,7 @@
 	}
 	for i, l := range s.Lines {
 		at := time.Duration(float64(l.At()) / speed)
-		if !sleepUntil(ctx, s.start.Add(at)) {
+		if !pktimer.Sleep(ctx, time.Until(s.start.Add(at))) {
 			return ctx.Err()
 		}
 		if l.Kind == KindFault {
@@ -173,7 +174,7 @@
 	s.results = append(s.results, r)
 }
 
-func (s *session) progress() {
+func (s *session) progress(context.Context) {
 	if s.Progress != nil {
 		s.Progress(int(s.done.Load()), len(s.Lines))
 	}
@@ -212,27 +213,3 @@
 	_ = resp.Body.Close() // only the status counts
 	return resp.StatusCode == http.StatusOK
 }
-
-func (s *session) tick(ctx context.Context, period time.Duration, do func()) {
-	t := time.NewTicker(period)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			do()
-		}
-	}
-}
-
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/pkverdict/verdict.go
+++ b/pkverdict/verdict.go
@@ -1,6 +1,9 @@
 package pkverdict
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // Verdict says whether a request may have run on a target; the zero value is
 // MayHaveRun, so that a forgotten verdict promises nothing.
@@ -68,6 +71,9 @@
 	}
 }
 
+// ErrStopping is the cause of a context that ends because this VM stops.
+var ErrStopping = errors.New("this VM is stopping")
+
 // Error is a failure together with its verdict.
 type Error struct {
 	// Verdict says whether the request may have run.
