pkroute: let entries share without holding callers up

Each entry's limit was the pool's slots less its neighbors' counts; those were about 0.7 s old, as old as a request, since target names filled the bytes that a node may send. Ruled out: the engines (between tokens was no worse alone) and the balancer (the same in both runs).

--- a/peridotknot/replay.go
+++ b/peridotknot/replay.go
@@ -41,10 +41,12 @@
 	if err != nil {
 		return err
 	}
+	var entries []pktrace.Address
 	for _, e := range c.Entries {
 		callers, admin, _ := strings.Cut(e, ",")
-		r.Entries = append(r.Entries, pktrace.Address{Callers: callers, Admin: admin})
+		entries = append(entries, pktrace.Address{Callers: callers, Admin: admin})
 	}
+	r.Entries = func() []pktrace.Address { return entries }
 	out, err := r.Run(ctx)
 	fmt.Fprintln(os.Stderr)
 	if err != nil {
--- a/peridotknot/try.go
+++ b/peridotknot/try.go
@@ -30,6 +30,7 @@
 	Calm    bool    `long:"calm" description:"leave the faults out"`
 	Only    string  `long:"only" description:"of the faults only those of this name"`
 	Speed   float64 `long:"speed" default:"1" description:"how many times faster than recorded, for overload"`
+	Alone   bool    `long:"alone" description:"entries share nothing with each other, for comparison"`
 	Policy  string  `long:"policy" choice:"" choice:"random" choice:"best_of_two" choice:"least_connections" description:"choose targets this way, for comparison"`
 	Report  string  `long:"report" default:"report" description:"folder for the JSON and HTML reports"`
 	Verbose bool    `long:"verbose" description:"log what the entries do"`
@@ -89,7 +90,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	change := func(_ int, s *pkentry.Settings) { s.Policy = pkroute.Policy(c.Policy) }
+	change := func(_ int, s *pkentry.Settings) {
+		s.Policy = pkroute.Policy(c.Policy)
+		if c.Alone {
+			s.Listen.Peers = ""
+		}
+	}
 	return pklab.Start(ctx, pklab.Options{Standins: standins, Manifest: manifest, Entries: c.Entries, Log: log, Change: change})
 }
 
@@ -134,7 +140,7 @@
 	if err != nil {
 		return pktrace.Report{}, err
 	}
-	replay := pktrace.Replay{Lines: lines, Entries: lab.Addresses(), Keys: keys, Inject: lab.Inject, Progress: progress(name), Speed: c.Speed}
+	replay := pktrace.Replay{Lines: lines, Entries: lab.Addresses, Keys: keys, Inject: lab.Inject, Progress: progress(name), Speed: c.Speed}
 	out, err := replay.Run(ctx)
 	fmt.Fprintln(os.Stderr)
 	if err != nil {
--- a/pkentry/listen.go
+++ b/pkentry/listen.go
@@ -54,6 +54,7 @@
 	// A probe of a seed says hello and goes; only what follows is a link, and
 	// only a link may start the counts over.
 	var connection uint64
+	var names pkmember.Names
 	defer func() { table.Break(h.From.Instance, connection) }()
 	for {
 		wait, cancel := context.WithTimeout(ctx, peerSilence)
@@ -65,6 +66,11 @@
 		if connection == 0 {
 			connection = table.Connected(time.Now(), h.From)
 		}
+		if m.Share != nil {
+			if err := names.Resolve(m.Share); err != nil {
+				return err
+			}
+		}
 		if err := e.hear(ctx, c, h.From, m); err != nil {
 			return err
 		}
--- a/pkentry/routes.go
+++ b/pkentry/routes.go
@@ -176,7 +176,10 @@
 	sizeEvery          = 10
 	// slotsBeyond lets a few more requests in than engines have slots, so
 	// that a slot that becomes free is taken without a round trip.
-	slotsBeyond = 1.1
+	slotsBeyond = 1.3
+	// evenSlack is how much more than an even part of a pool an entry may
+	// use whatever its neighbors say.
+	evenSlack = 1.5
 )
 
 func (e *Entry) gate(id pkid.PoolID) *gate {
@@ -250,9 +253,10 @@
 }
 
 // ownShare returns this entry's share of a pool's slots: what its neighbors leave
-// free, but never less than an even part, so that an entry whose neighbors'
-// counts are old is not starved by them.
+// free, but never less than somewhat more than an even part. Callers do not come
+// evenly, and the neighbors' counts are as old as a request takes; held to an
+// even part, callers wait at one entry for slots that stand free.
 func (e *Entry) ownShare(id pkid.PoolID, total float64, now time.Time) float64 {
 	inFlight, neighbors := e.peers.table.Pool(now, id)
-	return max(total-float64(inFlight), total/float64(neighbors+1))
+	return max(total-float64(inFlight), min(evenSlack*total/float64(neighbors+1), total))
 }
--- a/pkentry/share.go
+++ b/pkentry/share.go
@@ -11,6 +11,7 @@
 
 // told is what one peer was told on the present connection.
 type told struct {
+	refs     pkmember.Refs
 	counts   map[pkid.TargetID]int64
 	pools    map[pkid.PoolID]pkmember.PoolCount
 	reports  map[pkid.TargetID]pktarget.Report
@@ -54,7 +55,8 @@
 		id, n := one.Info.ID, one.Own()
 		if n != t.counts[id] {
 			t.counts[id] = n
-			s.Counts = append(s.Counts, pkmember.Count{Target: id, N: n})
+			s.Refs = append(s.Refs, t.refs.Of(id, s))
+			s.Ns = append(s.Ns, n)
 		}
 	}
 	e.gates.mu.Lock()
@@ -88,7 +90,7 @@
 		}
 		t.reports[id] = r
 		report := pkmember.Report{
-			Target:    id,
+			Ref:       t.refs.Of(id, s),
 			Active:    r.Active,
 			Queued:    r.Queued,
 			MaxBatch:  r.MaxBatch,
--- a/pklab/lab.go
+++ b/pklab/lab.go
@@ -24,6 +24,7 @@
 	"peridotknot.example/pkmanifest"
 	"peridotknot.example/pkplatform"
 	"peridotknot.example/pkstandin"
+	"peridotknot.example/pktimer"
 	"peridotknot.example/pktrace"
 )
 
@@ -182,16 +183,61 @@
 	return e.err
 }
 
+// ReplaceEntries replaces each running entry by a new one, as a nightly upgrade
+// of the router's own VMs does: the new one is ready before the old one stops.
+func (l *Lab) ReplaceEntries() error {
+	l.mu.Lock()
+	before := len(l.entries)
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for i := range before {
+		if l.stopped(i) {
+			continue
+		}
+		next, err := l.AddEntry()
+		if err != nil {
+			return err
+		}
+		if err := waitReady(ctx, l.Entry(next).Admin()); err != nil {
+			return err
+		}
+		if err := l.StopEntry(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Lab) stopped(i int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.entries[i].done:
+		return true
+	default:
+		return false
+	}
+}
+
 // WaitReady waits until each entry that runs is ready.
 func (l *Lab) WaitReady(ctx context.Context) error {
+	for i, a := range l.Addresses() {
+		if l.stopped(i) {
+			continue
+		}
+		if err := waitReady(ctx, a.Admin); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func waitReady(ctx context.Context, admin string) error {
 	const poll = 10 * time.Millisecond
-	for _, a := range l.Addresses() {
-		for !isReady(ctx, a.Admin) {
-			select {
-			case <-ctx.Done():
-				return fmt.Errorf("entry at %s is not ready: %w", a.Admin, ctx.Err())
-			case <-time.After(poll):
-			}
+	for !isReady(ctx, admin) {
+		if !pktimer.Sleep(ctx, poll) {
+			return fmt.Errorf("entry at %s is not ready: %w", admin, ctx.Err())
 		}
 	}
 	return nil
@@ -224,6 +270,8 @@
 			return fmt.Errorf("there is no entry %q", f.Target)
 		}
 		return l.StopEntry(i)
+	case pktrace.FaultReplace:
+		return l.ReplaceEntries()
 	case pktrace.FaultKill, pktrace.FaultSilence, pktrace.FaultSlow, pktrace.FaultLeave, pktrace.FaultStore, pktrace.FaultVMList, pktrace.FaultLostSwap:
 	}
 	return l.World.Fault(f)
--- a/pklab/observe_test.go
+++ b/pklab/observe_test.go
@@ -134,7 +134,7 @@
 	assert.Equal(t, lines[1].DeadlineMS, int64(3000))
 	keys, err := pksample.Keys("aare")
 	assert.NilError(t, err)
-	replay := pktrace.Replay{Lines: lines, Entries: l.Addresses(), Keys: keys, Inject: l.Inject}
+	replay := pktrace.Replay{Lines: lines, Entries: l.Addresses, Keys: keys, Inject: l.Inject}
 	out, err := replay.Run(t.Context())
 	assert.NilError(t, err)
 	for _, r := range out.Results {
--- a/pkmember/share.go
+++ b/pkmember/share.go
@@ -52,19 +52,27 @@
 
 // Share is what an entry tells its neighbors again and again. Counts holds only
 // what changed since the last Share on the same connection.
+//
+// Targets are named once on a connection, in Names, and are then their place
+// in the list of all names so far: names would be most of the bytes, and what a
+// node may send bounds how fresh its counts are.
 type Share struct {
-	Counts   []Count           `cbor:"1,keyasint,omitempty"`
+	Names    []pkid.TargetID   `cbor:"7,keyasint,omitempty"`
+	Refs     []int             `cbor:"8,keyasint,omitempty"`
+	Ns       []int64           `cbor:"9,keyasint,omitempty"`
 	Pools    []PoolCount       `cbor:"2,keyasint,omitempty"`
 	Reports  []Report          `cbor:"3,keyasint,omitempty"`
 	Revision pkid.Revision     `cbor:"4,keyasint,omitempty"`
 	Digest   pkmanifest.Digest `cbor:"5,keyasint,omitempty"`
 	Known    []Member          `cbor:"6,keyasint,omitempty"`
+	// Counts is what Refs and Ns say, once they were resolved.
+	Counts []Count `cbor:"-"`
 }
 
 // Count is how many requests the sender has on a target.
 type Count struct {
-	Target pkid.TargetID `cbor:"1,keyasint"`
-	N      int64         `cbor:"2,keyasint"`
+	Target pkid.TargetID
+	N      int64
 }
 
 // PoolCount is how many requests the sender has in a pool.
@@ -76,18 +84,20 @@
 
 // Report is a target's load as the sender, who looks after it, read it.
 type Report struct {
-	Target   pkid.TargetID `cbor:"1,keyasint"`
-	Active   int           `cbor:"2,keyasint,omitempty"`
-	Queued   int           `cbor:"3,keyasint,omitempty"`
-	MaxBatch int           `cbor:"4,keyasint,omitempty"`
-	StepUS   int64         `cbor:"5,keyasint,omitempty"`
-	PerSeqUS int64         `cbor:"6,keyasint,omitempty"`
+	Ref      int   `cbor:"1,keyasint,omitempty"`
+	Active   int   `cbor:"2,keyasint,omitempty"`
+	Queued   int   `cbor:"3,keyasint,omitempty"`
+	MaxBatch int   `cbor:"4,keyasint,omitempty"`
+	StepUS   int64 `cbor:"5,keyasint,omitempty"`
+	PerSeqUS int64 `cbor:"6,keyasint,omitempty"`
 	// PrefillUS is the time of one prompt token in microseconds.
 	PrefillUS int64 `cbor:"7,keyasint,omitempty"`
 	Leaving   bool  `cbor:"8,keyasint,omitempty"`
 	// Holding is what the target holds; it travels once on a connection and
 	// whenever it changed.
 	Holding *pktarget.Holding `cbor:"9,keyasint,omitempty"`
+	// Target is what Ref says, once it was resolved.
+	Target pkid.TargetID `cbor:"-"`
 }
 
 // Want asks for the manifest that the other side has in force.
--- a/pkpeer/conn_test.go
+++ b/pkpeer/conn_test.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
+	"peridotknot.example/pkid"
 	"peridotknot.example/pkmember"
 )
 
@@ -49,7 +50,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	raw, err := Encode(pkmember.Message{Share: &pkmember.Share{Counts: []pkmember.Count{{Target: "t", N: 3}}}})
+	raw, err := Encode(pkmember.Message{Share: &pkmember.Share{Names: []pkid.TargetID{"t"}, Refs: []int{0}, Ns: []int64{3}}})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/pksample/make.go
+++ b/pksample/make.go
@@ -68,7 +68,7 @@
 			fault(2*time.Second, pktrace.Fault{Name: pktrace.FaultKill, Target: "drafting-pool-16-a-2", ForMS: 2500}),
 			fault(5*time.Second, pktrace.Fault{Name: pktrace.FaultSlow, Target: "drafting-pool-0-b-1", ForMS: 2000, ExtraMS: 60}),
 			fault(8*time.Second, pktrace.Fault{Name: pktrace.FaultKill, Target: "booking-1", ForMS: 2000}),
-			fault(11*time.Second, pktrace.Fault{Name: pktrace.FaultEntry, Target: "1"}),
+			fault(11*time.Second, pktrace.Fault{Name: pktrace.FaultReplace}),
 			fault(13*time.Second, pktrace.Fault{Name: pktrace.FaultLostSwap}),
 			fault(13500*time.Millisecond, pktrace.Fault{Name: pktrace.FaultPublish}),
 		},
--- a/pkstandin/fault.go
+++ b/pkstandin/fault.go
@@ -50,7 +50,7 @@
 		w.undo(f, func() { w.emptyList.Store(false) })
 		return nil
 	case pktrace.FaultKill, pktrace.FaultSilence, pktrace.FaultSlow, pktrace.FaultLeave:
-	case pktrace.FaultPublish, pktrace.FaultEntry:
+	case pktrace.FaultPublish, pktrace.FaultEntry, pktrace.FaultReplace:
 		return fmt.Errorf("fault %q is not the stand-ins' to bring about", f.Name)
 	default:
 		return fmt.Errorf("there is no fault %q", f.Name)
--- a/pktrace/line.go
+++ b/pktrace/line.go
@@ -66,6 +66,7 @@
 	FaultVMList   FaultName = "vm_list_empty"
 	FaultPublish  FaultName = "publish"
 	FaultEntry    FaultName = "entry_stop"
+	FaultReplace  FaultName = "replace_entries"
 	FaultLostSwap FaultName = "store_answer_lost"
 )
 
--- a/pktrace/replay.go
+++ b/pktrace/replay.go
@@ -24,8 +24,10 @@
 
 // Replay is a trace and what it is replayed against.
 type Replay struct {
-	Lines   []Line
-	Entries []Address
+	Lines []Line
+	// Entries returns the entries there are; it is asked again and again, as
+	// VMs come and go during a replay.
+	Entries func() []Address
 	// Keys holds the API key of each account.
 	Keys map[pkid.AccountID]string
 	// Inject brings a fault of the trace about.
@@ -51,7 +53,7 @@
 	http  *http.Client
 	start time.Time
 	next  atomic.Uint64
-	ready []atomic.Bool
+	ready atomic.Pointer[[]string]
 	done  atomic.Int64
 
 	mu      sync.Mutex
@@ -77,7 +79,7 @@
 
 // Run replays the trace at its own pace, whatever comes back.
 func (r *Replay) Run(ctx context.Context) (Outcome, error) {
-	if len(r.Entries) == 0 {
+	if r.Entries == nil || len(r.Entries()) == 0 {
 		return Outcome{}, fmt.Errorf("there is no entry to replay against")
 	}
 	for _, l := range r.Lines {
@@ -88,7 +90,6 @@
 	s := &session{
 		Replay:  r,
 		http:    newClient(),
-		ready:   make([]atomic.Bool, len(r.Entries)),
 		between: hdrhistogram.New(1, microsPerHour, histogramDigit),
 	}
 	defer s.http.CloseIdleConnections()
@@ -182,21 +183,23 @@
 
 // entry returns the next entry that is ready, as the platform's balancer does.
 func (s *session) entry() string {
-	n := uint64(len(s.Entries))
-	start := s.next.Add(1)
-	for i := range n {
-		at := (start + i) % n
-		if s.ready[at].Load() {
-			return s.Entries[at].Callers
-		}
-	}
-	return s.Entries[start%n].Callers
+	ready := *s.ready.Load()
+	return ready[s.next.Add(1)%uint64(len(ready))]
 }
 
+// pollReady notes which entries are ready; if none is, any may be tried.
 func (s *session) pollReady(ctx context.Context) {
-	for i, a := range s.Entries {
-		s.ready[i].Store(a.Admin == "" || s.isReady(ctx, a.Admin))
+	var ready, all []string
+	for _, a := range s.Entries() {
+		all = append(all, a.Callers)
+		if a.Admin == "" || s.isReady(ctx, a.Admin) {
+			ready = append(ready, a.Callers)
+		}
+	}
+	if len(ready) == 0 {
+		ready = all
 	}
+	s.ready.Store(&ready)
 }
 
 func (s *session) isReady(ctx context.Context, admin string) bool {
