--- a/peridotknot/status.go
+++ b/peridotknot/status.go
@@ -80,6 +80,7 @@
 			store = "store down"
 		}
 		fmt.Fprintf(w, "%s\t%s\t%s\trevision %d for %s\t%s\t%s\n", s.Entry, s.DataCenter, state, s.Revision, s.InForceFor, store, s.Alarm)
+		fmt.Fprintf(w, "  neighbors %v\towns %v\t%d store calls\n", s.Neighbors, s.Owns, s.StoreCalls)
 		for _, p := range s.Pools {
 			fmt.Fprintf(w, "  %s\t%d targets\t%d usable\t%d leaving\t%d running\t%d waiting\n", p.Pool, p.Targets, p.Usable, p.Leaving, p.InFlight, p.Waiting)
 		}
--- a/pkentry/listen.go
+++ b/pkentry/listen.go
@@ -38,7 +38,9 @@
 
 // listenTo takes what a peer that dialed in says.
 func (e *Entry) listenTo(ctx context.Context, c *pkpeer.Conn) error {
-	m, err := c.Receive(ctx)
+	first, cancel := context.WithTimeout(ctx, peerTimeout)
+	m, err := c.Receive(first)
+	cancel()
 	if err != nil {
 		return err
 	}
