--- a/pkclaim/table.go
+++ b/pkclaim/table.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"peridotknot.example/pkid"
 )
 
@@ -47,10 +49,7 @@
 }
 
 func (t *Table) of(k Key) *shard {
-	if k == "" {
-		return &t.shard[0]
-	}
-	return &t.shard[k[len(k)-1]%shards]
+	return &t.shard[xxhash.Sum64String(string(k))%shards]
 }
 
 // Claim claims a key for a request and says whether it was free. The same
