pkroute: hand idempotency claims on when entries come and go

Shown failing first: 20 keys, three entries replaced, the same key sent again: TestClaimsOutliveThe NightlyReplacement got 200, the booking ran twice.

Ruled out on the way: the goodbye, which closed the connections before the claims went (it is sent behind them now), and that alone was not enough: a neighbor that had just come was not dialed yet, and claims were not asked for any more where two newcomers took the first two places. Claims are now handed over whenever the neighbors change, and at a planned stop, once the connection stands.

What stays open is a crash of both keepers.

--- a/pkclaim/table.go
+++ b/pkclaim/table.go
@@ -72,6 +72,28 @@
 	return true
 }
 
+// Held is a claim that stands.
+type Held struct {
+	Key    Key
+	Holder pkid.RequestID
+}
+
+// All returns the claims that stand at now.
+func (t *Table) All(now time.Time) []Held {
+	var out []Held
+	for i := range t.shard {
+		s := &t.shard[i]
+		s.mu.Lock()
+		for k, c := range s.claims {
+			if now.Before(c.until) {
+				out = append(out, Held{Key: k, Holder: c.holder})
+			}
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
 // Release gives a claim back whose call was not run.
 func (t *Table) Release(k Key, holder pkid.RequestID) {
 	s := t.of(k)
--- a/pkentry/claims.go
+++ b/pkentry/claims.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"peridotknot.example/pkmember"
 	"peridotknot.example/pkopenai"
 	"peridotknot.example/pkpeer"
+	"peridotknot.example/pktimer"
 	"peridotknot.example/pkverdict"
 )
 
@@ -124,6 +126,52 @@
 	return err
 }
 
+// handOverPart is how many claims travel in one message.
+const handOverPart = 500
+
+// connPoll is how often a connection that is awaited is looked for.
+const connPoll = 20 * time.Millisecond
+
+// handOverClaims gives this entry's claims to those of members that should keep
+// them. It is called when a neighbor comes and when this entry leaves: all VMs
+// are replaced in the night, and claims that stayed where they were made would
+// be forgotten with them, or not be asked for any more.
+func (e *Entry) handOverClaims(ctx context.Context, members []pkmember.Member) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	self := e.peers.table.Self()
+	parts := map[pkmember.Instance][]pkmember.Claim{}
+	for _, held := range e.claims.table.All(time.Now()) {
+		for _, m := range pkmember.First(members, string(held.Key), claimKeepers) {
+			if m.Instance != self.Instance {
+				parts[m.Instance] = append(parts[m.Instance], pkmember.Claim{Key: string(held.Key), Holder: held.Holder})
+			}
+		}
+	}
+	for id, all := range parts {
+		if err := e.sendClaims(ctx, id, all); err != nil {
+			e.log.Warn("claims were not handed over", "error", err)
+		}
+	}
+}
+
+func (e *Entry) sendClaims(ctx context.Context, to pkmember.Instance, all []pkmember.Claim) error {
+	c := e.peers.connTo(to)
+	for c == nil {
+		// A neighbor that has just come may not be dialed yet.
+		if !pktimer.Sleep(ctx, connPoll) {
+			return errNotAsked
+		}
+		c = e.peers.connTo(to)
+	}
+	for part := range slices.Chunk(all, handOverPart) {
+		if _, err := c.Send(ctx, pkmember.Message{HandOver: part}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *claims) ask() (uint64, <-chan bool) {
 	answer := make(chan bool, 1)
 	id := c.next.Add(1)
--- a/pkentry/entry.go
+++ b/pkentry/entry.go
@@ -57,9 +57,12 @@
 
 	// warm is set once the targets were asked for their loads: an entry that
 	// is sent callers before it knows what its targets hold refuses them all.
-	warm      atomic.Bool
-	stopping  atomic.Bool
-	refusing  atomic.Bool
+	warm     atomic.Bool
+	stopping atomic.Bool
+	refusing atomic.Bool
+	// leaving is set once claims were handed over; a peer that is told closes
+	// the connection by which they go.
+	leaving   atomic.Bool
 	peers     *peers
 	owners    owners
 	claims    claims
@@ -209,6 +212,10 @@
 		case <-within.Done():
 		}
 	}()
+	defer func() {
+		e.handOverClaims(context.WithoutCancel(ctx), e.peers.others(time.Now()))
+		e.leaving.Store(true)
+	}()
 	if err := callers.Shutdown(within); err != nil {
 		e.log.Warn("requests were still running at the limit of the stop")
 		endCalls(pkverdict.ErrStopping)
--- a/pkentry/link.go
+++ b/pkentry/link.go
@@ -96,7 +96,7 @@
 	told := newTold()
 	near := l.to.Neighborhood == e.peers.table.Self().Neighborhood
 	for {
-		size, err := c.Send(ctx, pkmember.Message{Share: e.nextShare(told, near), Leaving: e.refusing.Load()})
+		size, err := c.Send(ctx, pkmember.Message{Share: e.nextShare(told, near), Leaving: e.leaving.Load()})
 		if err != nil {
 			return err
 		}
--- a/pkentry/listen.go
+++ b/pkentry/listen.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"peridotknot.example/pkclaim"
 	"peridotknot.example/pkhead"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkmanifest"
@@ -85,6 +86,10 @@
 	case m.Leaving:
 		e.peers.table.Leave(now, from.Instance)
 		return errors.New("the peer is leaving")
+	case m.HandOver != nil:
+		for _, claim := range m.HandOver {
+			e.claims.table.Claim(now, pkclaim.Key(claim.Key), claim.Holder)
+		}
 	case m.Claim != nil:
 		return e.answerClaim(ctx, c, m.Claim)
 	case m.Manifest != nil:
--- a/pkentry/peers.go
+++ b/pkentry/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -114,6 +115,12 @@
 	p.wg.Wait()
 }
 
+// others returns the neighbors without this entry.
+func (p *peers) others(now time.Time) []pkmember.Member {
+	self := p.table.Self()
+	return slices.DeleteFunc(p.table.Neighbors(now), func(m pkmember.Member) bool { return m.Instance == self.Instance })
+}
+
 // kick makes all links send at once.
 func (p *peers) kick() {
 	p.mu.Lock()
@@ -129,8 +136,13 @@
 // tendPeers keeps a link to each member that should have one.
 func (e *Entry) tendPeers(ctx context.Context) {
 	defer e.peers.wait()
+	var before []pkmember.Member
 	pktimer.Every(ctx, tendPeersEvery, func(ctx context.Context) {
 		now := time.Now()
+		if members := e.peers.table.Neighbors(now); !slices.Equal(members, before) {
+			before = members
+			e.peers.wg.Go(func() { e.handOverClaims(ctx, members) })
+		}
 		e.peers.table.Tend(now)
 		e.peers.relink(ctx, e, e.peers.table.Links(now))
 		counts := e.peers.table.Counts(now)
--- a/pklab/claim_test.go
+++ b/pklab/claim_test.go
@@ -47,3 +47,24 @@
 	}
 	l.World.KV.SetDown(false)
 }
+
+// All entries are replaced one by one in the night, each by a fresh VM that
+// remembers nothing. A client that sends its booking again behind that must
+// still be told that its key was used: an entry that leaves hands its claims on.
+func TestClaimsOutliveTheNightlyReplacement(t *testing.T) {
+	const entries = 3
+	l := startLab(t, entries)
+	meet(t, l, entries)
+	const keys = 20
+	for i := range keys {
+		assert.Equal(t, book(t, l, i%entries, fmt.Sprint("night-", i)).StatusCode, http.StatusOK)
+	}
+	assert.NilError(t, l.ReplaceEntries())
+	last := len(l.Addresses()) - 1
+	eventually(t, "the fresh entries meet", func() bool { return len(status(l, last).Neighbors) == entries-1 })
+	for i := range keys {
+		name := fmt.Sprint("night-", i)
+		assert.Equal(t, book(t, l, last, name).StatusCode, http.StatusConflict)
+		assert.Equal(t, l.World.Ledger().Runs[name], 1)
+	}
+}
--- a/pkmember/share.go
+++ b/pkmember/share.go
@@ -25,6 +25,9 @@
 	Leaving  bool      `cbor:"5,keyasint,omitempty"`
 	Claim    *Claim    `cbor:"6,keyasint,omitempty"`
 	Claimed  *Claimed  `cbor:"7,keyasint,omitempty"`
+	// HandOver holds claims that the sender keeps and that the receiver keeps
+	// from now on, since the sender is leaving.
+	HandOver []Claim `cbor:"8,keyasint,omitempty"`
 }
 
 // Claim asks a neighbor to keep an idempotency key for a request, or to let it
