pkroute: measure added latency at half load

It now runs 24 streams beside, half of the engines' places, with engines that all take the same time for a token.

--- a/pklab/latency_test.go
+++ b/pklab/latency_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,12 +19,61 @@
 	"peridotknot.example/pkengine"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkplatform"
+	"peridotknot.example/pksample"
 )
 
+// halfLoad is how many streams run beside a measurement: half of the places
+// that the engines of a paced lab have.
+const halfLoad = 24
+
+// paced starts a lab whose engines all take the same time for a token, so that
+// two streams differ by the entry and not by their engines.
+func paced(b *testing.B) *Lab {
+	standins := quick(b)
+	for kind, speed := range standins.Kinds {
+		speed.Base = 3 * time.Millisecond / 32
+		standins.Kinds[kind] = speed
+	}
+	manifest, err := pksample.File("aare", pksample.FileManifest)
+	assert.NilError(b, err)
+	ctx, cancel := context.WithTimeout(b.Context(), time.Minute)
+	defer cancel()
+	l, err := Start(ctx, Options{Standins: standins, Manifest: manifest, Entries: 1})
+	assert.NilError(b, err)
+	b.Cleanup(func() { assert.NilError(b, l.Close()) })
+	return l
+}
+
+// load keeps streams running through the entry until stop is called.
+func load(b *testing.B, l *Lab) (stop func()) {
+	_, routed := streamPaths(b, l)
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	for range halfLoad {
+		wg.Go(func() {
+			client := &http.Client{Transport: pkconn.DefaultOptions().Transport()}
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					do(b, client, routed(0), nil)
+				}
+			}
+		})
+	}
+	return func() {
+		close(done)
+		wg.Wait()
+	}
+}
+
 // BenchmarkAddedLatency measures what the entry adds to a service call and to a
-// token, against calling the stand-in directly in the same run, in turn.
+// token at half load, against calling the stand-in directly in the same run, in
+// turn.
 func BenchmarkAddedLatency(b *testing.B) {
-	l := startLab(b, 1)
+	l := paced(b)
+	defer load(b, l)()
 	client := &http.Client{Transport: pkconn.DefaultOptions().Transport()}
 	b.Run("call", func(b *testing.B) {
 		direct, routed := callPaths(b, l)
