--- a/pkmeasure/control.go
+++ b/pkmeasure/control.go
@@ -11,6 +11,7 @@
 	"peridotknot.example/pkentry"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pklab"
+	"peridotknot.example/pktimer"
 )
 
 // settle is how long a fresh lab is left before it is measured, and watched how
@@ -66,9 +67,9 @@
 	if err := waitMet(ctx, l, n); err != nil {
 		return controlCost{}, err
 	}
-	time.Sleep(settle)
+	pktimer.Sleep(ctx, settle)
 	before, callsBefore := sentBytes(l, n), l.World.KV.Calls()
-	took := spent(func() { time.Sleep(watched) })
+	took := spent(func() { pktimer.Sleep(ctx, watched) })
 	seconds := watched.Seconds()
 	runtime.GC()
 	var mem runtime.MemStats
@@ -90,7 +91,7 @@
 			if ctx.Err() != nil {
 				return errors.New("the entries did not all meet")
 			}
-			time.Sleep(20 * time.Millisecond)
+			pktimer.Sleep(ctx, 20*time.Millisecond)
 		}
 	}
 	return nil
@@ -154,7 +155,7 @@
 			if ctx.Err() != nil {
 				return fmt.Errorf("revision %d did not reach entry %d", want, i)
 			}
-			time.Sleep(time.Millisecond)
+			pktimer.Sleep(ctx, time.Millisecond)
 		}
 	}
 	return nil
