--- a/pkstandin/kv.go
+++ b/pkstandin/kv.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"peridotknot.example/pketcd"
+	"peridotknot.example/pktimer"
 )
 
 // KV is an in-memory key-value service that speaks the etcd v3 JSON gateway.
@@ -94,8 +95,8 @@
 // ServeHTTP answers one call of the gateway.
 func (k *KV) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	k.calls.Add(1)
-	if extra := time.Duration(k.slow.Load()); extra > 0 {
-		time.Sleep(extra)
+	if !pktimer.Sleep(r.Context(), time.Duration(k.slow.Load())) {
+		return
 	}
 	if k.down.Load() {
 		panic(http.ErrAbortHandler)
--- a/pkstandin/service.go
+++ b/pkstandin/service.go
@@ -12,6 +12,7 @@
 
 	"peridotknot.example/pkplatform"
 	"peridotknot.example/pktarget"
+	"peridotknot.example/pktimer"
 	"peridotknot.example/pktrace"
 )
 
@@ -48,8 +49,8 @@
 	}
 	call := r.Header.Get(pktrace.HeaderCall)
 	s.world.ran(call)
-	if wait := s.takes + time.Duration(s.slow.Load()); wait > 0 {
-		time.Sleep(wait)
+	if !pktimer.Sleep(r.Context(), s.takes+time.Duration(s.slow.Load())) {
+		return
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(Echo{Call: call, Bytes: n, Digest: strconv.FormatUint(sum.Sum64(), 16)})
