pkowner: a new engine waits for what it replaces, a fast one closes the row of fast ones

Cause: in a release the replacement starts 1.9 s before the old engine leaves.

Change: empty engines in a whole pool wait 2.2 s; where layers are chosen, room of engines of like speed counts double.

--- a/pklayers/plan.go
+++ b/pklayers/plan.go
@@ -32,6 +32,9 @@
 	moveShare = 0.7
 	// moveGain is by how much a move must raise the least room to be worth a load.
 	moveGain = 1.08
+	// wholeShare is the share of the mean room that each layer of a whole pool has: one
+	// of four rows may be without an engine.
+	wholeShare = 0.75
 	// leastRoom is how many tokens an engine that takes more layers must keep for
 	// requests: fifty of usual size.
 	leastRoom = 45_000
@@ -44,6 +47,8 @@
 	Kind       pkid.Kind
 	// Held is what it holds, or was ordered to hold and is loading.
 	Held pkid.Range
+	// Fresh says that it came so lately that what it replaces may not have left yet.
+	Fresh bool
 }
 
 // Plan returns the layers that engines should hold where that differs from what
@@ -213,21 +218,31 @@
 func fillEmpty(m *Model, live []Card) map[pkid.TargetID]pkid.Range {
 	out := map[pkid.TargetID]pkid.Range{}
 	for i := range live {
-		if live[i].Held.Len() > 0 {
+		if live[i].Held.Len() > 0 || (live[i].Fresh && whole(m, live)) {
 			continue
 		}
 		n := min(max(int(fillShare*m.Kinds[live[i].Kind].MemoryMB/m.LayerMB+0.5), 1), m.Most(live[i].Kind))
-		r := weakest(m, live, live[i].DataCenter, n)
+		r := weakest(m, live, live[i].DataCenter, m.Kinds[live[i].Kind].StepFactor, n)
 		live[i].Held = r
 		out[live[i].ID] = r
 	}
 	return out
 }
 
-// weakest returns the n layers in a row that have the least room, where room in
-// the same data centre counts double: it saves the crossing.
-func weakest(m *Model, live []Card, dc pkid.DataCenter, n int) pkid.Range {
-	room := roomByLayer(m, live, dc)
+// whole says whether no layer has much less room than the others.
+func whole(m *Model, live []Card) bool {
+	room := roomByLayer(m, live, "", 0)
+	return slices.Min(room) >= wholeShare*mean(room)
+}
+
+// weakest returns the n layers in a row that have the least room for an engine, where
+// room in its data centre counts double, which saves a crossing, and so does room of
+// engines as fast as it: a fast engine that comes after another was lost would else
+// stand beside the slow ones with the least room, and the row of fast engines would keep
+// its hole for good. With that, and with engines that wait for what they replace, days
+// with trouble are worth 0.70 against 0.66 (20 days).
+func weakest(m *Model, live []Card, dc pkid.DataCenter, speed float64, n int) pkid.Range {
+	room := roomByLayer(m, live, dc, speed)
 	need := make([]float64, m.Layers)
 	for l := range need {
 		need[l] = 1 / (room[l] + 1)
@@ -246,8 +261,10 @@
 	return pkid.Range{First: pkid.Layer(first), End: pkid.Layer(first + n)}
 }
 
-func roomByLayer(m *Model, live []Card, dc pkid.DataCenter) []float64 {
-	const atHome = 2
+// roomByLayer returns the room for tokens of each layer as an engine of a data centre
+// and a speed sees it; without these, all engines count alike.
+func roomByLayer(m *Model, live []Card, dc pkid.DataCenter, speed float64) []float64 {
+	const atHome, alike = 2, 2
 	room := make([]float64, m.Layers)
 	for i := range live {
 		c := &live[i]
@@ -255,6 +272,9 @@
 		if c.DataCenter == dc {
 			tokens *= atHome
 		}
+		if f := m.Kinds[c.Kind].StepFactor; speed > 0 && f <= fastWithin*speed && speed <= fastWithin*f {
+			tokens *= alike
+		}
 		for l := c.Held.First; l < c.Held.End && int(l) < m.Layers; l++ {
 			room[l] += tokens
 		}
@@ -265,7 +285,7 @@
 // widen lets the engines beside a weak run of layers take a part of it each, if
 // they keep room for requests.
 func widen(m *Model, live []Card, out map[pkid.TargetID]pkid.Range) {
-	room := roomByLayer(m, live, "")
+	room := roomByLayer(m, live, "", 0)
 	weak := weakShare * mean(room)
 	for first := 0; first < len(room); {
 		if room[first] >= weak {
@@ -322,7 +342,7 @@
 // rebalance moves the engine whose layers can best do without it to the layers with
 // the least room.
 func rebalance(m *Model, live []Card, out map[pkid.TargetID]pkid.Range) {
-	room := roomByLayer(m, live, "")
+	room := roomByLayer(m, live, "", 0)
 	least := slices.Min(room)
 	if least >= moveShare*mean(room) {
 		return
@@ -332,9 +352,9 @@
 	for i := range live {
 		held := live[i].Held
 		live[i].Held = pkid.Range{}
-		r := weakest(m, live, "", held.Len())
+		r := weakest(m, live, "", 0, held.Len())
 		live[i].Held = r
-		if after := slices.Min(roomByLayer(m, live, "")); after > best {
+		if after := slices.Min(roomByLayer(m, live, "", 0)); after > best {
 			best, donor, to = after, i, r
 		}
 		live[i].Held = held
--- a/pklayers/plan_test.go
+++ b/pklayers/plan_test.go
@@ -95,17 +95,42 @@
 	for gone := range testPool() {
 		cards := placed(t, m, testPool())
 		dc := cards[gone].DataCenter
-		before := slices.Min(roomByLayer(m, cards, dc))
+		before := slices.Min(roomByLayer(m, cards, dc, 0))
 		cards[gone].Held = pkid.Range{}
 		cards[gone].ID = "new"
 		out := Plan(m, cards, true)
 		assert.Equal(t, len(out), 1, "engine %d", gone)
 		cards[gone].Held = out["new"]
-		after := slices.Min(roomByLayer(m, cards, dc))
+		after := slices.Min(roomByLayer(m, cards, dc, 0))
 		assert.Assert(t, after >= 0.7*before, "engine %d: %f tokens of room, %f before", gone, after, before)
 	}
 }
 
+// A fast engine is replaced by another of its kind. Streams that used the row of fast
+// engines pass through slow ones where it stood, which are soon full, for as long as
+// the new one stands elsewhere, say where a slow engine was lost as well. It must close
+// the hole in its row.
+func TestAFastEngineClosesTheHoleInItsRow(t *testing.T) {
+	m := testModel()
+	for gone, c := range testPool() {
+		if c.Kind != "a100s" {
+			continue
+		}
+		for slow, other := range testPool() {
+			if other.Kind != "l4" {
+				continue
+			}
+			cards := placed(t, m, testPool())
+			lost := cards[gone].Held
+			cards[gone].ID, cards[gone].Held = "new", pkid.Range{}
+			cards = slices.Delete(cards, slow, slow+1)
+			got := Plan(m, cards, false)["new"]
+			shared := min(got.End, lost.End) - max(got.First, lost.First)
+			assert.Assert(t, int(shared) >= lost.Len()/2, "%v is lost, %v comes, %v is lost too", lost, got, other.ID)
+		}
+	}
+}
+
 // Two engines that hold the same layers are lost for good. Requests that pass
 // through the third and fourth copy fill it up. Their neighbors must widen.
 func TestWeakLayersAreWidened(t *testing.T) {
@@ -173,7 +198,7 @@
 			left = append(left, c)
 		}
 	}
-	before := slices.Min(roomByLayer(m, left, ""))
+	before := slices.Min(roomByLayer(m, left, "", 0))
 	moves := 0
 	for ; moves < 20; moves++ {
 		out := Plan(m, left, true)
@@ -187,7 +212,7 @@
 			}
 		}
 	}
-	after := slices.Min(roomByLayer(m, left, ""))
+	after := slices.Min(roomByLayer(m, left, "", 0))
 	assert.Assert(t, moves > 0 && moves < 20)
 	assert.Assert(t, after > 1.5*before, "%f tokens, %f before", after, before)
 }
--- a/pkowner/desk.go
+++ b/pkowner/desk.go
@@ -25,6 +25,11 @@
 	// over all of them served 0.97 of a calm day where rows over 31 of 39 engines
 	// served 0.40.
 	settleTime = 1200 * time.Millisecond
+	// replaceWait is how long an empty engine in a whole pool waits for its layers: a
+	// replacement starts before what it replaces leaves, by 1.9 s as the list shows it.
+	// Ordered at once, it took layers that lacked nothing, and those of the engine that
+	// left next lacked one more.
+	replaceWait = 2200 * time.Millisecond
 	// steadyTime is how long none must have come or gone before engines are moved:
 	// one that crashed is back within five seconds, and moving others meanwhile cost
 	// more than it brought.
@@ -44,6 +49,8 @@
 	// seen and changed are the count of live targets and when it last changed.
 	seen    int
 	changed time.Time
+	// came is when each live target was first seen.
+	came map[pkid.TargetID]time.Time
 }
 
 // Task is an engine to be read and ordered.
@@ -59,10 +66,11 @@
 	}
 	byID := map[pkid.TargetID]*pkreplica.Target{}
 	cold := true
+	d.noteComing(now, live)
 	cards := make([]pklayers.Card, 0, len(live))
 	for _, t := range live {
 		byID[t.ID] = t
-		cards = append(cards, pklayers.Card{ID: t.ID, DataCenter: t.DataCenter, Kind: t.Kind, Held: d.held(now, t)})
+		cards = append(cards, pklayers.Card{ID: t.ID, DataCenter: t.DataCenter, Kind: t.Kind, Held: d.held(now, t), Fresh: now.Sub(d.came[t.ID]) < replaceWait})
 		cold = cold && cards[len(cards)-1].Held.Len() == 0
 	}
 	if cold && now.Sub(d.changed) < settleTime {
@@ -80,6 +88,18 @@
 	return out
 }
 
+// noteComing notes which targets are new at now and forgets those that are gone.
+func (d *Desk) noteComing(now time.Time, live []*pkreplica.Target) {
+	came := make(map[pkid.TargetID]time.Time, len(live))
+	for _, t := range live {
+		came[t.ID] = now
+		if at, known := d.came[t.ID]; known {
+			came[t.ID] = at
+		}
+	}
+	d.came = came
+}
+
 // held returns what a target holds or is loading. An order that does not show in
 // time is forgotten: the engine may have restarted empty, or never got it.
 func (d *Desk) held(now time.Time, t *pkreplica.Target) pkid.Range {
--- a/pkowner/desk_test.go
+++ b/pkowner/desk_test.go
@@ -31,6 +31,11 @@
 	p.roster.Apply(now, []pkreplica.Record{{Revision: p.revision, Info: info}}, p.revision)
 }
 
+func (p *pool) remove(now time.Time, id string) {
+	p.revision++
+	p.roster.Apply(now, []pkreplica.Record{{Revision: p.revision, Info: pkreplica.Info{ID: pkid.TargetID(id)}, Deleted: true}}, p.revision)
+}
+
 func (p *pool) live(now time.Time) []*pkreplica.Target { return p.roster.Live(now, "s") }
 
 // All VMs start together and replicas register one after the other. A plan made
@@ -84,3 +89,43 @@
 	p.set(now, "3", pkid.Range{})
 	assert.Equal(t, len(d.Next(now, model(), p.live(now))), 1)
 }
+
+// In a release the new engine starts first and the old one leaves two seconds later.
+// Ordered at once, the new one loads layers that lack nothing, and callers crowd on
+// what is left beside the old one. It must wait, and take what the old one gives up.
+func TestANewEngineTakesTheLayersOfTheOneThatLeaves(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var p pool
+	var d Desk
+	rows := []pkid.Range{{First: 0, End: 5}, {First: 5, End: 10}, {First: 10, End: 15}, {First: 15, End: 20}}
+	for i, held := range append(rows, rows...) {
+		p.set(now, fmt.Sprint(i), held)
+	}
+	assert.Equal(t, len(d.Next(now, model(), p.live(now))), 0)
+	now = now.Add(time.Minute)
+	p.set(now, "new", pkid.Range{})
+	assert.Equal(t, len(d.Next(now, model(), p.live(now))), 0)
+	now = now.Add(replaceWait - time.Millisecond)
+	assert.Equal(t, len(d.Next(now, model(), p.live(now))), 0, "what it replaces has not left yet")
+	p.remove(now, "2")
+	tasks := d.Next(now, model(), p.live(now))
+	assert.Equal(t, len(tasks), 1)
+	assert.Equal(t, tasks[0].Target.ID, pkid.TargetID("new"))
+	assert.Assert(t, tasks[0].Layers.First <= rows[2].First && rows[2].End <= tasks[0].Layers.End, "%v", tasks[0].Layers)
+}
+
+func TestANewEngineThatReplacesNoneIsPlacedAfterAWhile(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var p pool
+	var d Desk
+	for i := range 8 {
+		first := pkid.Layer(5 * (i % 4))
+		p.set(now, fmt.Sprint(i), pkid.Range{First: first, End: first + 5})
+	}
+	d.Next(now, model(), p.live(now))
+	now = now.Add(time.Minute)
+	p.set(now, "new", pkid.Range{})
+	assert.Equal(t, len(d.Next(now, model(), p.live(now))), 0)
+	now = now.Add(replaceWait)
+	assert.Equal(t, len(d.Next(now, model(), p.live(now))), 1)
+}
