pklayers: move an engine to a hole in the pool after a second

Change: where a layer has under half of the mean room, an engine is moved there once the pool was quiet for a second.

--- a/pklayers/plan.go
+++ b/pklayers/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"peridotknot.example/pkid"
 )
@@ -30,6 +31,17 @@
 	// engines had left, it refused a quarter of all requests while the mean engine
 	// stood half empty.
 	moveShare = 0.7
+	// steadyTime is how long none must have come or gone before engines are moved:
+	// one that crashed is back within five seconds, and moving others meanwhile cost
+	// more than it brought.
+	steadyTime = 5 * time.Second
+	// urgentShare is the share of the mean room below which a layer does not wait for
+	// that: two engines that left at one moment took two of three copies of some layers
+	// with them, and the pool refused a third of all requests for ten seconds.
+	urgentShare = 0.5
+	// urgentTime is how long none must have come or gone even then, so that those that
+	// leave together are seen together.
+	urgentTime = time.Second
 	// moveGain is by how much a move must raise the least room to be worth a load.
 	moveGain = 1.08
 	// wholeShare is the share of the mean room that each layer of a whole pool has: one
@@ -58,9 +70,9 @@
 // every layer. Later plans move nothing that is right: they give empty engines
 // the layers with the least room, widen engines only beside layers that have lost
 // half of the usual room, since each load takes an engine's time for seconds. A pool
-// that is steady, in which none came or went lately, moves one engine at a time where
-// that raises the least room.
-func Plan(m *Model, cards []Card, steady bool) map[pkid.TargetID]pkid.Range {
+// that has been quiet, in which none came or went for some time, moves one engine at a
+// time where that raises the least room.
+func Plan(m *Model, cards []Card, quiet time.Duration) map[pkid.TargetID]pkid.Range {
 	live := slices.Clone(cards)
 	live = slices.DeleteFunc(live, func(c Card) bool { return m.Most(c.Kind) == 0 })
 	slices.SortFunc(live, func(a, b Card) int { return cmp.Compare(a.ID, b.ID) })
@@ -78,8 +90,8 @@
 	}
 	out := fillEmpty(m, live)
 	widen(m, live, out)
-	if steady && len(out) == 0 {
-		rebalance(m, live, out)
+	if len(out) == 0 {
+		rebalance(m, live, out, quiet)
 	}
 	return out
 }
@@ -340,11 +352,13 @@
 }
 
 // rebalance moves the engine whose layers can best do without it to the layers with
-// the least room.
-func rebalance(m *Model, live []Card, out map[pkid.TargetID]pkid.Range) {
+// the least room, if none has come or gone for long enough.
+func rebalance(m *Model, live []Card, out map[pkid.TargetID]pkid.Range, quiet time.Duration) {
 	room := roomByLayer(m, live, "", 0)
 	least := slices.Min(room)
-	if least >= moveShare*mean(room) {
+	usual := mean(room)
+	urgent := least < urgentShare*usual && quiet >= urgentTime
+	if least >= moveShare*usual || (quiet < steadyTime && !urgent) {
 		return
 	}
 	best, donor := least*moveGain, -1
--- a/pklayers/plan_test.go
+++ b/pklayers/plan_test.go
@@ -52,7 +52,7 @@
 
 func placed(t *testing.T, m *Model, cards []Card) []Card {
 	t.Helper()
-	out := Plan(m, cards, true)
+	out := Plan(m, cards, steadyTime)
 	for i := range cards {
 		if r, changed := out[cards[i].ID]; changed {
 			cards[i].Held = r
@@ -84,7 +84,7 @@
 		assert.Assert(t, c.Held.Len() > 0, "%s (%s) is empty", c.ID, c.Kind)
 		assert.Assert(t, m.Room(c.Kind, c.Held.Len()) > 40_000, "%s (%s) holds %v", c.ID, c.Kind, c.Held)
 	}
-	assert.Equal(t, len(Plan(m, cards, true)), 0, "a plan that is carried out asks for nothing more")
+	assert.Equal(t, len(Plan(m, cards, steadyTime)), 0, "a plan that is carried out asks for nothing more")
 }
 
 // An engine crashes and comes back empty, or another takes its place. Until its
@@ -98,7 +98,7 @@
 		before := slices.Min(roomByLayer(m, cards, dc, 0))
 		cards[gone].Held = pkid.Range{}
 		cards[gone].ID = "new"
-		out := Plan(m, cards, true)
+		out := Plan(m, cards, steadyTime)
 		assert.Equal(t, len(out), 1, "engine %d", gone)
 		cards[gone].Held = out["new"]
 		after := slices.Min(roomByLayer(m, cards, dc, 0))
@@ -124,7 +124,7 @@
 			lost := cards[gone].Held
 			cards[gone].ID, cards[gone].Held = "new", pkid.Range{}
 			cards = slices.Delete(cards, slow, slow+1)
-			got := Plan(m, cards, false)["new"]
+			got := Plan(m, cards, 0)["new"]
 			shared := min(got.End, lost.End) - max(got.First, lost.First)
 			assert.Assert(t, int(shared) >= lost.Len()/2, "%v is lost, %v comes, %v is lost too", lost, got, other.ID)
 		}
@@ -175,7 +175,7 @@
 func BenchmarkFind(b *testing.B) {
 	m := testModel()
 	cards := testPool()
-	out := Plan(m, cards, true)
+	out := Plan(m, cards, steadyTime)
 	var engines []Engine
 	for _, c := range cards {
 		engines = append(engines, Engine{ID: c.ID, DataCenter: c.DataCenter, Kind: c.Kind, Held: out[c.ID], Cost: m.StepTime(c.Kind, 1)})
@@ -201,7 +201,7 @@
 	before := slices.Min(roomByLayer(m, left, "", 0))
 	moves := 0
 	for ; moves < 20; moves++ {
-		out := Plan(m, left, true)
+		out := Plan(m, left, steadyTime)
 		if len(out) == 0 {
 			break
 		}
@@ -216,3 +216,33 @@
 	assert.Assert(t, moves > 0 && moves < 20)
 	assert.Assert(t, after > 1.5*before, "%f tokens, %f before", after, before)
 }
+
+// Two engines with the same layers are taken away at one moment, and none comes in
+// their place. One copy is left where there were three, and callers are refused until
+// another engine is moved there. That must not wait until the pool is quiet for long; a
+// smaller loss must, since an engine that crashed comes back by itself.
+func TestAnEngineIsMovedToAHoleSoon(t *testing.T) {
+	m := testModel()
+	for _, row := range []struct {
+		lost  int
+		quiet time.Duration
+		moves bool
+	}{
+		{3, urgentTime / 2, false},
+		{3, urgentTime, true},
+		{1, urgentTime, false},
+	} {
+		cards := placed(t, m, testPool())
+		at := pkid.Layer(50)
+		left := cards[:0]
+		lost := 0
+		for _, c := range cards {
+			if c.Held.First <= at && at < c.Held.End && lost < row.lost {
+				lost++
+				continue
+			}
+			left = append(left, c)
+		}
+		assert.Equal(t, len(Plan(m, left, row.quiet)) > 0, row.moves, "%+v", row)
+	}
+}
--- a/pkowner/desk.go
+++ b/pkowner/desk.go
@@ -30,10 +30,6 @@
 	// Ordered at once, it took layers that lacked nothing, and those of the engine that
 	// left next lacked one more.
 	replaceWait = 2200 * time.Millisecond
-	// steadyTime is how long none must have come or gone before engines are moved:
-	// one that crashed is back within five seconds, and moving others meanwhile cost
-	// more than it brought.
-	steadyTime = 5 * time.Second
 )
 
 // pending is an order that was sent and does not show in the list yet.
@@ -77,7 +73,7 @@
 		return nil
 	}
 	var out []Task
-	for id, layers := range pklayers.Plan(m, cards, now.Sub(d.changed) >= steadyTime) {
+	for id, layers := range pklayers.Plan(m, cards, now.Sub(d.changed)) {
 		t := byID[id]
 		if _, under := d.pending[id]; under || now.Before(d.notYet[id]) || t.Avoided(now) {
 			continue
