pklayers: rows of engines cross data centres only where the pipes carry them

Cause: on the grown sites pipes carry 3,920 Mbit/s in place of 11,000 and the pool is two and a half times as large. The two rows of the fastest engines span three data centres and drew half of all prompts through pipes that can carry a seventh of them; first events took 0.1 to 3 s from the first second on.

Change: a new pool has rows that span data centres only where the pipes carry half of the requests that its memory can hold over the time of a usual answer.

The first sites keep their row: their pipes carry all of it.

--- a/pklayers/plan.go
+++ b/pklayers/plan.go
@@ -17,6 +17,9 @@
 	// beyond the layers holds requests: at 1.3 a row keeps 71,000 tokens, three
 	// seconds of a third of the usual load.
 	rowMemory = 1.3
+	// crossShare is the share of a pool's requests that pipes between data centres must
+	// be able to carry for rows that span them.
+	crossShare = 0.5
 	// fillShare is the share of its memory that an engine which joins later gives
 	// to layers: what rowMemory leaves in rows of mixed accelerators.
 	fillShare = 0.7
@@ -102,7 +105,7 @@
 func layOut(m *Model, live []Card) map[pkid.TargetID]pkid.Range {
 	out := map[pkid.TargetID]pkid.Range{}
 	fast, slow := split(m, live)
-	if left := takeRows(m, fast, out); left != nil {
+	if !mayCross(m, live) || takeRows(m, fast, out) != nil {
 		slow = live
 	}
 	for _, group := range byDataCenter(slow) {
@@ -123,6 +126,28 @@
 	return out
 }
 
+// mayCross says whether the pipes between data centres carry enough of what the pool
+// can hold for rows that span them. A row of the fastest engines turns over faster than
+// others, so it takes about half of all requests, and each crosses once or twice.
+func mayCross(m *Model, live []Card) bool {
+	memory, centers := 0.0, map[pkid.DataCenter]bool{}
+	slowest := time.Duration(0)
+	for _, c := range live {
+		memory += m.Kinds[c.Kind].MemoryMB
+		centers[c.DataCenter] = true
+		slowest = max(slowest, m.StepTime(c.Kind, m.Layers))
+	}
+	pairs := len(centers) * (len(centers) - 1) / 2
+	transfer := m.TransferTime(1)
+	if pairs == 0 || transfer == 0 {
+		return true
+	}
+	const bytesPerMB = 1e6
+	held := memory * (1 - 1/rowMemory) * bytesPerMB / m.TokenBytes
+	turnover := float64(slowest) * float64(m.AnswerTokens)
+	return float64(pairs)/float64(transfer) >= crossShare*held/turnover
+}
+
 func keepLeft(cards []Card, placed map[pkid.TargetID]pkid.Range) []Card {
 	return slices.DeleteFunc(slices.Clone(cards), func(c Card) bool { return placed[c.ID].Len() > 0 })
 }
--- a/pklayers/plan_test.go
+++ b/pklayers/plan_test.go
@@ -246,3 +246,46 @@
 		assert.Equal(t, len(Plan(m, left, row.quiet)) > 0, row.moves, "%+v", row)
 	}
 }
+
+// grownPool is 98 engines in three data centres with thin pipes between them.
+func grownPool() []Card {
+	counts := []struct {
+		dc                  pkid.DataCenter
+		h100, a100s, l4, t4 int
+	}{
+		{"a", 1, 2, 13, 18}, {"b", 1, 2, 20, 9}, {"c", 0, 4, 11, 17},
+	}
+	var out []Card
+	for _, one := range counts {
+		for kind, n := range map[pkid.Kind]int{"h100": one.h100, "a100s": one.a100s, "l4": one.l4, "t4": one.t4} {
+			for range n {
+				out = append(out, Card{ID: pkid.TargetID(fmt.Sprintf("e%02d", len(out))), DataCenter: one.dc, Kind: kind})
+			}
+		}
+	}
+	return out
+}
+
+// The fastest engines stand in three data centres. Laid out in one row over thin pipes,
+// they draw half of all prompts through these, and callers see pauses of seconds though
+// no engine is busy. Rows must then stay inside data centres.
+func TestRowsCrossOnlyWherePipesCarryThem(t *testing.T) {
+	m := testModel()
+	crosses := func(cards []Card) bool {
+		for _, dc := range []pkid.DataCenter{"a", "b", "c"} {
+			near := slices.DeleteFunc(slices.Clone(cards), func(c Card) bool { return c.DataCenter != dc })
+			if rowsOver(m, near) < 1 {
+				return true
+			}
+		}
+		return false
+	}
+	m.PipeMbps = 3920
+	cards := placed(t, m, grownPool())
+	assert.Assert(t, !crosses(cards), "each data centre runs all layers by itself")
+	near := slices.DeleteFunc(cards, func(c Card) bool { return c.DataCenter != "c" })
+	assert.Assert(t, rowsOver(m, near) >= 3)
+	assert.Assert(t, !mayCross(m, grownPool()))
+	m.PipeMbps = 11000
+	assert.Assert(t, mayCross(m, testPool()))
+}
