pkshare: entries of large fleets tell hubs, and gather changes for longer

Change: from 12 others on, entries tell two hubs of their data centre, which add up, tell the hubs of the others the sum, and tell their own entries the sum of all. Hubs are the entries with the most processor; one that is not heard of for 3 s is passed over by its entries and by the one that takes its place, with no word from the store. Changes of the list gather for up to 0.5 s, of members for 1.5 s.

--- a/pkedge/choose.go
+++ b/pkedge/choose.go
@@ -81,10 +81,16 @@
 // costs returns what it takes to pass between engines at now.
 func (d *Daemon) costs(now time.Time, m *pklayers.Model) pklayers.Costs {
 	entries := d.members.entries(now)
+	known := map[[2]pkid.DataCenter]time.Duration{}
 	return pklayers.Costs{Hop: hopCost, Crossing: func(a, b pkid.DataCenter) time.Duration {
-		own := d.pipes.Own(now, a, b)
-		flow := own + d.sharing.table.Flow(now, entries, a, b, own)
-		return pipeDelay + m.PipeCost(flow)
+		pair := [2]pkid.DataCenter{a, b}
+		cost, found := known[pair]
+		if !found {
+			own := d.pipes.Own(now, a, b)
+			cost = pipeDelay + m.PipeCost(own+d.sharing.table.Flow(now, entries, a, b, own))
+			known[pair] = cost
+		}
+		return cost
 	}}
 }
 
--- a/pkedge/follow.go
+++ b/pkedge/follow.go
@@ -20,14 +20,21 @@
 	// changesPace gathers changes of the list and of members: a tenth of the time
 	// within which a leaving replica must get no more requests.
 	changesPace = 200 * time.Millisecond
+	// pacedEntries is how many entries may follow at that pace: each change wakes the
+	// watches of all, and the store counts each as a call. More gather for longer.
+	pacedEntries = 8
+	// replicasPaceMost and membersPaceMost bound that: replicas that leave must be
+	// known of in time, members only by those that pass on what others tell.
+	replicasPaceMost = 500 * time.Millisecond
+	membersPaceMost  = 1500 * time.Millisecond
 )
 
 // follower is what a loop does with a prefix of the store.
 type follower struct {
 	name   string
 	prefix string
-	// pace is how long changes gather after some came: each watch is paid for.
-	pace time.Duration
+	// paceMost bounds how long changes gather after some came.
+	paceMost time.Duration
 	// list takes all items at a revision, change what changed since.
 	list   func(items []pkstore.Item, at pkstore.Revision)
 	change func(events []pkstore.Event, at pkstore.Revision)
@@ -94,11 +101,16 @@
 	}
 	if len(events) > 0 {
 		f.change(events, next)
-		pktimer.Sleep(ctx, f.pace)
+		pktimer.Sleep(ctx, pace(d.members.entries(time.Now()), f.paceMost))
 	}
 	return next, nil
 }
 
+// pace returns how long changes gather where so many entries follow them.
+func pace(entries int, most time.Duration) time.Duration {
+	return min(changesPace*time.Duration(max(entries, pacedEntries))/pacedEntries, most)
+}
+
 func tell(do func()) {
 	if do != nil {
 		do()
@@ -157,9 +169,9 @@
 // followReplicas keeps the list of replicas.
 func (d *Daemon) followReplicas(ctx context.Context) {
 	d.follow(ctx, follower{
-		name:   "replicas",
-		prefix: d.ReplicaPrefix,
-		pace:   changesPace,
+		name:     "replicas",
+		prefix:   d.ReplicaPrefix,
+		paceMost: replicasPaceMost,
 		list: func(items []pkstore.Item, at pkstore.Revision) {
 			events := make([]pkstore.Event, len(items))
 			for i := range items {
--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"strings"
 	"sync"
@@ -9,6 +10,7 @@
 
 	"peridotknot.example/pkid"
 	"peridotknot.example/pklease"
+	"peridotknot.example/pkshare"
 	"peridotknot.example/pkstore"
 	"peridotknot.example/pktimer"
 )
@@ -42,8 +44,8 @@
 	mu sync.Mutex
 	// seen is when each daemon was last a member; zero while it is one.
 	seen map[pkid.EntryID]time.Time
-	// peers is where each member takes messages of others.
-	peers map[pkid.EntryID]string
+	// peers is how the others know each member.
+	peers map[pkid.EntryID]pkshare.Member
 	// owner is the daemon that owns the pools, at a revision.
 	owner         pkid.EntryID
 	ownerRevision pkstore.Revision
@@ -70,13 +72,13 @@
 	return max(n, 1)
 }
 
-// addrs returns where the members take messages.
-func (m *members) addrs() []string {
+// list returns the members that take messages.
+func (m *members) list() []pkshare.Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make([]string, 0, len(m.peers))
-	for _, addr := range m.peers {
-		out = append(out, addr)
+	out := make([]pkshare.Member, 0, len(m.peers))
+	for _, one := range m.peers {
+		out = append(out, one)
 	}
 	return out
 }
@@ -120,9 +122,9 @@
 func (d *Daemon) followMembers(ctx context.Context) {
 	m := &d.members
 	d.follow(ctx, follower{
-		name:   "members",
-		prefix: d.OwnPrefix,
-		pace:   changesPace,
+		name:     "members",
+		prefix:   d.OwnPrefix,
+		paceMost: membersPaceMost,
 		list: func(items []pkstore.Item, _ pkstore.Revision) {
 			now := time.Now()
 			m.mu.Lock()
@@ -166,14 +168,20 @@
 	}
 	if m.seen == nil {
 		m.seen = map[pkid.EntryID]time.Time{}
-		m.peers = map[pkid.EntryID]string{}
+		m.peers = map[pkid.EntryID]pkshare.Member{}
 	}
 	id := pkid.EntryID(name)
-	m.seen[id] = time.Time{}
-	m.peers[id] = string(ev.Item.Value)
 	if ev.Deleted {
 		m.seen[id] = now
 		delete(m.peers, id)
+		return
+	}
+	m.seen[id] = time.Time{}
+	one := pkshare.Member{ID: id}
+	// A member whose value is not readable, of another build, still has its share of
+	// what is bounded over all.
+	if err := json.Unmarshal(ev.Item.Value, &one); err == nil && one.Addr != "" {
+		m.peers[id] = one
 	}
 }
 
@@ -225,7 +233,11 @@
 // register writes this daemon's entry under its lease, over one that it left
 // behind when it last ran.
 func (d *Daemon) register(ctx context.Context, registered *bool) error {
-	w := pkstore.Swap{Key: d.OwnPrefix + memberKey + string(d.settings.Entry), Value: []byte(d.sharing.addr), Lease: d.members.id}
+	value, err := json.Marshal(d.self())
+	if err != nil {
+		return err
+	}
+	w := pkstore.Swap{Key: d.OwnPrefix + memberKey + string(d.settings.Entry), Value: value, Lease: d.members.id}
 	out, err := d.Store.Swap(ctx, w)
 	if err == nil && !out.Done {
 		w.Old = out.Item.Revision
@@ -238,6 +250,12 @@
 	return nil
 }
 
+// self returns this daemon as the others know it.
+func (d *Daemon) self() pkshare.Member {
+	s := &d.settings
+	return pkshare.Member{ID: s.Entry, Addr: d.sharing.addr, DataCenter: s.DataCenter, ProcessorShare: s.ProcessorShare}
+}
+
 // leave gives the lease up, so that another daemon owns at once.
 func (d *Daemon) leave(ctx context.Context) {
 	m := &d.members
--- a/pkedge/mend.go
+++ b/pkedge/mend.go
@@ -89,7 +89,7 @@
 		again:    c.route.Repeatable() && c.runs+1 < c.route.MaxAttempts,
 		patience: leaveFirst + rand.N(leaveLast-leaveFirst),
 	}
-	p.begin(now, s.Engine, &c.pipes, a.tokens, float64(c.req.Ask.PromptTokens))
+	p.begin(now, s.Engine, &c.pipes, a.tokens, float64(c.req.Ask.PromptTokens), c.sharing.toldAfter())
 	c.streams.add(a)
 	return a
 }
@@ -361,7 +361,7 @@
 	switch {
 	case a.over:
 	case done:
-		next.begin(now, a.service.Engine, &d.pipes, a.tokens, 0)
+		next.begin(now, a.service.Engine, &d.pipes, a.tokens, 0, d.sharing.toldAfter())
 		a.path.done(a.tokens)
 		a.path = next
 		a.last = time.Now()
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -133,7 +133,7 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(hedgeShare*float64(left)))
 		defer cancel()
 	}
-	t.Begin(began, 0, 0)
+	t.Begin(began, 0, 0, 0)
 	defer t.Done(0)
 	a, err := c.Sender.Do(ctx, t.Addr, &c.req, pkforward.Send{Left: left, Target: t.ID, Account: c.account})
 	if a != nil && a.Load >= 0 {
--- a/pkedge/route.go
+++ b/pkedge/route.go
@@ -73,8 +73,8 @@
 }
 
 // begin counts a request of some tokens on the path's targets and pipes, of which
-// the prompt has yet to be read.
-func (r route) begin(now time.Time, m *pklayers.Model, pipes *pklayers.Pipes, tokens, prompt float64) {
+// the prompt has yet to be read; the other entries know of it after toldAfter.
+func (r route) begin(now time.Time, m *pklayers.Model, pipes *pklayers.Pipes, tokens, prompt float64, toldAfter time.Duration) {
 	var before pkid.DataCenter
 	for i, t := range r.targets {
 		layers := r.parts[i].Layers.Len()
@@ -82,7 +82,7 @@
 		if m != nil {
 			read = m.ReadTime(t.Kind, layers, prompt)
 		}
-		t.Begin(now, tokens*float64(layers), read)
+		t.Begin(now, tokens*float64(layers), read, toldAfter)
 		if i > 0 && t.DataCenter != before {
 			pipes.Add(now, before, t.DataCenter, tokens)
 		}
--- a/pkedge/settings.go
+++ b/pkedge/settings.go
@@ -17,6 +17,9 @@
 	Seeds []string `yaml:"seeds"`
 	// Store is the address of the platform's store.
 	Store string `yaml:"store"`
+	// ProcessorShare is how much of a processor the VM has; among many entries those
+	// with the most pass on what the others tell.
+	ProcessorShare float64 `yaml:"processor_share"`
 	// MemoryMB bounds the process; beyond it the platform ends it.
 	MemoryMB int   `yaml:"memory_mb"`
 	Stop     Stop  `yaml:"stop"`
@@ -64,6 +67,7 @@
 	c.Want(s.Listen.Callers != "", "listen.callers is missing", "listen", "callers")
 	c.Want(s.Listen.Ready != "", "listen.ready is missing", "listen", "ready")
 	c.Want(s.Store != "", "store is missing", "store")
+	c.Want(s.ProcessorShare >= 0, "processor_share must not be below 0", "processor_share")
 	c.Want(s.MemoryMB >= 0, "memory_mb must not be below 0", "memory_mb")
 	c.Want(s.Stop.GraceS > 0, "stop.grace_s must be over 0", "stop", "grace_s")
 	c.Want(s.Retry.Ratio >= 0, "retry.ratio must not be below 0", "retry", "ratio")
--- a/pkedge/share.go
+++ b/pkedge/share.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +25,8 @@
 	// linksEvery is after how many messages the list of entries to tell is brought
 	// up to date: twice a second.
 	linksEvery = 3
+	// sumsEvery is after how many messages' time hubs are told and tell.
+	sumsEvery = int(pkshare.EveryWithHubs / pkshare.Every)
 	// loadsEvery is how often the loads of other entries are added up: each tells
 	// them seven times a second.
 	loadsEvery = 75 * time.Millisecond
@@ -44,6 +48,8 @@
 
 	// links belong to the loop that tells peers.
 	links map[string]*link
+	// withHubs says that there are so many entries that they have hubs.
+	withHubs atomic.Bool
 
 	mu       sync.Mutex
 	sequence uint64
@@ -74,6 +80,16 @@
 	s.suspects[t] = until
 }
 
+// passOn tells the others what one of them said. What comes back to where it began is
+// no news.
+func (s *sharing) passOn(t pkid.TargetID, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if until.Sub(s.suspects[t]) > suspectPause/2 {
+		s.suspects[t] = until
+	}
+}
+
 // peersHandler takes messages of other entries.
 func (d *Daemon) peersHandler(ctx context.Context) http.Handler {
 	mux := http.NewServeMux()
@@ -107,8 +123,12 @@
 		d.logReplicas(d.roster.Apply(now, m.NewRecords, 0), m.List, "peer "+string(m.From))
 	}
 	for _, one := range m.Suspects {
+		until := now.Add(time.Duration(one.ForMS) * time.Millisecond)
 		if t, found := d.roster.Target(one.Target); found {
-			t.Dead(now.Add(time.Duration(one.ForMS) * time.Millisecond))
+			t.Dead(until)
+		}
+		if d.sharing.withHubs.Load() {
+			d.sharing.passOn(one.Target, until)
 		}
 	}
 }
@@ -129,9 +149,19 @@
 	})
 }
 
+// toldAfter returns how long it takes until all other entries know of a request.
+func (s *sharing) toldAfter() time.Duration {
+	if s.withHubs.Load() {
+		return 3 * pkshare.EveryWithHubs / 2
+	}
+	return pkshare.Every
+}
+
 // link is the way to one other entry.
 type link struct {
 	cancel context.CancelFunc
+	// role is what the other entry is to this one.
+	role pkshare.Role
 	// out holds the newest message that has not gone out; an older one is dropped.
 	out chan []byte
 	// connected is set by a new connection, whose other end has heard nothing yet.
@@ -140,6 +170,9 @@
 
 // put leaves a message for the connection.
 func (l *link) put(raw []byte) {
+	if raw == nil {
+		return
+	}
 	select {
 	case <-l.out:
 	default:
@@ -163,99 +196,116 @@
 		}
 		round++
 		m := d.message(now)
-		news := differs(before, m) || now.Sub(told) >= pkshare.Quiet
+		due := !s.withHubs.Load() || round%sumsEvery == 0 || len(m.Suspects) != len(before.Suspects)
+		news := due && (differs(before, m) || now.Sub(told) >= pkshare.Quiet)
 		if news {
 			before, told = m, now
 		}
-		d.broadcast(now, m, news)
+		d.broadcast(now, m, due, news)
 	})
 }
 
 // updateLinks begins and ends links by the addresses that are known at now.
 func (d *Daemon) updateLinks(ctx context.Context, now time.Time) {
 	s := &d.sharing
-	wanted := d.peerAddrs(now)
+	wanted := d.roles(now)
 	for addr, l := range s.links {
-		if !wanted[addr] {
+		if _, still := wanted[addr]; !still {
 			l.cancel()
 			delete(s.links, addr)
 		}
 	}
-	for addr := range wanted {
-		if s.links[addr] != nil {
+	for addr, role := range wanted {
+		if l := s.links[addr]; l != nil {
+			l.role = role
 			continue
 		}
 		inner, cancel := context.WithCancel(ctx)
-		l := &link{cancel: cancel, out: make(chan []byte, 1)}
+		l := &link{cancel: cancel, role: role, out: make(chan []byte, 1)}
 		s.links[addr] = l
 		s.wg.Go(func() { d.runLink(inner, addr, l) })
 	}
 }
 
 // broadcast leaves a message for all links where it says something new, and what
-// single entries miss beside it.
-func (d *Daemon) broadcast(now time.Time, m pkshare.Message, news bool) {
+// single entries miss beside it. What a hub tells is always new where one is due.
+func (d *Daemon) broadcast(now time.Time, m pkshare.Message, due, news bool) {
 	s := &d.sharing
-	raw, err := pkpeer.Encode(m)
-	if err != nil {
-		d.log.Error("a message to peers was not written", "error", err)
-		return
+	tells := [...]pkshare.Message{pkshare.Peer: m, pkshare.OfHub: m, pkshare.FarHub: m}
+	if s.withHubs.Load() {
+		near, all := s.table.Sums(now, m)
+		for role, sum := range map[pkshare.Role]*pkshare.Sum{pkshare.OfHub: &all, pkshare.FarHub: &near} {
+			tells[role].Loads, tells[role].Flows, tells[role].Sum = nil, nil, sum
+		}
+	}
+	var raws [len(tells)][]byte
+	if news {
+		s.table.Told(m)
 	}
 	ids := map[string]pkid.EntryID{}
-	for id, addr := range s.table.Addrs(now) {
-		ids[addr] = id
+	for _, one := range s.table.Members(now) {
+		ids[one.Addr] = one.ID
 	}
 	for addr, l := range s.links {
 		connected := l.connected.Swap(false)
 		if connected {
 			s.table.Reconnected(ids[addr])
 		}
-		if help := d.help(now, m, ids[addr]); help != nil {
-			l.put(help)
-		} else if news || connected {
-			l.put(raw)
+		tell := tells[l.role]
+		d.help(now, &tell, ids[addr], l.role)
+		switch {
+		case tell.NewConfig != nil || len(tell.NewRecords) > 0:
+			l.put(d.encode(tell))
+		case news || connected || (due && l.role != pkshare.Peer):
+			if raws[l.role] == nil {
+				raws[l.role] = d.encode(tell)
+			}
+			l.put(raws[l.role])
 		}
 	}
 }
 
-// help returns the message with what an entry misses, or nil.
-func (d *Daemon) help(now time.Time, m pkshare.Message, to pkid.EntryID) []byte {
-	misses := d.sharing.table.Misses(now, to, pkshare.Known{Self: d.settings.Entry, Config: m.Config, List: m.List})
-	if misses.Config {
-		m.NewConfig = d.configItem.Load()
-	}
-	if misses.List {
-		m.NewRecords = d.roster.Since(misses.After)
-	}
-	if m.NewConfig == nil && len(m.NewRecords) == 0 {
-		return nil
-	}
+// encode returns a message as it is sent; what cannot be written is not sent.
+func (d *Daemon) encode(m pkshare.Message) []byte {
 	raw, err := pkpeer.Encode(m)
 	if err != nil {
-		d.log.Error("a message to a peer was not written", "peer", to, "error", err)
+		d.log.Error("a message to peers was not written", "error", err)
 		return nil
 	}
 	return raw
 }
 
-// peerAddrs returns where the other entries take messages: as the store says, as
-// they say themselves, and while neither is known, as the settings say.
-func (d *Daemon) peerAddrs(now time.Time) map[string]bool {
-	out := map[string]bool{}
-	for _, addr := range d.members.addrs() {
-		out[addr] = true
+// help adds to a message what an entry misses.
+func (d *Daemon) help(now time.Time, m *pkshare.Message, to pkid.EntryID, role pkshare.Role) {
+	known := pkshare.Known{Self: d.settings.Entry, Config: m.Config, List: m.List, Hub: role != pkshare.Peer}
+	misses := d.sharing.table.Misses(now, to, known)
+	if misses.Config {
+		m.NewConfig = d.configItem.Load()
 	}
-	for _, addr := range d.sharing.table.Addrs(now) {
-		out[addr] = true
+	if misses.List {
+		m.NewRecords = d.roster.Since(misses.After)
 	}
-	if len(out) < 2 {
+}
+
+// roles returns whom to tell: the entries that the store names and those that are heard
+// of, and while neither is known, those of the settings.
+func (d *Daemon) roles(now time.Time) map[string]pkshare.Role {
+	self := d.self()
+	byAddr := map[string]pkshare.Member{}
+	for _, one := range append(d.sharing.table.Members(now), d.members.list()...) {
+		byAddr[one.Addr] = one
+	}
+	if len(byAddr) < 2 {
 		for _, addr := range *d.seeds.Load() {
-			out[addr] = true
+			if _, known := byAddr[addr]; !known {
+				byAddr[addr] = pkshare.Member{Addr: addr}
+			}
 		}
 	}
-	delete(out, d.sharing.addr)
-	delete(out, "")
-	return out
+	delete(byAddr, self.Addr)
+	delete(byAddr, "")
+	d.sharing.withHubs.Store(pkshare.WithHubs(len(byAddr)))
+	return d.sharing.table.Roles(now, self, slices.Collect(maps.Values(byAddr)))
 }
 
 func (d *Daemon) runLink(ctx context.Context, addr string, l *link) {
@@ -320,7 +370,10 @@
 // message returns what all other entries are told at now.
 func (d *Daemon) message(now time.Time) pkshare.Message {
 	s := &d.sharing
-	m := pkshare.Message{From: d.settings.Entry, Addr: s.addr, Run: s.run, List: d.roster.At()}
+	m := pkshare.Message{
+		From: d.settings.Entry, Addr: s.addr, Run: s.run, List: d.roster.At(),
+		DataCenter: d.settings.DataCenter, ProcessorShare: float32(d.settings.ProcessorShare),
+	}
 	for _, f := range d.pipes.Flows(now) {
 		m.Flows = append(m.Flows, pkshare.Flow{A: f.A, B: f.B, Tokens: float32(f.Tokens)})
 	}
--- a/pkreplica/roster_test.go
+++ b/pkreplica/roster_test.go
@@ -58,7 +58,7 @@
 	var r Roster
 	r.Apply(start, []Record{record(1, "a")}, 1)
 	before, _ := r.Target("a")
-	before.Begin(start, 10, 0)
+	before.Begin(start, 10, 0, time.Second)
 	leaving := record(2, "a")
 	leaving.Info.Leaving = true
 	r.Apply(start, []Record{leaving}, 2)
@@ -122,7 +122,7 @@
 	a.Succeeded(50 * time.Millisecond)
 	b.Succeeded(10 * time.Millisecond)
 	c.Succeeded(10 * time.Millisecond)
-	c.Begin(start, 0, 0)
+	c.Begin(start, 0, 0, 0)
 	got, found := r.Choose(start, "s", nil)
 	assert.Assert(t, found)
 	assert.Equal(t, got.ID, pkid.TargetID("b"))
--- a/pkreplica/target.go
+++ b/pkreplica/target.go
@@ -18,8 +18,6 @@
 	// loadFades is how fast a target's own word on its load loses weight; calls to
 	// plain services take some ten milliseconds.
 	loadFades = 300 * time.Millisecond
-	// toldAfter is how long it takes until other entries know of a request.
-	toldAfter = 150 * time.Millisecond
 )
 
 // Target is a replica together with what this entry has seen of it. Its Info does
@@ -54,6 +52,8 @@
 	// recent is tokens that began lately, fading from recentAt on.
 	recent   float64
 	recentAt time.Time
+	// toldAfter is how long it takes until other entries know of a request.
+	toldAfter time.Duration
 }
 
 // Load is what requests take of a target.
@@ -64,10 +64,11 @@
 }
 
 // Begin counts a request that will hold tokens times layers from now on, and whose
-// prompt takes a time to read.
-func (t *Target) Begin(now time.Time, tokens float64, read time.Duration) {
+// prompt takes a time to read. The other entries know of it after toldAfter.
+func (t *Target) Begin(now time.Time, tokens float64, read, toldAfter time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.toldAfter = toldAfter
 	if t.readUntil.Before(now) {
 		t.readUntil = now
 	}
@@ -79,8 +80,11 @@
 }
 
 func (t *Target) faded(now time.Time) float64 {
+	if t.toldAfter <= 0 {
+		return 0
+	}
 	age := max(now.Sub(t.recentAt), 0)
-	return t.recent * math.Exp(-float64(age)/float64(toldAfter))
+	return t.recent * math.Exp(-float64(age)/float64(t.toldAfter))
 }
 
 // Backlog returns how long prompts take to be read that all entries have probably
--- a/pkshare/message.go
+++ b/pkshare/message.go
@@ -28,6 +28,11 @@
 	NewConfig *pkstore.Item `cbor:"10,keyasint,omitempty"`
 	// NewRecords are entries of the list that it seems to lack.
 	NewRecords []pkreplica.Record `cbor:"11,keyasint,omitempty"`
+	// DataCenter and ProcessorShare are those of the sender.
+	DataCenter     pkid.DataCenter `cbor:"12,keyasint,omitempty"`
+	ProcessorShare float32         `cbor:"14,keyasint,omitempty"`
+	// Sum is what a hub tells in place of its own loads and flows.
+	Sum *Sum `cbor:"13,keyasint,omitempty"`
 }
 
 // Load is what an entry's requests hold of a target.
--- a/pkshare/table.go
+++ b/pkshare/table.go
@@ -19,6 +19,10 @@
 	Quiet = time.Second
 	// freshFor is how long what an entry said counts: six messages may be lost.
 	freshFor = 1500 * time.Millisecond
+	// EveryWithHubs is how often hubs are told, and tell: with two on the way, what an
+	// entry holds is known to all in half a second, an eighth of the time that a usual
+	// answer takes.
+	EveryWithHubs = 300 * time.Millisecond
 	// missesFor is how long an entry may be behind before it is helped: the store
 	// tells most of them within milliseconds.
 	missesFor = 250 * time.Millisecond
@@ -36,6 +40,10 @@
 	list     pkstore.Revision
 	loads    []Load
 	flows    []Flow
+	// sum is set where the peer spoke as a hub.
+	sum        *Sum
+	dataCenter pkid.DataCenter
+	share      float64
 	// behindSince is when it was first seen to know less than this entry.
 	configBehind time.Time
 	listBehind   time.Time
@@ -48,6 +56,10 @@
 type Table struct {
 	mu    sync.Mutex
 	peers map[pkid.EntryID]*peer
+	// awaited is since when a hub has been expected to be heard of.
+	awaited map[pkid.EntryID]time.Time
+	// told is what this entry last told its hubs.
+	told Message
 }
 
 // Hear takes a message at now and says whether it was newer than the last one.
@@ -70,6 +82,7 @@
 	}
 	p.addr, p.run, p.sequence, p.at = m.Addr, m.Run, m.Sequence, now
 	p.config, p.list, p.loads, p.flows = m.Config, m.List, m.Loads, m.Flows
+	p.sum, p.dataCenter, p.share = m.Sum, m.DataCenter, float64(m.ProcessorShare)
 	return true
 }
 
@@ -80,21 +93,12 @@
 func (t *Table) Others(now time.Time, members int, own map[pkid.TargetID]pkreplica.Load) map[pkid.TargetID]pkreplica.Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := map[pkid.TargetID]pkreplica.Load{}
-	fresh := 0
-	for _, p := range t.peers {
-		if now.Sub(p.at) >= freshFor {
-			continue
-		}
-		fresh++
-		for _, l := range p.loads {
-			sum := out[l.Target]
-			sum.Requests += l.Requests
-			sum.Tokens += float64(l.Tokens)
-			out[l.Target] = sum
-		}
+	heard := t.gather(now)
+	out := make(map[pkid.TargetID]pkreplica.Load, len(heard.loads))
+	for id, l := range heard.loads {
+		out[id] = pkreplica.Load{Requests: l.Requests, Tokens: float64(l.Tokens)}
 	}
-	share := unheard(fresh, members)
+	share := unheard(heard.entries, members)
 	for id, mine := range own {
 		sum := out[id]
 		sum.Requests += int(share * float64(sum.Requests+mine.Requests))
@@ -114,19 +118,8 @@
 func (t *Table) Flow(now time.Time, members int, a, b pkid.DataCenter, own float64) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sum, fresh := 0.0, 0
-	for _, p := range t.peers {
-		if now.Sub(p.at) >= freshFor {
-			continue
-		}
-		fresh++
-		for _, f := range p.flows {
-			if (f.A == a && f.B == b) || (f.A == b && f.B == a) {
-				sum += float64(f.Tokens)
-			}
-		}
-	}
-	return sum + unheard(fresh, members)*(sum+own)
+	sum, heard := t.gatherFlow(now, pairOf(a, b))
+	return sum + unheard(heard, members)*(sum+own)
 }
 
 // unheard returns how many members are not heard of, for each that is or that is
@@ -153,6 +146,8 @@
 	Self   pkid.EntryID
 	Config pkstore.Revision
 	List   pkstore.Revision
+	// Hub says that it is a hub of the peer; what the others know is then not known.
+	Hub bool
 }
 
 // Help is what a peer misses: everything after these revisions, where set.
@@ -172,12 +167,12 @@
 		return Help{}
 	}
 	var out Help
-	if behind(now, &p.configBehind, p.config < k.Config && p.toldConfig < k.Config) && t.helps(now, to, k.Self, k.Config, false) {
+	if behind(now, &p.configBehind, p.config < k.Config && p.toldConfig < k.Config) && (k.Hub || t.helps(now, to, k.Self, k.Config, false)) {
 		p.toldConfig = k.Config
 		out.Config = true
 	}
 	after := max(p.list, p.toldList)
-	if behind(now, &p.listBehind, after < k.List) && t.helps(now, to, k.Self, k.List, true) {
+	if behind(now, &p.listBehind, after < k.List) && (k.Hub || t.helps(now, to, k.Self, k.List, true)) {
 		p.toldList = k.List
 		out.List, out.After = true, after
 	}
@@ -221,14 +216,14 @@
 	}
 }
 
-// Addrs returns the addresses of the entries that are heard of.
-func (t *Table) Addrs(now time.Time) map[pkid.EntryID]string {
+// Members returns the entries that are heard of and take messages.
+func (t *Table) Members(now time.Time) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := map[pkid.EntryID]string{}
+	var out []Member
 	for id, p := range t.peers {
 		if now.Sub(p.at) < freshFor && p.addr != "" {
-			out[id] = p.addr
+			out = append(out, Member{ID: id, Addr: p.addr, DataCenter: p.dataCenter, ProcessorShare: p.share})
 		}
 	}
 	return out
