--- a/pklayers/plan.go
+++ b/pklayers/plan.go
@@ -202,24 +202,30 @@
 	return nil
 }
 
-// deal shares engines out over n rows, the largest first to the row with the
-// least memory.
+// deal shares engines out over n rows of like memory, the fastest to the first. A token
+// passes a row as fast as the sum of its parts, and holds memory for as long: a row of
+// fast engines serves three times the requests of a slow one, and rows with one fast
+// engine each little more than slow ones.
 func deal(m *Model, group []Card, n int) [][]Card {
 	sorted := slices.Clone(group)
 	slices.SortStableFunc(sorted, func(a, b Card) int {
-		return cmp.Compare(m.Kinds[b.Kind].MemoryMB, m.Kinds[a.Kind].MemoryMB)
+		x, y := m.Kinds[a.Kind], m.Kinds[b.Kind]
+		return cmp.Or(cmp.Compare(x.StepFactor, y.StepFactor), cmp.Compare(y.MemoryMB, x.MemoryMB))
 	})
+	left := 0.0
+	for _, c := range sorted {
+		left += m.Kinds[c.Kind].MemoryMB
+	}
 	rows := make([][]Card, n)
-	memory := make([]float64, n)
+	at, memory := 0, 0.0
 	for _, c := range sorted {
-		least := 0
-		for i := range memory {
-			if memory[i] < memory[least] {
-				least = i
-			}
+		mb := m.Kinds[c.Kind].MemoryMB
+		if at < n-1 && memory+mb/2 > left/float64(n-at) {
+			left -= memory
+			at, memory = at+1, 0
 		}
-		rows[least] = append(rows[least], c)
-		memory[least] += m.Kinds[c.Kind].MemoryMB
+		rows[at] = append(rows[at], c)
+		memory += mb
 	}
 	return rows
 }
--- a/pklayers/plan_test.go
+++ b/pklayers/plan_test.go
@@ -289,3 +289,22 @@
 	m.PipeMbps = 11000
 	assert.Assert(t, mayCross(m, testPool()))
 }
+
+// A pool without rows across data centres has some fast engines in each. Shared out over
+// its rows, they wait for the slow ones of the same row, every answer holds memory for as
+// long as a slow one, and the pool fills up at a third of the load.
+func TestFastEnginesShareARow(t *testing.T) {
+	m := testModel()
+	m.PipeMbps = 3920
+	cards := placed(t, m, grownPool())
+	var near []Engine
+	for _, c := range cards {
+		if c.DataCenter == "a" {
+			near = append(near, Engine{ID: c.ID, DataCenter: "a", Kind: c.Kind, Held: c.Held, Cost: m.StepTime(c.Kind, 1)})
+		}
+	}
+	p, found := Find(m.All(), near, Costs{Hop: 100 * time.Microsecond}, "a")
+	assert.Assert(t, found)
+	slow := m.StepTime("l4", m.Layers)
+	assert.Assert(t, p.Cost < slow*6/10, "%v a token, %v over slow engines alone", p.Cost, slow)
+}
