pkedge: a refused connection is no send, and the others are told of it

Change: a send without a connection is no arrival at a target and takes nothing of the retry budget; a target that refuses connections is passed over by all entries.

Both tests fail without it.

--- a/pkedge/front.go
+++ b/pkedge/front.go
@@ -115,6 +115,8 @@
 	// that may have run it.
 	sends int
 	runs  int
+	// arrived counts the sends that may have reached a target.
+	arrived int
 	// tried are targets that are not tried again.
 	tried []pkid.TargetID
 	// paid says that the next send was counted in the retry budget already.
--- a/pkedge/metrics.go
+++ b/pkedge/metrics.go
@@ -46,11 +46,23 @@
 		}),
 		gauge("peridotknot_list_revision", "Revision that the list of replicas is known up to.", func() float64 { return float64(d.roster.At()) }),
 		gauge("peridotknot_peers", "Other entries that are heard of.", func() float64 { return float64(d.sharing.table.Fresh(time.Now())) }),
+		gauge("peridotknot_targets_avoided", "Targets that are passed over for failures.", func() float64 { return float64(d.avoided(time.Now())) }),
 		gauge("peridotknot_active_requests", "Requests in progress.", func() float64 { return float64(d.active.Load()) }),
 	)
 	return m
 }
 
+// avoided returns how many targets are passed over at now.
+func (d *Daemon) avoided(now time.Time) int {
+	n := 0
+	for _, t := range d.roster.All() {
+		if t.Avoided(now) {
+			n++
+		}
+	}
+	return n
+}
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"peridotknot.example/pkconfig"
@@ -84,7 +85,10 @@
 
 // mayStart says whether a further send is allowed.
 func (c *call) mayStart(verdict pkverdict.Verdict) bool {
-	if c.sends == 0 {
+	if c.arrived == 0 {
+		// A target that refused the connection was not sent anything, and the bound on
+		// repeats counts what reaches targets. Counted as a repeat, a third of the
+		// callers who met a crashed engine were turned away for a spent budget.
 		return true
 	}
 	if !verdict.MayRepeat(c.route.Repeatable()) || c.runs >= c.route.MaxAttempts {
@@ -111,15 +115,23 @@
 	if !errors.As(err, &failure) {
 		failure = &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: err}
 	}
-	if failure.Verdict != pkverdict.NotRun {
-		c.runs++
-	}
+	c.count(failure)
 	c.metrics.failed.WithLabelValues(failure.Verdict.String(), string(failure.Reason)).Inc()
 	c.log.Info("a send failed", "request_id", c.req.Ask.ID, "target", t.ID, "send", c.sends,
 		"verdict", failure.Verdict.String(), "reason", string(failure.Reason), "error", failure.Err)
 	return failure.Verdict
 }
 
+// count counts a failed send by what may have come of it.
+func (c *call) count(failure *pkverdict.Error) {
+	if failure.Verdict != pkverdict.NotRun {
+		c.runs++
+	}
+	if failure.Reason != pkverdict.ReasonUnreachable {
+		c.arrived++
+	}
+}
+
 // errOwnFailure marks an answer by which the target itself says that it failed.
 var errOwnFailure = errors.New("the target answered with a failure")
 
@@ -182,11 +194,24 @@
 	case errors.Is(err, context.DeadlineExceeded):
 		t.Slow(now.Sub(began))
 	default:
-		until := t.Failed(now)
+		until := c.failed(now, t, err)
 		c.log.Info("a target is passed over", "target", t.ID, "request_id", c.req.Ask.ID, "for_ms", until.Sub(now).Milliseconds(), "error", err)
 	}
 }
 
+// failed passes a target over after a failure and returns until when. One that refuses
+// connections has no process; the other entries are told, or each of them would learn it
+// by callers of its own.
+func (d *Daemon) failed(now time.Time, t *pkreplica.Target, err error) time.Time {
+	until := t.Failed(now)
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return until
+	}
+	until = now.Add(suspectPause)
+	d.suspect(t, until)
+	return until
+}
+
 // misdirectedPause is how long a target whose address another replica has is
 // passed over; its entry lapses within that time.
 const misdirectedPause = 5 * time.Second
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -92,9 +92,7 @@
 	if !errors.As(err, &failure) {
 		failure = &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: err}
 	}
-	if failure.Verdict != pkverdict.NotRun {
-		c.runs++
-	}
+	c.count(failure)
 	if len(p.hops) == 0 {
 		c.tried = append(c.tried, p.first().ID)
 	}
@@ -265,7 +263,7 @@
 			}
 		}
 	}
-	until := fault.Failed(now)
+	until := c.failed(now, fault, err)
 	c.log.Info("a target is passed over", "target", fault.ID, "request_id", c.req.Ask.ID, "path", a.route().String(),
 		"for_ms", until.Sub(now).Milliseconds(), "error", err)
 }
@@ -339,11 +337,14 @@
 	found := false
 	for _, one := range report.Stalled {
 		for _, t := range a.route().targets {
-			if t.Addr == one.Addr {
-				c.suspect(t, now.Add(suspectPause))
-				found = found || one.ID == c.req.Ask.ID
+			if t.Addr != one.Addr {
+				continue
+			}
+			found = found || one.ID == c.req.Ask.ID
+			if !t.IsDead(now) {
 				c.log.Info("an engine that others wait for is passed over", "target", t.ID, "request_id", one.ID)
 			}
+			c.suspect(t, now.Add(suspectPause))
 		}
 	}
 	return found
--- a/pkedge/target_test.go
+++ b/pkedge/target_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"peridotknot.example/pkedge"
 	"peridotknot.example/platform/platformtest"
 )
 
@@ -85,3 +86,58 @@
 		}
 	}
 }
+
+// A target's process has died and its port refuses connections; its entry lapses only
+// seconds later. The retry budget is spent. Nothing was sent to the target, so that the
+// next one may be asked all the same: no caller must be turned away.
+func TestARefusedConnectionIsNoSend(t *testing.T) {
+	t.Parallel()
+	w := platformtest.NewWorld()
+	t.Cleanup(w.Close)
+	dead := []*platformtest.Replica{w.Add(platformtest.App, "i-a", "a"), w.Add(platformtest.App, "i-b", "a")}
+	w.Add(platformtest.App, "i-c", "a")
+	n := startWith(t, pkedge.Settings{
+		Entry: "one", DataCenter: "a", Store: w.Store.Addr(),
+		Listen: pkedge.Listen{Callers: "127.0.0.1:0", Ready: "127.0.0.1:0"},
+		Stop:   pkedge.Stop{GraceS: 4},
+		Retry:  pkedge.Retry{WindowS: 10},
+	})
+	eventually(t, "readiness", func() bool { return n.isReady(t) })
+	for _, r := range dead {
+		r.Kill()
+	}
+	for i := range 5 {
+		id := fmt.Sprintf("book-%d", i)
+		got := n.do(t, http.MethodPost, "/book/1", id, platformtest.Key, 0)
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Equal(t, len(w.Runs(id)), 1)
+	}
+}
+
+// The same, with two entries. One has found the target out by a caller of its own; the
+// other must not need one for that.
+func TestOthersAreToldOfARefusedConnection(t *testing.T) {
+	t.Parallel()
+	w := platformtest.NewWorld()
+	t.Cleanup(w.Close)
+	dead := w.Add(platformtest.App, "i-a", "a")
+	w.Add(platformtest.App, "i-b", "a")
+	one, two := start(t, w, "one"), start(t, w, "two")
+	for _, n := range []*node{one, two} {
+		eventually(t, "readiness", func() bool { return n.isReady(t) })
+		eventually(t, "the other entry", func() bool { return n.metric(t, "peridotknot_peers") == "1" })
+	}
+	dead.Kill()
+	const unreachable = `peridotknot_sends_failed_total{reason="unreachable",verdict="not_run"}`
+	i := 0
+	eventually(t, "a refused connection", func() bool {
+		i++
+		one.do(t, http.MethodGet, "/read/1", fmt.Sprintf("one-%d", i), platformtest.Key, 0)
+		return one.metric(t, unreachable) != ""
+	})
+	eventually(t, "word of it", func() bool { return two.metric(t, "peridotknot_targets_avoided") == "1" })
+	got := two.do(t, http.MethodGet, "/read/1", "two", platformtest.Key, 0)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, two.metric(t, unreachable), "")
+}
--- a/pkforward/sender.go
+++ b/pkforward/sender.go
@@ -74,7 +74,12 @@
 	}
 	resp, err := s.transport.RoundTrip(req)
 	if err != nil {
-		return nil, &pkverdict.Error{Verdict: pkverdict.Decide(track.Progress()), Reason: pkverdict.ReasonTargetLost, Err: err}
+		progress := track.Progress()
+		reason := pkverdict.ReasonTargetLost
+		if !progress.Connected {
+			reason = pkverdict.ReasonUnreachable
+		}
+		return nil, &pkverdict.Error{Verdict: pkverdict.Decide(progress), Reason: reason, Err: err}
 	}
 	a := &Answer{
 		Head:   s.dialect.Head(resp.StatusCode, resp.Header),
--- a/pkverdict/verdict.go
+++ b/pkverdict/verdict.go
@@ -93,9 +93,11 @@
 	ReasonDeadline   Reason = "deadline"
 	ReasonNoRoute    Reason = "no_route"
 	ReasonTargetLost Reason = "target_lost"
-	ReasonRefused    Reason = "refused"
-	ReasonStopping   Reason = "stopping"
-	ReasonCanceled   Reason = "canceled"
+	// ReasonUnreachable says that no connection was made: nothing reached the target.
+	ReasonUnreachable Reason = "unreachable"
+	ReasonRefused     Reason = "refused"
+	ReasonStopping    Reason = "stopping"
+	ReasonCanceled    Reason = "canceled"
 )
 
 // Error returns the reason, the verdict and the cause.
