pkedge: streams beside a dead engine are tried again until there is room

Their engine was dead, no other had room in that moment, and the four orders for another path that an attempt may have were refused within 0.1 s; then nothing was tried any more.

Change: a refused order does not count, and the next try waits 0.2 s.

The new test fails without the change, each time.

--- a/pkedge/mend.go
+++ b/pkedge/mend.go
@@ -26,7 +26,8 @@
 	// for two seconds at least.
 	leaveFirst = 500 * time.Millisecond
 	leaveLast  = 1600 * time.Millisecond
-	// stayPause is how soon a stream that found no room elsewhere looks again.
+	// stayPause is how soon a stream that found no room elsewhere looks again, and one
+	// whose new path was refused.
 	stayPause = 200 * time.Millisecond
 	// mendLate is how late a look is when this VM itself stood still: all streams
 	// then seem silent.
@@ -78,6 +79,8 @@
 	paid atomic.Bool
 	// again says that the request has another attempt left.
 	again bool
+	// triedUntil is until when it is not tried again to give the attempt another path.
+	triedUntil time.Time
 	// patience is how long the attempt stays with a target that leaves.
 	patience time.Duration
 }
@@ -264,7 +267,7 @@
 func (a *attempt) wants(now time.Time) (*pkreplica.Target, string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.mending || a.over || a.mended >= mendMost {
+	if a.mending || a.over || a.mended >= mendMost || now.Before(a.triedUntil) {
 		return nil, ""
 	}
 	silent := pkstall.Flow{Last: a.last, Pause: a.pause}.Silent(now)
@@ -357,16 +360,20 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.mending = false
-	a.mended++
 	switch {
 	case a.over:
 	case done:
+		a.mended++
 		next.begin(now, a.service.Engine, &d.pipes, a.tokens, 0, d.sharing.toldAfter())
 		a.path.done(a.tokens)
 		a.path = next
 		a.last = time.Now()
 	default:
-		// Engines that live after all go on, and a dead one ends the stream itself.
+		// Engines that live after all go on, and a dead one ends the stream itself, but
+		// only after seconds. There may be room elsewhere before: tried four times at
+		// once and then no more, one stream in ten with a dead engine stood still until
+		// its caller left.
+		a.triedUntil = now.Add(stayPause)
 		a.patience += stayPause
 	}
 }
--- a/pkedge/stream_test.go
+++ b/pkedge/stream_test.go
@@ -101,6 +101,27 @@
 	assert.Equal(t, got.body, events(length))
 }
 
+// An engine dies while no other engine has room for its streams, and orders for another
+// path are refused. Room comes a second later. The streams must go on then: tried only at
+// once, they stood still until their callers' time was up.
+func TestStreamsWaitForRoomBesideADeadEngine(t *testing.T) {
+	t.Parallel()
+	w := platformtest.NewWorld()
+	t.Cleanup(w.Close)
+	w.Add(platformtest.Pool, "i-0", "a")
+	second := w.Add(platformtest.Pool, "i-1", "a")
+	n := start(t, w, "one")
+	n.streams(t)
+	const streams, length = 3, 600
+	answers, _ := n.startStreams(t, w, streams, length)
+	second.Kill()
+	time.Sleep(time.Second)
+	for i := 2; i < 6; i++ {
+		w.Add(platformtest.Pool, fmt.Sprintf("i-%d", i), "a")
+	}
+	allWhole(t, answers, streams, length)
+}
+
 // Engines leave or die while the retry budget is spent. A stream that is taken off its
 // path then has no other send left, and breaks off; those on leaving engines must stay,
 // those on dead ones take another path in place or go on.
