pkedge: in large fleets only hubs follow the list and tell the others

Change: an entry that a hub tells, which follows the store itself, follows no list. Hubs tell at once what is missing, from the revision that the entry itself says, and again until it says so; messages that were replaced before they went out used to lose such help for good. With the list goes when the store returned, so that entries which lapsed meanwhile do not count as gone where they are told of.

--- a/pkedge/follow.go
+++ b/pkedge/follow.go
@@ -20,6 +20,8 @@
 	// changesPace gathers changes of the list and of members: a tenth of the time
 	// within which a leaving replica must get no more requests.
 	changesPace = 200 * time.Millisecond
+	// ledPoll is how soon an entry that is told of changes looks whether it still is.
+	ledPoll = 250 * time.Millisecond
 	// pacedEntries is how many entries may follow at that pace: each change wakes the
 	// watches of all, and the store counts each as a call. More gather for longer.
 	pacedEntries = 8
@@ -38,6 +40,8 @@
 	// list takes all items at a revision, change what changed since.
 	list   func(items []pkstore.Item, at pkstore.Revision)
 	change func(events []pkstore.Event, at pkstore.Revision)
+	// led says whether another entry tells what changes; nil says never.
+	led func(now time.Time) bool
 	// lost and back are told when the store is lost and when it answers again.
 	lost func()
 	back func()
@@ -51,6 +55,12 @@
 	var at pkstore.Revision
 	listed, failures := false, 0
 	for ctx.Err() == nil {
+		if f.led != nil && f.led(time.Now()) {
+			// What is told has no place in a watch's order: list again after it.
+			listed = false
+			pktimer.Sleep(ctx, ledPoll)
+			continue
+		}
 		var err error
 		if listed {
 			at, err = d.changes(ctx, f, at)
@@ -184,6 +194,7 @@
 		change: func(events []pkstore.Event, at pkstore.Revision) {
 			d.logReplicas(d.roster.Apply(time.Now(), d.records(events), at), at, "watch")
 		},
+		led:  func(now time.Time) bool { return d.listed.Load() && d.sharing.table.Led(now) },
 		lost: d.roster.StoreAway,
 		back: func() { d.roster.StoreBack(time.Now()) },
 	})
--- a/pkedge/share.go
+++ b/pkedge/share.go
@@ -27,6 +27,9 @@
 	linksEvery = 3
 	// sumsEvery is after how many messages' time hubs are told and tell.
 	sumsEvery = int(pkshare.EveryWithHubs / pkshare.Every)
+	// storeBackTold is for how long the others are told that the store has returned:
+	// longer than entries that lapsed meanwhile take to be back.
+	storeBackTold = 5 * time.Second
 	// loadsEvery is how often the loads of other entries are added up: each tells
 	// them seven times a second.
 	loadsEvery = 75 * time.Millisecond
@@ -119,8 +122,11 @@
 	if m.NewConfig != nil {
 		d.adopt(*m.NewConfig, "peer "+string(m.From))
 	}
-	if len(m.NewRecords) > 0 {
-		d.logReplicas(d.roster.Apply(now, m.NewRecords, 0), m.List, "peer "+string(m.From))
+	if m.StoreBackMS > 0 {
+		d.roster.StoreReturned(now.Add(-time.Duration(m.StoreBackMS) * time.Millisecond))
+	}
+	if m.RecordsAfter != nil {
+		d.logReplicas(d.roster.Learn(now, m.NewRecords, *m.RecordsAfter, m.List), m.List, "peer "+string(m.From))
 	}
 	for _, one := range m.Suspects {
 		until := now.Add(time.Duration(one.ForMS) * time.Millisecond)
@@ -254,7 +260,7 @@
 		tell := tells[l.role]
 		d.help(now, &tell, ids[addr], l.role)
 		switch {
-		case tell.NewConfig != nil || len(tell.NewRecords) > 0:
+		case tell.NewConfig != nil || tell.RecordsAfter != nil:
 			l.put(d.encode(tell))
 		case news || connected || (due && l.role != pkshare.Peer):
 			if raws[l.role] == nil {
@@ -283,7 +289,7 @@
 		m.NewConfig = d.configItem.Load()
 	}
 	if misses.List {
-		m.NewRecords = d.roster.Since(misses.After)
+		m.NewRecords, m.RecordsAfter = d.roster.Since(misses.After), &misses.After
 	}
 }
 
@@ -373,6 +379,10 @@
 	m := pkshare.Message{
 		From: d.settings.Entry, Addr: s.addr, Run: s.run, List: d.roster.At(),
 		DataCenter: d.settings.DataCenter, ProcessorShare: float32(d.settings.ProcessorShare),
+		Following: d.listed.Load() && !d.roster.Away(),
+	}
+	if back := now.Sub(d.roster.Returned()); back < storeBackTold {
+		m.StoreBackMS = max(back.Milliseconds(), 1)
 	}
 	for _, f := range d.pipes.Flows(now) {
 		m.Flows = append(m.Flows, pkshare.Flow{A: f.A, B: f.B, Tokens: float32(f.Tokens)})
--- a/pkreplica/roster.go
+++ b/pkreplica/roster.go
@@ -53,6 +53,16 @@
 	return changed
 }
 
+// Learn takes what another entry knows of the list between two revisions; it returns
+// the records that changed something. The list counts as known up to the second one
+// only where it was known up to the first.
+func (r *Roster) Learn(now time.Time, records []Record, after, at pkstore.Revision) []Record {
+	if r.At() < after {
+		at = 0
+	}
+	return r.Apply(now, records, at)
+}
+
 // Replace takes a whole list at a revision: what it does not name is gone.
 func (r *Roster) Replace(now time.Time, records []Record, at pkstore.Revision) []Record {
 	named := map[pkid.TargetID]bool{}
@@ -148,6 +158,30 @@
 	}
 }
 
+// StoreReturned notes that the store returned to another entry at a time: what lapsed
+// before is told by that entry, and must not count as gone at once either.
+func (r *Roster) StoreReturned(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at.After(r.returned) {
+		r.returned = at
+	}
+}
+
+// Returned returns when the store last returned; zero where it was never away.
+func (r *Roster) Returned() time.Time {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.returned
+}
+
+// Away says whether the list cannot be followed at present.
+func (r *Roster) Away() bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.away
+}
+
 // At returns the store's revision that the list is known up to.
 func (r *Roster) At() pkstore.Revision {
 	r.mu.RLock()
--- a/pkshare/message.go
+++ b/pkshare/message.go
@@ -28,6 +28,14 @@
 	NewConfig *pkstore.Item `cbor:"10,keyasint,omitempty"`
 	// NewRecords are entries of the list that it seems to lack.
 	NewRecords []pkreplica.Record `cbor:"11,keyasint,omitempty"`
+	// RecordsAfter is the revision after which NewRecords are all up to List; it is
+	// set where the receiver is told of the list.
+	RecordsAfter *pkstore.Revision `cbor:"15,keyasint,omitempty"`
+	// Following says that the sender follows the list at the store and reaches it.
+	Following bool `cbor:"16,keyasint,omitempty"`
+	// StoreBackMS is how many milliseconds ago the store returned to the sender, where
+	// that is not long ago.
+	StoreBackMS int64 `cbor:"17,keyasint,omitempty"`
 	// DataCenter and ProcessorShare are those of the sender.
 	DataCenter     pkid.DataCenter `cbor:"12,keyasint,omitempty"`
 	ProcessorShare float32         `cbor:"14,keyasint,omitempty"`
--- a/pkshare/table.go
+++ b/pkshare/table.go
@@ -24,8 +24,12 @@
 	// answer takes.
 	EveryWithHubs = 300 * time.Millisecond
 	// missesFor is how long an entry may be behind before it is helped: the store
-	// tells most of them within milliseconds.
+	// tells most of them within milliseconds. Hubs do not wait: their entries follow
+	// nothing themselves.
 	missesFor = 250 * time.Millisecond
+	// tellAgain is how soon an entry is helped again that still says it knows less: its
+	// next word comes within a third of that.
+	tellAgain = time.Second
 	// helpers is how many entries tell the same one what it misses.
 	helpers = 2
 )
@@ -47,9 +51,11 @@
 	// behindSince is when it was first seen to know less than this entry.
 	configBehind time.Time
 	listBehind   time.Time
-	// told are the revisions that it was helped up to.
-	toldConfig pkstore.Revision
-	toldList   pkstore.Revision
+	// toldConfig and toldList are when it was helped last.
+	toldConfig time.Time
+	toldList   time.Time
+	// following says that it follows the list at the store.
+	following bool
 }
 
 // Table is what the other entries said; the zero value is empty.
@@ -82,6 +88,7 @@
 	}
 	p.addr, p.run, p.sequence, p.at = m.Addr, m.Run, m.Sequence, now
 	p.config, p.list, p.loads, p.flows = m.Config, m.List, m.Loads, m.Flows
+	p.following = m.Following
 	p.sum, p.dataCenter, p.share = m.Sum, m.DataCenter, float64(m.ProcessorShare)
 	return true
 }
@@ -166,21 +173,39 @@
 	if p == nil || now.Sub(p.at) >= freshFor {
 		return Help{}
 	}
+	wait := missesFor
+	if k.Hub {
+		wait = 0
+	}
 	var out Help
-	if behind(now, &p.configBehind, p.config < k.Config && p.toldConfig < k.Config) && (k.Hub || t.helps(now, to, k.Self, k.Config, false)) {
-		p.toldConfig = k.Config
+	if behind(now, &p.configBehind, p.config < k.Config, missesFor) && now.Sub(p.toldConfig) >= tellAgain &&
+		(k.Hub || t.helps(now, to, k.Self, k.Config, false)) {
+		p.toldConfig = now
 		out.Config = true
 	}
-	after := max(p.list, p.toldList)
-	if behind(now, &p.listBehind, after < k.List) && (k.Hub || t.helps(now, to, k.Self, k.List, true)) {
-		p.toldList = k.List
-		out.List, out.After = true, after
+	if behind(now, &p.listBehind, p.list < k.List, wait) && now.Sub(p.toldList) >= tellAgain &&
+		(k.Hub || t.helps(now, to, k.Self, k.List, true)) {
+		p.toldList = now
+		out.List, out.After = true, p.list
 	}
 	return out
 }
 
-// behind notes since when a peer is behind and says whether that is long.
-func behind(now time.Time, since *time.Time, is bool) bool {
+// Led says whether a hub tells this entry of the list, so that it need not follow the
+// store itself: each entry that does costs the store a call for each change.
+func (t *Table) Led(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		if p.sum != nil && p.sum.All && p.following && now.Sub(p.at) < freshFor {
+			return true
+		}
+	}
+	return false
+}
+
+// behind notes since when a peer is behind and says whether it has been for long enough.
+func behind(now time.Time, since *time.Time, is bool, wait time.Duration) bool {
 	if !is {
 		*since = time.Time{}
 		return false
@@ -188,7 +213,7 @@
 	if since.IsZero() {
 		*since = now
 	}
-	return now.Sub(*since) >= missesFor
+	return now.Sub(*since) >= wait
 }
 
 // helps says whether this entry is among the first by name that could help.
@@ -212,7 +237,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if p := t.peers[to]; p != nil {
-		p.toldConfig, p.toldList = 0, 0
+		p.toldConfig, p.toldList = time.Time{}, time.Time{}
 	}
 }
 
