pkentry: reach the store, the VM list, engines and services by ports

Change: pkentry.Ports, wired in pkdaemon for the daemon and the lab; a text for targets that could not be reached.

Measured: nothing on the path changes; tests of pkentry, pklab and the client pass. Conclusion: the package itself is not yet split by noun.

--- a/peridotknotd/main.go
+++ b/peridotknotd/main.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"peridotknot.example/pkcli"
+	"peridotknot.example/pkdaemon"
 	"peridotknot.example/pkentry"
 	"peridotknot.example/pkversion"
 )
@@ -39,7 +40,7 @@
 		return err
 	}
 	defer flush()
-	e, err := pkentry.New(s, log, tracer)
+	e, err := pkdaemon.New(s, log, tracer)
 	if err != nil {
 		return err
 	}
--- a/pkentry/admin.go
+++ b/pkentry/admin.go
@@ -109,7 +109,7 @@
 	s.Ready, s.Why = e.ready()
 	s.SentBytes, s.ReceivedBytes = e.peers.net.Bytes()
 	s.Owns = e.owned()
-	s.StoreCalls = e.store.Calls()
+	s.StoreCalls = e.ports.Store.Calls()
 	for _, m := range e.peers.table.Neighbors(now) {
 		if m.Instance != e.peers.table.Self().Instance {
 			s.Neighbors = append(s.Neighbors, m.Entry)
--- a/pkentry/callers.go
+++ b/pkentry/callers.go
@@ -176,7 +176,7 @@
 		out.Status = http.StatusGatewayTimeout
 	case pkverdict.ReasonNoRoute, pkverdict.ReasonStopping:
 		out.Status = http.StatusServiceUnavailable
-	case pkverdict.ReasonOverload, pkverdict.ReasonTargetLost, pkverdict.ReasonRefused, pkverdict.ReasonCanceled:
+	case pkverdict.ReasonOverload, pkverdict.ReasonTargetLost, pkverdict.ReasonUnreachable, pkverdict.ReasonRefused, pkverdict.ReasonCanceled:
 	}
 	if v.Verdict == pkverdict.NotRun {
 		out.RetryAfter = comeBack
@@ -186,12 +186,13 @@
 
 // text is what callers read. Causes stay in the log: they name addresses.
 var text = map[pkverdict.Reason]string{
-	pkverdict.ReasonDeadline:   "the request was not done by its deadline",
-	pkverdict.ReasonNoRoute:    "no usable targets hold what the request needs",
-	pkverdict.ReasonTargetLost: "the targets of the request were lost",
-	pkverdict.ReasonRefused:    "the target refused the request",
-	pkverdict.ReasonStopping:   "this entry is stopping",
-	pkverdict.ReasonCanceled:   "the request was canceled",
+	pkverdict.ReasonDeadline:    "the request was not done by its deadline",
+	pkverdict.ReasonNoRoute:     "no usable targets hold what the request needs",
+	pkverdict.ReasonTargetLost:  "the targets of the request were lost",
+	pkverdict.ReasonUnreachable: "no target of the request could be reached",
+	pkverdict.ReasonRefused:     "the target refused the request",
+	pkverdict.ReasonStopping:    "this entry is stopping",
+	pkverdict.ReasonCanceled:    "the request was canceled",
 }
 
 // finish writes the answer to a failed call, and logs and counts every call.
--- a/pkentry/chat.go
+++ b/pkentry/chat.go
@@ -306,7 +306,7 @@
 				defer func() { <-slots }()
 				call, cancel := context.WithTimeout(ctx, cancelTimeout)
 				defer cancel()
-				if err := e.engine.Cancel(call, one.addr, one.id, one.attempt); err != nil {
+				if err := e.ports.Engines.Cancel(call, one.addr, one.id, one.attempt); err != nil {
 					e.log.Debug("an attempt could not be cancelled", "error", err)
 				}
 			}()
--- a/pkentry/entry.go
+++ b/pkentry/entry.go
@@ -14,21 +14,12 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"peridotknot.example/pkanswer"
-	"peridotknot.example/pkconn"
-	"peridotknot.example/pkengine"
-	"peridotknot.example/pketcd"
 	"peridotknot.example/pkmanifest"
-	"peridotknot.example/pkplatform"
-	"peridotknot.example/pkservice"
 	"peridotknot.example/pktarget"
 	"peridotknot.example/pkverdict"
 )
 
 const (
-	// streamSilence is how long a stream may say nothing: four beats, so that
-	// one late beat is no fault and a lost engine is known within 0.6 s.
-	streamSilence  = 4 * pkengine.BeatEvery
-	serviceTries   = 4
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 60 * time.Second
 	maxHeaderBytes = 32 << 10
@@ -42,11 +33,8 @@
 	log      hclog.Logger
 	tracer   trace.Tracer
 
-	store    *pketcd.Client
-	platform *pkplatform.Client
-	engine   *pkengine.Client
-	proxy    *pkservice.Proxy
-	runner   *pkanswer.Runner
+	ports  Ports
+	runner *pkanswer.Runner
 
 	view     atomic.Pointer[pkmanifest.View]
 	targets  pktarget.Table
@@ -75,27 +63,24 @@
 	registration registration
 }
 
-// New returns an entry that listens already and serves once Run is called.
-func New(s Settings, log hclog.Logger, tracer trace.Tracer) (*Entry, error) {
-	o := pkconn.DefaultOptions()
+// New returns an entry that listens already and serves once Run is called; it closes
+// its ports, also where New fails.
+func New(s Settings, p Ports, log hclog.Logger, tracer trace.Tracer) (*Entry, error) {
 	e := &Entry{
 		settings:  s,
 		log:       log.With("entry", s.Entry),
 		tracer:    tracer,
-		store:     pketcd.New(s.Store, o),
-		platform:  pkplatform.New(s.Platform, o),
-		engine:    pkengine.NewClient(o, streamSilence),
-		proxy:     pkservice.New(o, serviceTries),
+		ports:     p,
 		metrics:   newMetrics(),
 		cancelled: make(chan cancelled, cancelQueue),
 	}
 	e.routes.links = s.links()
 	e.routes.from = s.DataCenter
-	e.runner = &pkanswer.Runner{Engine: e.engine, Router: e, Options: pkanswer.DefaultOptions(), Cancel: e.cancel}
+	e.runner = &pkanswer.Runner{Engine: p.Engines, Router: e, Options: pkanswer.DefaultOptions(), Cancel: e.cancel}
 	e.metrics.watch(e)
 	var err error
 	if e.recorder, err = newRecorder(s.Record); err != nil {
-		return nil, err
+		return nil, errors.Join(err, p.close())
 	}
 	if err := e.listen(); err != nil {
 		return nil, errors.Join(err, e.close())
@@ -237,6 +222,6 @@
 			}
 		}
 	}
-	errs = append(errs, e.recorder.Close(), e.store.Close(), e.platform.Close(), e.engine.Close(), e.proxy.Close())
+	errs = append(errs, e.recorder.Close(), e.ports.close())
 	return errors.Join(errs...)
 }
--- a/pkentry/manifest.go
+++ b/pkentry/manifest.go
@@ -63,7 +63,7 @@
 // limit ends a watch that is well, too: one that went silent looks the same.
 func (e *Entry) followOnce(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
-	item, err := e.store.Load(call, pkhead.HeadKey)
+	item, err := e.ports.Store.Load(call, pkhead.HeadKey)
 	cancel()
 	if err != nil {
 		return err
@@ -78,7 +78,7 @@
 	}
 	watch, cancel := context.WithTimeout(ctx, rereadEvery)
 	defer cancel()
-	err = e.store.Watch(watch, pkhead.HeadKey, item.Revision, func(ev pkstore.Event) {
+	err = e.ports.Store.Watch(watch, pkhead.HeadKey, item.Revision, func(ev pkstore.Event) {
 		if ev.Deleted {
 			return
 		}
@@ -135,7 +135,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	body, err := pkhead.Body(call, e.store, head.Publication)
+	body, err := pkhead.Body(call, e.ports.Store, head.Publication)
 	if err != nil {
 		return err
 	}
--- a/pkentry/metrics.go
+++ b/pkentry/metrics.go
@@ -84,7 +84,7 @@
 		}, func() float64 { return float64(e.targetStates()[state]) }))
 	}
 	m.gauge("peridotknot_store_calls", "Calls sent to the key-value service.", func() float64 {
-		return float64(e.store.Calls())
+		return float64(e.ports.Store.Calls())
 	})
 }
 
--- a/pkentry/owner.go
+++ b/pkentry/owner.go
@@ -106,12 +106,12 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	key := ownerPrefix + string(pool)
-	item, err := e.store.Load(ctx, key)
+	item, err := e.ports.Store.Load(ctx, key)
 	if err != nil || item.Revision != 0 {
 		return
 	}
 	sent := time.Now()
-	id, err := e.store.Grant(ctx, o.lease.Terms.TTL)
+	id, err := e.ports.Store.Grant(ctx, o.lease.Terms.TTL)
 	if err != nil {
 		return
 	}
@@ -119,11 +119,11 @@
 	if err != nil {
 		return
 	}
-	swapped, err := e.store.Swap(ctx, pkstore.Swap{Key: key, Value: value, Lease: id})
+	swapped, err := e.ports.Store.Swap(ctx, pkstore.Swap{Key: key, Value: value, Lease: id})
 	if err != nil || !swapped.Done {
 		// If the write happened and only its answer was lost, the key goes
 		// with its lease.
-		_ = e.store.Revoke(ctx, id)
+		_ = e.ports.Store.Revoke(ctx, id)
 		return
 	}
 	o.id = id
@@ -139,7 +139,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	err := e.store.Renew(ctx, o.id)
+	err := e.ports.Store.Renew(ctx, o.id)
 	switch {
 	case err == nil:
 		o.lease.Renewed(now)
@@ -158,7 +158,7 @@
 			continue
 		}
 		o.lease.Lost()
-		if err := e.store.Revoke(ctx, o.id); err != nil {
+		if err := e.ports.Store.Revoke(ctx, o.id); err != nil {
 			e.log.Debug("a lease was left to end by itself", "error", err)
 		}
 	}
@@ -175,7 +175,7 @@
 		}
 		call, cancel := context.WithTimeout(ctx, min(orderTimeout, left))
 		o.told[told.Target.Info.ID] = pkid.Range{First: told.Order.First, End: told.Order.End}
-		err := e.engine.Order(call, told.Target.Info.Addr, told.Order)
+		err := e.ports.Engines.Order(call, told.Target.Info.Addr, told.Order)
 		cancel()
 		switch {
 		case errors.Is(err, pkengine.ErrFenced):
--- a/pkentry/register.go
+++ b/pkentry/register.go
@@ -37,7 +37,7 @@
 	if e.registration.read && !alone {
 		return
 	}
-	items, _, err := e.store.List(ctx, entryPrefix)
+	items, _, err := e.ports.Store.List(ctx, entryPrefix)
 	if err != nil {
 		return
 	}
@@ -55,13 +55,13 @@
 func (e *Entry) renewKey(ctx context.Context) error {
 	r := &e.registration
 	if r.lease != 0 {
-		err := e.store.Renew(ctx, r.lease)
+		err := e.ports.Store.Renew(ctx, r.lease)
 		if !errors.Is(err, pkstore.ErrNoLease) {
 			return err
 		}
 		r.lease = 0
 	}
-	id, err := e.store.Grant(ctx, registerTTL)
+	id, err := e.ports.Store.Grant(ctx, registerTTL)
 	if err != nil {
 		return err
 	}
@@ -70,7 +70,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = e.store.Swap(ctx, pkstore.Swap{Key: entryPrefix + string(self.Instance), Value: value, Lease: id})
+	_, err = e.ports.Store.Swap(ctx, pkstore.Swap{Key: entryPrefix + string(self.Instance), Value: value, Lease: id})
 	if err == nil {
 		r.lease = id
 	}
--- a/pkentry/service.go
+++ b/pkentry/service.go
@@ -91,7 +91,7 @@
 		Size:       c.r.ContentLength,
 		Idempotent: idempotent,
 	}
-	reply, err := c.proxy.Do(ctx, out, c.chooseService(s.Pool), g.budget)
+	reply, err := c.ports.Services.Do(ctx, out, c.chooseService(s.Pool), g.budget)
 	c.recordCall(s, idempotent, deadline)
 	if err != nil {
 		return err
--- a/pkentry/targets.go
+++ b/pkentry/targets.go
@@ -26,7 +26,7 @@
 	pktimer.Every(ctx, vmsEvery, func(ctx context.Context) {
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		list, err := e.platform.VMs(call)
+		list, err := e.ports.Platform.VMs(call)
 		if errors.Is(err, pkplatform.ErrSame) {
 			return
 		}
@@ -43,7 +43,7 @@
 		if c.Kept > 0 {
 			// Whether they stay depends on calls too, so the same list must
 			// be applied again.
-			e.platform.Forget()
+			e.ports.Platform.Forget()
 			e.log.Warn("the VM list lost more than half of a pool; its targets stay until calls fail too", "kept", c.Kept)
 		}
 	})
@@ -96,13 +96,13 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	if service {
-		l, err := e.platform.ServiceLoad(ctx, t.Info.Addr)
+		l, err := e.ports.Platform.ServiceLoad(ctx, t.Info.Addr)
 		if err == nil {
 			t.Observe(pktarget.Report{Active: l.Active, MaxBatch: l.Max}, time.Now())
 		}
 		return
 	}
-	l, err := e.engine.Load(ctx, t.Info.Addr)
+	l, err := e.ports.Engines.Load(ctx, t.Info.Addr)
 	if err != nil {
 		return
 	}
--- a/pklab/lab.go
+++ b/pklab/lab.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"peridotknot.example/pkconn"
+	"peridotknot.example/pkdaemon"
 	"peridotknot.example/pkengine"
 	"peridotknot.example/pkentry"
 	"peridotknot.example/pketcd"
@@ -123,7 +124,7 @@
 	defer l.mu.Unlock()
 	i := len(l.entries)
 	s := l.settings(i)
-	e, err := pkentry.New(s, l.opts.Log, l.tracer)
+	e, err := pkdaemon.New(s, l.opts.Log, l.tracer)
 	if err != nil {
 		return 0, err
 	}
