pkreplica: only entries that lost the store wait for entries that lapsed

The store had turned one entry away alone and taken it back at 24.0; since the list is told by hubs, that entry told all others that the store had returned, and each gave what was removed 2.2 s to come back.

Change: word of the store's return counts only for an entry that has lost it itself. One that is told of the list sees that by its watch of the configuration.

The test fails without the condition.

--- a/pkedge/follow.go
+++ b/pkedge/follow.go
@@ -149,6 +149,13 @@
 				}
 			}
 		},
+		// An entry that is told of the list sees by this watch that the store is away.
+		lost: func() {
+			if d.sharing.table.Led(time.Now()) {
+				d.roster.StoreAway()
+			}
+		},
+		back: func() { d.roster.StoreBack(time.Now()) },
 	})
 }
 
--- a/pkreplica/roster.go
+++ b/pkreplica/roster.go
@@ -158,12 +158,14 @@
 	}
 }
 
-// StoreReturned notes that the store returned to another entry at a time: what lapsed
-// before is told by that entry, and must not count as gone at once either.
+// StoreReturned notes that the store returned to another entry at a time. Where it is
+// away for this one too, what lapsed meanwhile is told by that entry first, and must not
+// count as gone at once. Where it is not, the other was turned away alone: taken for an
+// outage, a replica whose entry was removed got requests for two seconds more.
 func (r *Roster) StoreReturned(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if at.After(r.returned) {
+	if r.away && at.After(r.returned) {
 		r.returned = at
 	}
 }
--- a/pkreplica/roster_test.go
+++ b/pkreplica/roster_test.go
@@ -132,3 +132,23 @@
 	got, _ = r.Choose(start, "s", []pkid.TargetID{"a", "c"})
 	assert.Equal(t, got.ID, pkid.TargetID("b"), "a failed target is better than none")
 }
+
+// The store turns one entry away and takes it back; then a replica's entry is removed. The
+// others never lost the store: told of that return, they must not wait for the replica to
+// come back, since it gets requests meanwhile. An entry that lost the store too must.
+func TestOnlyEntriesThatLostTheStoreWaitForLapsedOnes(t *testing.T) {
+	for _, away := range []bool{false, true} {
+		var r Roster
+		r.Apply(start, []Record{{Revision: 1, Info: Info{ID: "i", Service: "s"}}}, 1)
+		if away {
+			r.StoreAway()
+		}
+		back := start.Add(time.Minute)
+		r.StoreReturned(back)
+		now := back.Add(100 * time.Millisecond)
+		r.Learn(now, []Record{{Revision: 2, Info: Info{ID: "i"}, Deleted: true}}, 1, 2)
+		assert.Equal(t, len(r.Live(now, "s")) == 1, away)
+		assert.Equal(t, len(r.Live(now.Add(lapseGrace), "s")), 0)
+		assert.Equal(t, r.At(), pkstore.Revision(2))
+	}
+}
