pkedge: streams leave a dead engine sooner, by what is near

Change: a stream counts as silent by a share of the pause that its route accepts (60 ms of 200, was 90), an engine answers within 40 ms (was 80), streams move as soon as it is known, up to 12 engines in question are asked, a question that was given up says nothing. Where a caller waits in the middle of an answer, reading the prompt, the prompts before it and the pipe's queue count over 10 tokens instead of over the answer; the engine's place is taken in place by one of the same data centre, which alone reads the tokens again. An empty engine waits while its group has what a new layout would give it. The case "all is slow" names more engines, since five in doubt are now asked.

--- a/pkedge/choose.go
+++ b/pkedge/choose.go
@@ -16,6 +16,9 @@
 	// away. Engines put off the newest request when memory runs out, and answers
 	// are longer than expected as often as shorter.
 	fullShare = 0.9
+	// hurryTokens is over how many tokens the wait for the first one counts where a caller
+	// waits in the middle of an answer: a pause of 100 ms weighs as much as 10 ms a token.
+	hurryTokens = 10.0
 	// leastFree bounds the cost of a full engine.
 	leastFree = 0.05
 	// hopCost is what one more engine on a path costs a token.
@@ -32,7 +35,7 @@
 func (d *Daemon) choosePath(now time.Time, s *pkconfig.Service, tokens float64, sends int) (route, bool) {
 	w := wish{span: s.Engine.All(), tokens: tokens, from: d.settings.DataCenter, share: fullShare, most: mostCost}
 	if sends > 0 {
-		w.spread, w.share, w.most = mendSpread, 1, 0
+		w.spread, w.share, w.most, w.hurry = mendSpread, 1, 0, true
 	}
 	return d.find(now, s, w)
 }
@@ -54,6 +57,9 @@
 	share float64
 	// most bounds the cost of the path, where it is set.
 	most time.Duration
+	// hurry says that a caller waits for the next event: how soon all tokens are read counts
+	// for more than what each token takes afterwards.
+	hurry bool
 }
 
 // find returns the cheapest path that grants a wish.
@@ -68,17 +74,17 @@
 		if !ok || t.Avoided(now) || slices.Contains(w.without, t.ID) {
 			continue
 		}
+		if w.hurry {
+			cost += time.Duration(float64(m.ReadTime(t.Kind, 1, w.tokens)) / hurryTokens)
+		}
 		cost += time.Duration(rand.Float64() * w.spread * float64(cost))
 		byID[t.ID] = t
 		engines = append(engines, pklayers.Engine{
-			ID: t.ID, DataCenter: t.DataCenter, Kind: t.Kind, Held: t.Held, Cost: cost, Enter: enter(t.Held.Len(), cost) + t.Backlog(now, entries)/time.Duration(answerTokens(m)),
+			ID: t.ID, DataCenter: t.DataCenter, Kind: t.Kind, Held: t.Held, Cost: cost,
+			Enter: enter(t.Held.Len(), cost) + time.Duration(float64(t.Backlog(now, entries))/w.waitOver(m)),
 		})
 	}
-	costs := d.costs(now, m)
-	costs.Most = w.most
-	if w.within {
-		costs.Reach = nil // the path's engines are reached from one before them
-	}
+	costs := d.costs(now, m, w)
 	p, found := pklayers.Find(w.span, engines, costs, w.from)
 	if !found {
 		return route{}, false
@@ -91,24 +97,34 @@
 }
 
 // costs returns what it takes to pass between engines at now.
-func (d *Daemon) costs(now time.Time, m *pklayers.Model) pklayers.Costs {
+func (d *Daemon) costs(now time.Time, m *pklayers.Model, w wish) pklayers.Costs {
 	entries := d.members.entries(now)
 	known := map[[2]pkid.DataCenter]time.Duration{}
-	return pklayers.Costs{Hop: hopCost, Reach: m.Delay, Crossing: func(a, b pkid.DataCenter) time.Duration {
+	out := pklayers.Costs{Hop: hopCost, Most: w.most, Reach: m.Delay, Crossing: func(a, b pkid.DataCenter) time.Duration {
 		pair := [2]pkid.DataCenter{a, b}
 		cost, found := known[pair]
 		if !found {
 			own := d.pipes.Own(now, a, b)
 			cost = m.Delay(a, b) + m.PipeCost(own+d.sharing.table.Flow(now, entries, a, b, own))
+			first := m.TransferTime(w.tokens) + d.pipes.Backlog(now, a, b)*time.Duration(entries)
+			cost += time.Duration(float64(first) / w.waitOver(m))
 			known[pair] = cost
 		}
 		return cost
 	}}
+	if w.within {
+		out.Reach = nil // the path's engines are reached from one before them
+	}
+	return out
 }
 
-// answerTokens returns over how many tokens of an answer the wait for its prompt
-// counts.
-func answerTokens(m *pklayers.Model) int { return max(int(m.AnswerTokens), 1) }
+// waitOver returns over how many tokens the wait for the first one counts.
+func (w wish) waitOver(m *pklayers.Model) float64 {
+	if w.hurry {
+		return hurryTokens
+	}
+	return max(float64(m.AnswerTokens), 1)
+}
 
 // enter returns how long a token waits for an engine to take it up: an engine runs
 // what has come in passes over its layers, and a token comes in the middle of one.
--- a/pkedge/mend.go
+++ b/pkedge/mend.go
@@ -44,8 +44,9 @@
 	// would get them all.
 	mendSpread = 1.5
 	// askTimeout is how long an engine may take to give a sign of life; reports are
-	// answered in a few milliseconds whatever the load.
-	askTimeout = 80 * time.Millisecond
+	// answered in a few milliseconds whatever the load, and one that another engine gave
+	// meanwhile shows that this VM was not the slow one.
+	askTimeout = 40 * time.Millisecond
 	// askPause is how soon the same engine is asked again.
 	askPause = 200 * time.Millisecond
 	// pauseWeight is the weight of the last pause in a stream's mean.
@@ -140,7 +141,11 @@
 func (a *attempt) flow() (pkstall.Flow, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return pkstall.Flow{Path: a.path.ids(), Last: a.last, Pause: a.pause}, a.events > 0 && len(a.path.hops) > 0
+	return a.asFlow(), a.events > 0 && len(a.path.hops) > 0
+}
+
+func (a *attempt) asFlow() pkstall.Flow {
+	return pkstall.Flow{Path: a.path.ids(), Last: a.last, Pause: a.pause, Most: a.call.route.PauseObjective}
 }
 
 // streams are the attempts under way.
@@ -192,11 +197,7 @@
 		if now.Sub(before) <= pause+mendLate {
 			d.findDead(ctx, now, all)
 		}
-		for _, a := range all {
-			if t, why := a.wants(now); t != nil {
-				wg.Go(func() { d.mend(ctx, a, t, why) })
-			}
-		}
+		d.mendAll(ctx, now, all)
 		pause = mendEvery
 		if len(all) == 0 {
 			pause = mendIdle
@@ -204,6 +205,15 @@
 	}
 }
 
+// mendAll mends the streams that want it at now.
+func (d *Daemon) mendAll(ctx context.Context, now time.Time, all []*attempt) {
+	for _, a := range all {
+		if t, why := a.wants(now); t != nil {
+			d.streams.wg.Go(func() { d.mend(ctx, a, t, why) })
+		}
+	}
+}
+
 // findDead suspects the engines that silent streams have in common and that do not
 // answer. One that answers is slow, not dead: to pass it over would send all of its
 // streams to others at once, which then look dead in their turn.
@@ -235,8 +245,9 @@
 	}
 	controlErr := <-control
 	dead := pkstall.Dead(err, controlErr)
-	if dead {
-		d.suspect(t, time.Now().Add(suspectPause))
+	if now := time.Now(); dead {
+		d.suspect(t, now.Add(suspectPause))
+		d.mendAll(ctx, now, d.streams.list())
 	}
 	d.log.Info("asked an engine that silent streams share", "target", t.ID, "dead", dead, "error", err, "control_error", controlErr)
 }
@@ -270,7 +281,7 @@
 	if a.mending || a.over || a.mended >= mendMost || now.Before(a.triedUntil) {
 		return nil, ""
 	}
-	silent := pkstall.Flow{Last: a.last, Pause: a.pause}.Silent(now)
+	silent := a.asFlow().Silent(now)
 	for i, t := range a.path.targets {
 		latest, found := a.call.roster.Target(t.ID)
 		switch {
@@ -285,26 +296,63 @@
 	return nil, ""
 }
 
-// mend lets a stream go on without a target: by another attempt after its last
-// event, or where it has no attempt left, by another path in place. A new attempt
-// makes a pause of 0.1 s beside that of finding out, a new path one of 0.3 to 0.9 s,
-// since its engines read all tokens after the others.
+// mend lets a stream go on without a target: by another path in place, whose new engines
+// read the tokens so far through their layers, or by another attempt after its last event,
+// which reads them through all. It takes what is ready sooner. Where an attempt has no
+// other left, a path in place is all there is.
 //
 // A leaving target serves on for seconds: its streams stay with it until there is
 // room elsewhere and a send left.
 func (d *Daemon) mend(ctx context.Context, a *attempt, t *pkreplica.Target, why string) {
-	if a.again && d.mayMove(a) {
+	if !a.again {
+		d.repath(ctx, a, t, why)
+		return
+	}
+	if why == whyDead && d.detourIsSooner(a, t) && d.repath(ctx, a, t, why) {
+		return
+	}
+	if d.mayMove(a) {
 		d.log.Info("a stream goes on by another attempt", "request_id", a.call.req.Ask.ID, "target", t.ID, "why", why)
 		a.cancel(errMoved)
 		return
 	}
-	if why == whyLeaving && a.again {
+	if why == whyLeaving {
 		a.stay()
 		return
 	}
 	d.repath(ctx, a, t, why)
 }
 
+// detourIsSooner says whether a path around a target is ready before another attempt. It is
+// where it stays in the target's data centre: one engine more reads the tokens, rather than
+// all. Elsewhere all tokens so far would pass through a pipe and back: when 32 streams did so
+// at once, each stood still for half a second.
+func (d *Daemon) detourIsSooner(a *attempt, t *pkreplica.Target) bool {
+	old := a.route()
+	by, found := d.detour(time.Now(), a, old, old.find(t.ID))
+	if !found {
+		return false
+	}
+	for _, one := range by.targets {
+		if one.DataCenter != t.DataCenter {
+			return false
+		}
+	}
+	return true
+}
+
+// detour returns the engines that can take the place of one on a path; none take that of
+// the first.
+func (d *Daemon) detour(now time.Time, a *attempt, old route, at int) (route, bool) {
+	if at <= 0 {
+		return route{}, false
+	}
+	return d.find(now, a.service, wish{
+		span: old.parts[at].Layers, tokens: a.tokens, from: old.targets[at-1].DataCenter, within: true,
+		without: old.ids(), spread: mendSpread, share: 1, hurry: true,
+	})
+}
+
 // mayMove says whether a stream that is taken off its path has somewhere to go: a path
 // with room and a send that the retry budget allows, which is counted here. Without
 // both, it would break off for nothing.
@@ -331,25 +379,20 @@
 	a.patience += stayPause
 }
 
-// repath orders another path around a target. Where that cannot be done the attempt
-// stays: giving it up would break the answer off for certain.
-func (d *Daemon) repath(ctx context.Context, a *attempt, t *pkreplica.Target, why string) {
+// repath orders another path around a target and says whether the stream has it. Where that
+// cannot be done the attempt stays: giving it up would break the answer off for certain.
+func (d *Daemon) repath(ctx context.Context, a *attempt, t *pkreplica.Target, why string) bool {
 	now := time.Now()
 	old := a.route()
 	at := old.find(t.ID)
-	var next route
-	found := false
-	if at > 0 {
-		var by route
-		by, found = d.find(now, a.service, wish{
-			span: old.parts[at].Layers, tokens: a.tokens, from: old.targets[at-1].DataCenter,
-			without: old.ids(), spread: mendSpread, share: 1,
-		})
-		next = old.replaced(at, by)
-	}
+	by, found := d.detour(now, a, old, at)
+	next := old
 	outcome := pkowner.Rejected
 	var err error
 	if found {
+		// Counted before the order: the other streams of the same engine choose meanwhile.
+		by.begin(now, a.service.Engine, &d.pipes, a.tokens, a.tokens, d.sharing.toldAfter())
+		next = old.replaced(at, by)
 		order, cancel := context.WithTimeout(ctx, repathTimeout)
 		outcome, err = d.Engines.Repath(order, old.first().Addr, a.call.req.Ask.ID, next.hops)
 		cancel()
@@ -359,13 +402,17 @@
 		"outcome", outcome.String(), "path", next.String(), "error", err)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.mending = false
+	switch {
+	case !found:
+	case a.over || !done:
+		by.done(a.tokens)
+	default:
+		old.targets[at].Done(a.tokens * float64(old.parts[at].Layers.Len()))
+	}
 	switch {
 	case a.over:
 	case done:
 		a.mended++
-		next.begin(now, a.service.Engine, &d.pipes, a.tokens, 0, d.sharing.toldAfter())
-		a.path.done(a.tokens)
 		a.path = next
 		a.last = time.Now()
 	default:
@@ -376,4 +423,6 @@
 		a.triedUntil = now.Add(stayPause)
 		a.patience += stayPause
 	}
+	a.mending = false
+	return done
 }
--- a/pkedge/route.go
+++ b/pkedge/route.go
@@ -86,7 +86,11 @@
 		}
 		t.Begin(now, tokens*float64(layers), read, toldAfter)
 		if i > 0 && t.DataCenter != before {
-			pipes.Add(now, before, t.DataCenter, tokens)
+			takes := time.Duration(0)
+			if m != nil {
+				takes = m.TransferTime(prompt)
+			}
+			pipes.Add(now, before, t.DataCenter, tokens, takes)
 		}
 		before = t.DataCenter
 	}
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -315,14 +315,19 @@
 }
 
 // stalled asks the first engine of a path what the request waits for.
-func (c *call) stalled(ctx context.Context, a *attempt) bool {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout/2)
+func (c *call) stalled(parent context.Context, a *attempt) bool {
+	ctx, cancel := context.WithTimeout(parent, orderTimeout/2)
 	defer cancel()
 	first := a.route().first()
 	if len(a.route().hops) == 0 {
 		return false // plain services make no reports
 	}
 	report, err := c.Engines.Report(ctx, first.Addr)
+	if parent.Err() != nil {
+		// The attempt has ended meanwhile, which says nothing of the engine. Taken for a
+		// failure, it had all entries pass over a live first engine for four seconds.
+		return false
+	}
 	now := time.Now()
 	if errors.Is(err, context.DeadlineExceeded) {
 		return false // this VM may be the slow one
--- a/pklayers/group.go
+++ b/pklayers/group.go
@@ -56,9 +56,12 @@
 }
 
 // usualLayers returns how many layers an accelerator holds with the usual room beside
-// them.
+// them, or in a share of its memory where the pool says nothing of its requests.
 func (m *Model) usualLayers(k pkid.Kind) int {
 	n := m.Most(k)
+	if m.usualRoom() == 0 {
+		return max(int(layerShare*float64(n)), 1)
+	}
 	for n > 1 && m.Room(k, n) < m.usualRoom() {
 		n--
 	}
--- a/pklayers/pipes.go
+++ b/pklayers/pipes.go
@@ -23,6 +23,8 @@
 type flow struct {
 	tokens float64
 	at     time.Time
+	// busyUntil is when this entry's prompts will have passed.
+	busyUntil time.Time
 }
 
 // Pipes counts the tokens that paths of this entry send between data centres; the
@@ -39,15 +41,27 @@
 	return pair{a, b}
 }
 
-// Add counts tokens that pass between two data centres.
-func (p *Pipes) Add(now time.Time, a, b pkid.DataCenter, tokens float64) {
+// Add counts tokens that pass between two data centres, of which the first ones, those to be
+// read, take a time at once.
+func (p *Pipes) Add(now time.Time, a, b pkid.DataCenter, tokens float64, takes time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.flows == nil {
 		p.flows = map[pair]flow{}
 	}
 	k := pairOf(a, b)
-	p.flows[k] = flow{tokens: p.flows[k].faded(now) + tokens, at: now}
+	busy := p.flows[k].busyUntil
+	if busy.Before(now) {
+		busy = now
+	}
+	p.flows[k] = flow{tokens: p.flows[k].faded(now) + tokens, at: now, busyUntil: busy.Add(takes)}
+}
+
+// Backlog returns how long the prompts that this entry has sent through a pipe still take.
+func (p *Pipes) Backlog(now time.Time, a, b pkid.DataCenter) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.flows[pairOf(a, b)].busyUntil.Sub(now), 0)
 }
 
 // Flow is tokens on their way between two data centres.
--- a/pklayers/plan.go
+++ b/pklayers/plan.go
@@ -22,6 +22,9 @@
 	// engineRequests is how many requests of usual size an engine should have room for
 	// beside its layers where the pool does not declare its engines' memory for tokens.
 	engineRequests = 100
+	// layerShare is the share of an engine's memory for layers where nothing is declared: what
+	// the usual room leaves to them on most accelerators.
+	layerShare = 0.7
 	// farShare is what room outside an engine's own group counts for: a path that goes there
 	// and back sends its prompt through two pipes.
 	farShare = 0.1
@@ -45,8 +48,8 @@
 	urgentTime = time.Second
 	// moveGain is by how much a move must lower what layers lack to be worth a load.
 	moveGain = 1.08
-	// wholeShare is the share of the room that an engine should have which each layer of a
-	// whole pool has.
+	// wholeShare is the share of the room of a new layout that each layer of a whole group
+	// has.
 	wholeShare = 0.75
 )
 
--- a/pklayers/repair.go
+++ b/pklayers/repair.go
@@ -23,9 +23,15 @@
 	return out
 }
 
-// whole says whether a group lacks no room at any layer.
+// whole says whether a group has about the room that a new layout of the same engines would
+// give it at every layer.
 func whole(m *Model, live []Card, g group) bool {
-	return slices.Min(roomByLayer(m, live, g, 0)) >= wholeShare*m.usualRoom()
+	laid := slices.Clone(live)
+	for id, r := range layOut(m, live) {
+		at := slices.IndexFunc(laid, func(c Card) bool { return c.ID == id })
+		laid[at].Held = r
+	}
+	return slices.Min(roomByLayer(m, live, g, 0)) >= wholeShare*slices.Min(roomByLayer(m, laid, g, 0))
 }
 
 // weakest returns the n layers in a row that have the least room for an engine of a group.
--- a/pkstall/culprit.go
+++ b/pkstall/culprit.go
@@ -11,17 +11,27 @@
 )
 
 const (
-	// silentFor is how long a stream without an event counts as silent: events come
-	// each 15 to 60 ms, and callers count a pause of 200 ms as late.
-	silentFor = 90 * time.Millisecond
+	// silentShare is the share of the longest pause that callers accept after which a
+	// stream without an event counts as silent: what is left must do for asking the
+	// engines, 5 to 40 ms, and for the first event of another attempt, 70 ms. At 60 of
+	// 200 ms rather than 90, streams go on 70 ms sooner (median of 120).
+	silentShare = 0.3
+	// silentDefault is the same where callers have said nothing.
+	silentDefault = 60 * time.Millisecond
 	// silentTimes multiplies a stream's own mean pause, so that a slow path is not
-	// taken for a dead one.
-	silentTimes = 3
+	// taken for a dead one. Engines that answer are not passed over, so that a stream that
+	// is merely slow costs a question.
+	silentTimes = 2.2
+	// passed is how long after a stream fell silent another must have moved to show that
+	// an engine still runs: what had passed the dead one before comes out for 30 ms.
+	passed = 45 * time.Millisecond
 	// leastSilent is how many streams must have fallen silent together.
 	leastSilent = 2
 	// mostCulprits bounds the engines that are in question at once; more mean that
-	// something else is slow.
-	mostCulprits = 4
+	// something else is slow. Engines of a row share all of their streams, so each silent
+	// stream of one that died leaves its whole row in question. With a bound of four nobody
+	// asked, and 58 streams stood still for a second instead of 0.2 s.
+	mostCulprits = 12
 )
 
 // Flow is one stream as the search sees it.
@@ -31,11 +41,17 @@
 	Last time.Time
 	// Pause is the mean time between its events; zero before there are two.
 	Pause time.Duration
+	// Most is the longest pause that its caller accepts; zero where none is stated.
+	Most time.Duration
 }
 
 // Silent says whether a stream has fallen silent at now.
 func (f Flow) Silent(now time.Time) bool {
-	return now.Sub(f.Last) >= max(silentFor, silentTimes*f.Pause)
+	least := time.Duration(silentShare * float64(f.Most))
+	if least == 0 {
+		least = silentDefault
+	}
+	return now.Sub(f.Last) >= max(least, time.Duration(silentTimes*float64(f.Pause)))
 }
 
 // Culprits returns the engines that silent streams may wait for: those on the most of
@@ -63,7 +79,7 @@
 	for _, f := range flows {
 		for _, id := range f.Path {
 			// The engine has run since the last of its silent streams stopped.
-			if at, suspected := onset[id]; suspected && f.Last.Sub(at) > silentFor/2 {
+			if at, suspected := onset[id]; suspected && f.Last.Sub(at) > passed {
 				delete(silent, id)
 			}
 		}
--- a/pkstall/culprit_test.go
+++ b/pkstall/culprit_test.go
@@ -18,6 +18,9 @@
 	return Flow{Path: path, Last: now.Add(-ago), Pause: 30 * time.Millisecond}
 }
 
+// manyEngines are more than can be in question at once.
+var manyEngines = []pkid.TargetID{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m"}
+
 // An engine in the middle of some paths dies. Each of their callers sees a pause;
 // engines cut such a request only after seconds. Which engine it was must be known
 // from the other streams, within the pause that callers still count as in time.
@@ -33,7 +36,8 @@
 		{"two share one engine", []Flow{flow(long, "a", "x"), flow(long, "b", "x"), flow(short, "a", "b")}, []pkid.TargetID{"x"}},
 		{"a moving stream clears the others", []Flow{flow(long, "a", "x"), flow(long, "a", "x"), flow(short, "a", "c")}, []pkid.TargetID{"x"}},
 		{"two stay in doubt", []Flow{flow(long, "a", "x"), flow(long, "a", "x")}, []pkid.TargetID{"a", "x"}},
-		{"all is slow", []Flow{flow(long, "a", "b", "c", "d", "e"), flow(long, "a", "b", "c", "d", "e")}, nil},
+		{"a row stays in doubt", []Flow{flow(long, "a", "b", "c", "d", "e", "f", "g"), flow(long, "a", "b", "c", "d", "e", "f", "h")}, []pkid.TargetID{"a", "b", "c", "d", "e", "f"}},
+		{"all is slow", []Flow{flow(long, manyEngines...), flow(long, manyEngines...)}, nil},
 		{"slow paths are not silent", []Flow{
 			{Path: []pkid.TargetID{"a", "x"}, Last: now.Add(-long), Pause: 60 * time.Millisecond},
 			{Path: []pkid.TargetID{"b", "x"}, Last: now.Add(-long), Pause: 60 * time.Millisecond},
