pkexplain: sum up all streams of a log, late ones by cause

Cause: to see what binds took a script by hand: which streams were late, when, by a dead engine, a pipe or a refusal, and what share of paths hangs on one engine. Reading a log is one function for both.

--- a/peridotknot/explain.go
+++ b/peridotknot/explain.go
@@ -7,26 +7,37 @@
 	"io"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
 	"peridotknot.example/pkexplain"
 )
 
-// explainCommand tells what decided on a request, by an entry's log.
+// explainCommand tells what decided on a request, or on all streams, by entries' logs.
 type explainCommand struct {
-	Log  string `long:"log" required:"yes" description:"log file of the entry that served the request, - for the standard input"`
-	Args struct {
-		Request string `positional-arg-name:"REQUEST_ID" required:"yes"`
+	Log        string        `long:"log" required:"yes" description:"log file of the entry that served the request, - for the standard input; for a summary the logs of all entries, one after the other"`
+	Summary    bool          `long:"summary" description:"sum up all streams: late ones by cause and by time, the share that each engine carries"`
+	FirstEvent time.Duration `long:"first-event" default:"500ms" description:"with --summary: a first event after this is late"`
+	Pause      time.Duration `long:"pause" default:"200ms" description:"with --summary: a pause over this is late"`
+	Span       time.Duration `long:"span" default:"2s" description:"with --summary: the length of a line of the table"`
+	Args       struct {
+		Request string `positional-arg-name:"REQUEST_ID"`
 	} `positional-args:"yes"`
 }
 
 func addExplain(p *flags.Parser) error {
-	return add(p, "explain", "tell what decided on a request, by an entry's log", &explainCommand{})
+	return add(p, "explain", "tell what decided on a request, or sum up all streams, by logs of entries", &explainCommand{})
 }
 
 // Execute runs the command.
 func (c *explainCommand) Execute([]string) error {
+	switch {
+	case c.Summary == (c.Args.Request != ""):
+		return bad("explain takes either a request's id or --summary")
+	case c.Span <= 0:
+		return bad("--span must be over zero")
+	}
 	in := os.Stdin
 	if c.Log != "-" {
 		file, err := os.Open(c.Log)
@@ -36,6 +47,9 @@
 		defer func() { _ = file.Close() }() // it was only read
 		in = file
 	}
+	if c.Summary {
+		return c.summarize(in)
+	}
 	story, err := pkexplain.Read(in, c.Args.Request)
 	if errors.Is(err, pkexplain.ErrUnknown) {
 		return bad("%s: %w", c.Args.Request, err)
@@ -49,6 +63,17 @@
 	return writeStory(os.Stdout, story)
 }
 
+func (c *explainCommand) summarize(log io.Reader) error {
+	s, err := pkexplain.Summarize(log, pkexplain.Aims{FirstEvent: c.FirstEvent, Pause: c.Pause}, c.Span)
+	if err != nil {
+		return err
+	}
+	if options.Output == "json" {
+		return json.NewEncoder(os.Stdout).Encode(s)
+	}
+	return s.WriteText(os.Stdout)
+}
+
 func writeStory(w io.Writer, s pkexplain.Story) error {
 	for _, l := range s.Lines {
 		var fields strings.Builder
--- a/pkexplain/story.go
+++ b/pkexplain/story.go
@@ -50,28 +50,37 @@
 // Read reads a log and returns the story of a request; ErrUnknown says that there
 // is none.
 func Read(log io.Reader, id string) (Story, error) {
-	var s Story
-	var all []Line
+	all, unreadable, err := readLines(log)
+	s := Story{Unreadable: unreadable}
+	if err != nil {
+		return s, err
+	}
+	own := slices.DeleteFunc(slices.Clone(all), func(l Line) bool { return l.value("request_id") != id })
+	if len(own) == 0 {
+		return s, ErrUnknown
+	}
+	s.Lines = related(all, own, id)
+	return s, nil
+}
+
+// readLines returns the lines of a log in the order of their times, and how many were not
+// readable.
+func readLines(log io.Reader) (all []Line, unreadable int, err error) {
 	in := bufio.NewScanner(log)
 	in.Buffer(nil, maxLine)
 	for in.Scan() {
 		line, ok := parse(in.Bytes())
 		if !ok {
-			s.Unreadable++
+			unreadable++
 			continue
 		}
 		all = append(all, line)
 	}
 	if err := in.Err(); err != nil {
-		return s, fmt.Errorf("read the log: %w", err)
+		return nil, unreadable, fmt.Errorf("read the log: %w", err)
 	}
 	slices.SortStableFunc(all, func(a, b Line) int { return a.At.Compare(b.At) })
-	own := slices.DeleteFunc(slices.Clone(all), func(l Line) bool { return l.value("request_id") != id })
-	if len(own) == 0 {
-		return s, ErrUnknown
-	}
-	s.Lines = related(all, own, id)
-	return s, nil
+	return all, unreadable, nil
 }
 
 // parse reads a line; what stands before its first brace is passed over, since log
