pkedge: a stream keeps sends to spare, and what shows nothing goes

Change: a stream leaves an engine that serves only where the retry budget allows three more sends, and one whose answer has begun waits up to 1.5 s for the budget. The three mechanisms are gone with their code; TestADetourStaysInTheDataCenter went with what it tested, and what it replayed (tokens of all streams through a pipe and back) is held by attempts that avoid busy pipes. TestWeakLayersAreWidened is kept as it was under the name TestLostLayersAreHeldAgain: plans take no copy away. Tests: TestAStreamLeavesAnEngineThatServesOnlyWithSendsToSpare, TestAStreamThatHasBegunWaitsForTheRetryBudget.

--- a/pkedge/choose.go
+++ b/pkedge/choose.go
@@ -1,7 +1,6 @@
 package pkedge
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -35,7 +34,7 @@
 func (d *Daemon) choosePath(now time.Time, s *pkconfig.Service, tokens float64, sends int) (route, bool) {
 	w := wish{span: s.Engine.All(), tokens: tokens, from: d.settings.DataCenter, share: fullShare, most: mostCost}
 	if sends > 0 {
-		w.spread, w.share, w.most, w.hurry = mendSpread, 1, 0, true
+		w.share, w.most, w.hurry = 1, 0, true
 	}
 	return d.find(now, s, w)
 }
@@ -50,8 +49,6 @@
 	within bool
 	// without are targets that it must not use.
 	without []pkid.TargetID
-	// spread raises each target's cost by up to so many times, at random.
-	spread float64
 	// share is how much of an engine's memory may be given away. Requests that
 	// were taken before may have all of it.
 	share float64
@@ -77,7 +74,6 @@
 		if w.hurry {
 			cost += time.Duration(float64(m.ReadTime(t.Kind, 1, w.tokens)) / hurryTokens)
 		}
-		cost += time.Duration(rand.Float64() * w.spread * float64(cost))
 		byID[t.ID] = t
 		engines = append(engines, pklayers.Engine{
 			ID: t.ID, DataCenter: t.DataCenter, Kind: t.Kind, Held: t.Held, Cost: cost,
--- a/pkedge/mend.go
+++ b/pkedge/mend.go
@@ -39,10 +39,10 @@
 	mendMost = 4
 	// repathTimeout bounds the order of another path.
 	repathTimeout = 150 * time.Millisecond
-	// mendSpread is by how much costs are drawn at random for a new path: the
-	// streams of a dead engine all look for one at the same moment, and the cheapest
-	// would get them all.
-	mendSpread = 1.5
+	// leaveSpare is how many sends the retry budget must allow where a stream leaves an engine
+	// that still serves: the engines that it is sent to next may refuse it, and with its last
+	// send spent it would break off.
+	leaveSpare = 3
 	// askTimeout is how long an engine may take to give a sign of life; reports are
 	// answered in a few milliseconds whatever the load, and one that another engine gave
 	// meanwhile shows that this VM was not the slow one.
@@ -296,51 +296,26 @@
 	return nil, ""
 }
 
-// mend lets a stream go on without a target: by another path in place, whose new engines
-// read the tokens so far through their layers, or by another attempt after its last event,
-// which reads them through all. It takes what is ready sooner. Where an attempt has no
-// other left, a path in place is all there is.
+// mend lets a stream go on without a target: by another attempt after its last event,
+// or where it has no attempt left, by another path in place. A new attempt makes a pause of
+// 0.1 s beside that of finding out, a new path one of 0.1 to 0.9 s, since its engines read
+// all tokens after the others and have to wait for them.
 //
 // A leaving target serves on for seconds: its streams stay with it until there is
 // room elsewhere and a send left.
 func (d *Daemon) mend(ctx context.Context, a *attempt, t *pkreplica.Target, why string) {
-	if !a.again {
-		d.repath(ctx, a, t, why)
-		return
-	}
-	if why == whyDead && d.detourIsSooner(a, t) && d.repath(ctx, a, t, why) {
-		return
-	}
-	if d.mayMove(a) {
+	if a.again && d.mayMove(a, why) {
 		d.log.Info("a stream goes on by another attempt", "request_id", a.call.req.Ask.ID, "target", t.ID, "why", why)
 		a.cancel(errMoved)
 		return
 	}
-	if why == whyLeaving {
+	if why == whyLeaving && a.again {
 		a.stay()
 		return
 	}
 	d.repath(ctx, a, t, why)
 }
 
-// detourIsSooner says whether a path around a target is ready before another attempt. It is
-// where it stays in the target's data centre: one engine more reads the tokens, rather than
-// all. Elsewhere all tokens so far would pass through a pipe and back: when 32 streams did so
-// at once, each stood still for half a second.
-func (d *Daemon) detourIsSooner(a *attempt, t *pkreplica.Target) bool {
-	old := a.route()
-	by, found := d.detour(time.Now(), a, old, old.find(t.ID))
-	if !found {
-		return false
-	}
-	for _, one := range by.targets {
-		if one.DataCenter != t.DataCenter {
-			return false
-		}
-	}
-	return true
-}
-
 // detour returns the engines that can take the place of one on a path; none take that of
 // the first.
 func (d *Daemon) detour(now time.Time, a *attempt, old route, at int) (route, bool) {
@@ -349,14 +324,14 @@
 	}
 	return d.find(now, a.service, wish{
 		span: old.parts[at].Layers, tokens: a.tokens, from: old.targets[at-1].DataCenter, within: true,
-		without: old.ids(), spread: mendSpread, share: 1, hurry: true,
+		without: old.ids(), share: 1, hurry: true,
 	})
 }
 
 // mayMove says whether a stream that is taken off its path has somewhere to go: a path
 // with room and a send that the retry budget allows, which is counted here. Without
 // both, it would break off for nothing.
-func (d *Daemon) mayMove(a *attempt) bool {
+func (d *Daemon) mayMove(a *attempt, why string) bool {
 	now := time.Now()
 	if a.service.Engine == nil {
 		return false
@@ -364,7 +339,11 @@
 	if _, found := d.choosePath(now, a.service, a.tokens, 1); !found {
 		return false
 	}
-	if !d.budgets.of(a.call.service).Repeat(now, d.retry.Load().terms(d.members.entries(now))) {
+	budget, terms := d.budgets.of(a.call.service), d.retry.Load().terms(d.members.entries(now))
+	if why == whyLeaving && !budget.Spare(now, terms, leaveSpare) {
+		return false
+	}
+	if !budget.Repeat(now, terms) {
 		return false
 	}
 	a.paid.Store(true)
@@ -379,9 +358,9 @@
 	a.patience += stayPause
 }
 
-// repath orders another path around a target and says whether the stream has it. Where that
-// cannot be done the attempt stays: giving it up would break the answer off for certain.
-func (d *Daemon) repath(ctx context.Context, a *attempt, t *pkreplica.Target, why string) bool {
+// repath orders another path around a target. Where that cannot be done the attempt
+// stays: giving it up would break the answer off for certain.
+func (d *Daemon) repath(ctx context.Context, a *attempt, t *pkreplica.Target, why string) {
 	now := time.Now()
 	old := a.route()
 	at := old.find(t.ID)
@@ -424,5 +403,4 @@
 		a.patience += stayPause
 	}
 	a.mending = false
-	return done
 }
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -91,18 +91,27 @@
 		// callers who met a crashed engine were turned away for a spent budget.
 		return true
 	}
-	if !verdict.MayRepeat(c.route.Repeatable()) || c.runs >= c.route.MaxAttempts {
+	if !c.mayRepeat(verdict) {
 		return false
 	}
-	if c.paid {
-		c.paid = false
-		c.metrics.repeated.Inc()
-		return true
-	}
-	if !c.budgets.of(c.service).Repeat(time.Now(), c.retryTerms()) {
+	if !c.pay() {
 		c.log.Warn("the retry budget is spent", "request_id", c.req.Ask.ID, "service", c.service, "entries", c.members.entries(time.Now()))
 		return false
 	}
+	return true
+}
+
+// mayRepeat says whether a request that came to a verdict may be sent again at all.
+func (c *call) mayRepeat(verdict pkverdict.Verdict) bool {
+	return verdict.MayRepeat(c.route.Repeatable()) && c.runs < c.route.MaxAttempts
+}
+
+// pay counts a further send in the retry budget and says whether it allows it.
+func (c *call) pay() bool {
+	if !c.paid && !c.budgets.of(c.service).Repeat(time.Now(), c.retryTerms()) {
+		return false
+	}
+	c.paid = false
 	c.metrics.repeated.Inc()
 	return true
 }
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -12,6 +12,7 @@
 	"peridotknot.example/pkforward"
 	"peridotknot.example/pklayers"
 	"peridotknot.example/pkreplica"
+	"peridotknot.example/pktimer"
 	"peridotknot.example/pkverdict"
 )
 
@@ -34,6 +35,9 @@
 	begunWait = 1500 * time.Millisecond
 	// fullPoll is how often a waiting request looks again.
 	fullPoll = 10 * time.Millisecond
+	// budgetPoll is how often a stream looks whether the retry budget allows a send again; it
+	// frees a tenth of its window at a time.
+	budgetPoll = 50 * time.Millisecond
 	// retryFull is when a caller that found the pool full may come back: answers
 	// end after two to four seconds, so a quarter of the pool is free by then.
 	retryFull = 2500 * time.Millisecond
@@ -59,7 +63,7 @@
 	var cause error
 	var f flowing
 	for c.sends < maxSends && ctx.Err() == nil {
-		if !c.mayStart(verdict) {
+		if !c.mayStart(verdict) && !c.waitForBudget(ctx, verdict) {
 			break
 		}
 		p, err := c.waitForPath(ctx, s)
@@ -102,6 +106,26 @@
 	return failure.Verdict
 }
 
+// waitForBudget waits until the retry budget allows a further send of a stream whose answer
+// has begun: its caller is lost without it, and waits two seconds for the next event. Small
+// VMs among many have ten repeats in ten seconds; streams that had left an engine broke off
+// when the engine that they were sent to next refused them and the budget was spent.
+func (c *call) waitForBudget(ctx context.Context, verdict pkverdict.Verdict) bool {
+	if !c.begun || !c.mayRepeat(verdict) {
+		return false
+	}
+	until := time.Now().Add(begunWait)
+	for pktimer.Sleep(ctx, budgetPoll) {
+		if c.pay() {
+			return true
+		}
+		if time.Now().After(until) {
+			return false
+		}
+	}
+	return false
+}
+
 // errFull says that no path has room.
 var errFull = errors.New("no path has room")
 
@@ -304,7 +328,7 @@
 				return
 			case <-w.fired:
 			}
-			if (c.stalled(ctx, a) || (asked >= giveUpAfter && a.unbegun())) && a.again && c.mayMove(a) {
+			if (c.stalled(ctx, a) || (asked >= giveUpAfter && a.unbegun())) && a.again && c.mayMove(a, whyDead) {
 				a.cancel(errSilent)
 				return
 			}
--- a/pklayers/plan.go
+++ b/pklayers/plan.go
@@ -28,9 +28,6 @@
 	// farShare is what room outside an engine's own group counts for: a path that goes there
 	// and back sends its prompt through two pipes.
 	farShare = 0.1
-	// weakShare is the share of the room that an engine should have below which a layer is
-	// widened by engines that hold its neighbors.
-	weakShare = 0.5
 	// moveShare is the share below which an engine is moved to the layers with the least.
 	// The pool takes no more than these do: after five of 39 engines had left, it refused a
 	// quarter of all requests while the mean engine stood half empty.
@@ -68,10 +65,9 @@
 // they hold. Engines that are leaving must not be among the cards.
 //
 // A pool that holds next to nothing is laid out as a whole. Later plans move nothing
-// that is right: they give empty engines the layers with the least room, widen engines
-// only beside layers that have lost half of the usual room, since each load takes an
-// engine's time for seconds. A pool that has been quiet, in which none came or went for
-// some time, moves one engine at a time where that raises the least room.
+// that is right: they give empty engines the layers with the least room. A pool that has
+// been quiet, in which none came or went for some time, moves one engine at a time where that
+// raises the least room; each load takes an engine's time for seconds.
 func Plan(m *Model, cards []Card, quiet time.Duration) map[pkid.TargetID]pkid.Range {
 	live := slices.Clone(cards)
 	live = slices.DeleteFunc(live, func(c Card) bool { return m.Most(c.Kind) == 0 })
@@ -89,9 +85,6 @@
 		return layOut(m, live)
 	}
 	out := fillEmpty(m, live)
-	for _, g := range groups(m, live) {
-		widen(m, live, g, out)
-	}
 	for _, g := range groups(m, live) {
 		if len(out) == 0 {
 			rebalance(m, live, g, out, quiet)
--- a/pklayers/repair.go
+++ b/pklayers/repair.go
@@ -95,63 +95,6 @@
 	return room
 }
 
-// widen lets the engines of a group beside a weak run of layers take a part of it each, if
-// they keep room for requests.
-func widen(m *Model, live []Card, g group, out map[pkid.TargetID]pkid.Range) {
-	room := roomByLayer(m, live, g, 0)
-	weak := weakShare * min(m.usualRoom(), mean(room))
-	for first := 0; first < len(room); {
-		if room[first] >= weak {
-			first++
-			continue
-		}
-		end := first
-		for end < len(room) && room[end] < weak {
-			end++
-		}
-		cover(m, live, g, out, pkid.Range{First: pkid.Layer(first), End: pkid.Layer(end)})
-		first = end
-	}
-}
-
-// cover widens the engine below and the engine above a run so that they meet; an
-// engine that cannot take its half leaves more to the other.
-func cover(m *Model, live []Card, g group, out map[pkid.TargetID]pkid.Range, run pkid.Range) {
-	below, spareBelow := roomiest(m, live, out, func(c Card) bool { return g[c.DataCenter] && c.Held.End == run.First })
-	above, spareAbove := roomiest(m, live, out, func(c Card) bool { return g[c.DataCenter] && c.Held.First == run.End })
-	if spareBelow+spareAbove < run.Len() {
-		return
-	}
-	fromBelow := min(max(run.Len()-spareAbove, run.Len()/2), spareBelow)
-	if fromBelow > 0 {
-		r := live[below].Held
-		r.End += pkid.Layer(fromBelow)
-		live[below].Held, out[live[below].ID] = r, r
-	}
-	if fromAbove := run.Len() - fromBelow; fromAbove > 0 {
-		r := live[above].Held
-		r.First -= pkid.Layer(fromAbove)
-		live[above].Held, out[live[above].ID] = r, r
-	}
-}
-
-// roomiest returns the engine among those that fit which can take the most layers.
-func roomiest(m *Model, live []Card, out map[pkid.TargetID]pkid.Range, fits func(Card) bool) (index, spare int) {
-	for i, c := range live {
-		if _, changed := out[c.ID]; changed || c.Held.Len() == 0 || !fits(c) {
-			continue
-		}
-		n := 0
-		for c.Held.Len()+n+1 <= m.Most(c.Kind) && m.Room(c.Kind, c.Held.Len()+n+1) >= m.usualRoom() {
-			n++
-		}
-		if n > spare {
-			index, spare = i, n
-		}
-	}
-	return index, spare
-}
-
 // rebalance moves the engine of a group whose layers can best do without it to the layers
 // with the least room, if none has come or gone for long enough.
 func rebalance(m *Model, live []Card, g group, out map[pkid.TargetID]pkid.Range, quiet time.Duration) {
--- a/pkretry/budget.go
+++ b/pkretry/budget.go
@@ -58,6 +58,21 @@
 func (b *Budget) Repeat(now time.Time, t Terms) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.allows(now, t, 1) {
+		return false
+	}
+	b.slot(now, t).repeats++
+	return true
+}
+
+// Spare says whether the bound allows so many repeats at now; it counts none.
+func (b *Budget) Spare(now time.Time, t Terms, repeats int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allows(now, t, repeats)
+}
+
+func (b *Budget) allows(now time.Time, t Terms, more int) bool {
 	at := b.slot(now, t)
 	requests, repeats := 0.0, 0.0
 	for i := range b.slots {
@@ -69,11 +84,7 @@
 			repeats += b.slots[i].repeats
 		}
 	}
-	if repeats+1 > spend*(t.Ratio*requests+t.Slack/float64(max(t.Entries, 1))) {
-		return false
-	}
-	at.repeats++
-	return true
+	return repeats+float64(more) <= spend*(t.Ratio*requests+t.Slack/float64(max(t.Entries, 1)))
 }
 
 // slot returns the counts of the present part of the window.
