pklayers: a pool that is just large enough holds all layers

Change: where layers would be held by none, engines hold more than leaves the usual room; layers that are missing later are taken by the engines beside them, or the pool is laid out anew. Measured: pools of 8 to 12 engines of 8 to 11 layers each, every single loss from nine on: all layers held again. Test: TestASmallPoolHoldsAllLayers (failed before: a layer without an engine).

--- a/pklayers/group.go
+++ b/pklayers/group.go
@@ -67,3 +67,13 @@
 	}
 	return n
 }
+
+// leastRoomLayers returns how many layers an accelerator holds where room for a few
+// requests must do.
+func (m *Model) leastRoomLayers(k pkid.Kind) int {
+	n := m.Most(k)
+	for n > 1 && m.Room(k, n) < leastRoomShare*m.usualRoom() {
+		n--
+	}
+	return n
+}
--- a/pklayers/plan.go
+++ b/pklayers/plan.go
@@ -25,6 +25,9 @@
 	// layerShare is the share of an engine's memory for layers where nothing is declared: what
 	// the usual room leaves to them on most accelerators.
 	layerShare = 0.7
+	// leastRoomShare is the share of the usual room that an engine keeps where layers would else
+	// be held by none: some ten requests.
+	leastRoomShare = 0.1
 	// farShare is what room outside an engine's own group counts for: a path that goes there
 	// and back sends its prompt through two pipes.
 	farShare = 0.1
@@ -67,7 +70,8 @@
 // A pool that holds next to nothing is laid out as a whole. Later plans move nothing
 // that is right: they give empty engines the layers with the least room. A pool that has
 // been quiet, in which none came or went for some time, moves one engine at a time where that
-// raises the least room; each load takes an engine's time for seconds.
+// raises the least room; each load takes an engine's time for seconds. Layers that none holds
+// are taken by the engines beside them, or the pool is laid out anew.
 func Plan(m *Model, cards []Card, quiet time.Duration) map[pkid.TargetID]pkid.Range {
 	live := slices.Clone(cards)
 	live = slices.DeleteFunc(live, func(c Card) bool { return m.Most(c.Kind) == 0 })
@@ -85,6 +89,9 @@
 		return layOut(m, live)
 	}
 	out := fillEmpty(m, live)
+	if len(out) == 0 && quiet >= urgentTime && missing(m, live) {
+		return restore(m, live)
+	}
 	for _, g := range groups(m, live) {
 		if len(out) == 0 {
 			rebalance(m, live, g, out, quiet)
--- a/pklayers/plan_test.go
+++ b/pklayers/plan_test.go
@@ -195,6 +195,25 @@
 	}
 }
 
+// A pool is just large enough for its model: with the usual room beside their layers its
+// engines do not hold all of them, and no request would find a path. They must hold all, with
+// less room; and when one is lost for good, its neighbors must take its layers.
+func TestASmallPoolHoldsAllLayers(t *testing.T) {
+	m := testModel()
+	for n := 8; n <= 12; n++ {
+		pool := placed(t, m, poolOf(map[pkid.DataCenter]map[pkid.Kind]int{"a": {"l4": n/2 + n%2}, "b": {"l4": n / 2}}))
+		assert.Assert(t, rowsOver(m, pool) >= 1, "%d engines", n)
+		for gone := range pool {
+			left := slices.Delete(slices.Clone(pool), gone, gone+1)
+			for range 3 {
+				left = placed(t, m, left)
+			}
+			// Seven engines of eleven layers at most are not enough for eighty.
+			assert.Assert(t, n == 8 || rowsOver(m, left) >= 1, "%d engines without the one of %v", n, pool[gone].Held)
+		}
+	}
+}
+
 // Two engines that hold the same layers are lost for good. Requests that pass
 // through the third and fourth copy fill it up. Plans must take no copy away.
 func TestLostLayersAreHeldAgain(t *testing.T) {
--- a/pklayers/repair.go
+++ b/pklayers/repair.go
@@ -7,8 +7,21 @@
 	"peridotknot.example/pkid"
 )
 
-// fillEmpty gives each empty engine the layers that have the least room.
+// fillEmpty gives each empty engine the layers that have the least room. Where some layer
+// would be held by none, as in a pool that is just large enough, engines hold more layers
+// than leave them the usual room: a layer that is missing serves nobody.
 func fillEmpty(m *Model, live []Card) map[pkid.TargetID]pkid.Range {
+	for extra := 0; ; extra++ {
+		filled := slices.Clone(live)
+		out := fill(m, filled, extra)
+		if len(out) == 0 || extra >= m.Layers || !missing(m, filled) {
+			copy(live, filled)
+			return out
+		}
+	}
+}
+
+func fill(m *Model, live []Card, extra int) map[pkid.TargetID]pkid.Range {
 	out := map[pkid.TargetID]pkid.Range{}
 	all := groups(m, live)
 	for i := range live {
@@ -16,7 +29,8 @@
 		if live[i].Held.Len() > 0 || (live[i].Fresh && whole(m, live, g)) {
 			continue
 		}
-		r := weakest(m, live, g, live[i].Kind, m.usualLayers(live[i].Kind))
+		n := max(m.usualLayers(live[i].Kind), min(m.usualLayers(live[i].Kind)+extra, m.leastRoomLayers(live[i].Kind)))
+		r := weakest(m, live, g, live[i].Kind, n)
 		live[i].Held = r
 		out[live[i].ID] = r
 	}
@@ -95,6 +109,68 @@
 	return room
 }
 
+// missing says whether some layer is held by no engine, so that nobody is served.
+func missing(m *Model, live []Card) bool {
+	return slices.Min(roomByLayer(m, live, nil, 1)) == 0
+}
+
+// restore plans for a pool that lacks layers and has no engine to spare. The engines beside
+// them take a part each, though they keep little room for requests; where that is not
+// enough, the pool is laid out anew: no load can cost more than serving nobody.
+func restore(m *Model, live []Card) map[pkid.TargetID]pkid.Range {
+	out := map[pkid.TargetID]pkid.Range{}
+	bridged := slices.Clone(live)
+	room := roomByLayer(m, live, nil, 1)
+	for first := 0; first < len(room); {
+		end := first
+		for end < len(room) && room[end] == 0 {
+			end++
+		}
+		if end > first {
+			cover(m, bridged, out, pkid.Range{First: pkid.Layer(first), End: pkid.Layer(end)})
+		}
+		first = end + 1
+	}
+	if !missing(m, bridged) {
+		return out
+	}
+	out = layOut(m, live)
+	for _, c := range live {
+		if out[c.ID] == c.Held {
+			delete(out, c.ID)
+		}
+	}
+	return out
+}
+
+// cover widens the engine below and the engine above a run so that they meet; an engine that
+// cannot take its half leaves more to the other.
+func cover(m *Model, live []Card, out map[pkid.TargetID]pkid.Range, run pkid.Range) {
+	below, spareBelow := roomiest(m, live, func(c Card) bool { return c.Held.End == run.First })
+	above, spareAbove := roomiest(m, live, func(c Card) bool { return c.Held.First == run.End })
+	fromBelow := min(max(run.Len()-spareAbove, run.Len()/2), spareBelow)
+	if fromBelow > 0 {
+		r := live[below].Held
+		r.End += pkid.Layer(fromBelow)
+		live[below].Held, out[live[below].ID] = r, r
+	}
+	if fromAbove := min(run.Len()-fromBelow, spareAbove); fromAbove > 0 {
+		r := live[above].Held
+		r.First -= pkid.Layer(fromAbove)
+		live[above].Held, out[live[above].ID] = r, r
+	}
+}
+
+// roomiest returns the engine among those that fit which can take the most layers.
+func roomiest(m *Model, live []Card, fits func(Card) bool) (index, spare int) {
+	for i, c := range live {
+		if n := m.leastRoomLayers(c.Kind) - c.Held.Len(); c.Held.Len() > 0 && fits(c) && n > spare {
+			index, spare = i, n
+		}
+	}
+	return index, spare
+}
+
 // rebalance moves the engine of a group whose layers can best do without it to the layers
 // with the least room, if none has come or gone for long enough.
 func rebalance(m *Model, live []Card, g group, out map[pkid.TargetID]pkid.Range, quiet time.Duration) {
