--- a/pklayers/plan_test.go
+++ b/pklayers/plan_test.go
@@ -255,17 +255,43 @@
 	}
 }
 
+// BenchmarkFind times the choice of a path: 39 engines and 98.
 func BenchmarkFind(b *testing.B) {
-	m := testModel()
-	cards := testPool()
-	out := Plan(m, cards, steadyTime)
-	var engines []Engine
-	for _, c := range cards {
-		engines = append(engines, Engine{ID: c.ID, DataCenter: c.DataCenter, Kind: c.Kind, Held: out[c.ID], Cost: m.StepTime(c.Kind, 1)})
+	for name, pool := range map[string][]Card{"39": testPool(), "98": grownPool()} {
+		b.Run(name, func(b *testing.B) {
+			m := testModel()
+			out := Plan(m, pool, steadyTime)
+			var engines []Engine
+			for _, c := range pool {
+				engines = append(engines, Engine{ID: c.ID, DataCenter: c.DataCenter, Kind: c.Kind, Held: out[c.ID], Cost: m.StepTime(c.Kind, 1)})
+			}
+			for b.Loop() {
+				Find(m.All(), engines, Costs{Hop: time.Microsecond}, "a")
+			}
+		})
 	}
-	for b.Loop() {
-		Find(m.All(), engines, Costs{Hop: time.Microsecond}, "a")
+}
+
+// BenchmarkPlan times the layout of a new pool, and the look at one that lacks nothing, which
+// its owner takes five times a second.
+func BenchmarkPlan(b *testing.B) {
+	m := testModel()
+	cold := grownPool()
+	b.Run("new", func(b *testing.B) {
+		for b.Loop() {
+			Plan(m, cold, steadyTime)
+		}
+	})
+	held := grownPool()
+	for id, r := range Plan(m, cold, steadyTime) {
+		at := slices.IndexFunc(held, func(c Card) bool { return c.ID == id })
+		held[at].Held = r
 	}
+	b.Run("whole", func(b *testing.B) {
+		for b.Loop() {
+			Plan(m, held, steadyTime)
+		}
+	})
 }
 
 // Engines of one data centre that hold the same layers leave and none comes. All streams
