pkedge: the test of the lost store counts its calls without a race

Cause: three loops of TestOneLoopAsksALostStore make their first calls before the loss is known, so no gate is between them, and they counted those calls in a plain int. The gate itself takes its lock for each step; the race was the test's own.

Change: the count is atomic. What the test asks is unchanged.

--- a/pkedge/gate_test.go
+++ b/pkedge/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,7 +18,7 @@
 		const loops, lost = 3, 8 * time.Second
 		var g gate
 		began := time.Now()
-		calls := 0
+		var calls atomic.Int64
 		back := make(chan time.Duration, loops)
 		for range loops {
 			go func() {
@@ -28,7 +29,7 @@
 						back <- time.Since(began)
 						return
 					}
-					calls++
+					calls.Add(1)
 					g.failed(time.Now())
 				}
 			}()
@@ -37,7 +38,7 @@
 			assert.Assert(t, <-back < lost+retryMost)
 		}
 		// The first calls of the loops are made before the loss is known.
-		assert.Assert(t, calls <= loops+int(lost/(retryMost/2))+3, "%d calls", calls)
+		assert.Assert(t, calls.Load() <= loops+int64(lost/(retryMost/2))+3, "%d calls", calls.Load())
 	})
 }
 
