pkedge: a dead engine is told to the others at once

Some entry finds out within 60 ms of a crash; the others learn of it by three messages, its own, its hub's and the next hub's, each due every 150 ms.

Change: news of an engine that is passed over is a message at once (after 5 ms, for those that die together), from the entry and from its hubs. passOn and suspect were two ways to write one map; they are one.

--- a/pkedge/share.go
+++ b/pkedge/share.go
@@ -30,6 +30,9 @@
 	// storeBackTold is for how long the others are told that the store has returned:
 	// longer than entries that lapsed meanwhile take to be back.
 	storeBackTold = 5 * time.Second
+	// tellGather is how long news of a dead engine waits for more: those that die together
+	// are found within a few milliseconds of one another.
+	tellGather = 5 * time.Millisecond
 	// loadsEvery is how often the loads of other entries are added up: each tells
 	// them seven times a second.
 	loadsEvery = 75 * time.Millisecond
@@ -54,6 +57,9 @@
 	// withHubs says that there are so many entries that they have hubs.
 	withHubs atomic.Bool
 
+	// urgent asks for a message before the next is due.
+	urgent chan struct{}
+
 	mu       sync.Mutex
 	sequence uint64
 	suspects map[pkid.TargetID]time.Time
@@ -65,6 +71,7 @@
 	s.run = rand.Uint64()
 	s.links = map[string]*link{}
 	s.suspects = map[pkid.TargetID]time.Time{}
+	s.urgent = make(chan struct{}, 1)
 	if listen.Peers == "" {
 		return nil
 	}
@@ -76,20 +83,22 @@
 	return nil
 }
 
-// suspect tells the others that a target is passed over until a time.
+// suspect tells the others that a target is passed over until a time, at once where that
+// is news. What one of them said is passed on in the same way, and what comes back to where
+// it began is no news.
+//
+// Told with the next message, at 78 entries it went by three of them, and half of the
+// streams of dead engines learned of it 220 to 260 ms after the crash.
 func (s *sharing) suspect(t pkid.TargetID, until time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if until.Sub(s.suspects[t]) <= suspectPause/2 {
+		return
+	}
 	s.suspects[t] = until
-}
-
-// passOn tells the others what one of them said. What comes back to where it began is
-// no news.
-func (s *sharing) passOn(t pkid.TargetID, until time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if until.Sub(s.suspects[t]) > suspectPause/2 {
-		s.suspects[t] = until
+	select {
+	case s.urgent <- struct{}{}:
+	default: // a message is asked for already
 	}
 }
 
@@ -134,7 +143,7 @@
 			t.Dead(until)
 		}
 		if d.sharing.withHubs.Load() {
-			d.sharing.passOn(one.Target, until)
+			d.sharing.suspect(one.Target, until)
 		}
 	}
 }
@@ -193,21 +202,28 @@
 	s := &d.sharing
 	defer s.wg.Wait()
 	var before pkshare.Message
-	var told time.Time
+	var last time.Time
 	round := 0
-	pktimer.Every(ctx, pkshare.Every, func(ctx context.Context) {
+	tell := func(due bool) {
 		now := time.Now()
-		if round%linksEvery == 0 {
-			d.updateLinks(ctx, now)
-		}
-		round++
 		m := d.message(now)
-		due := !s.withHubs.Load() || round%sumsEvery == 0 || len(m.Suspects) != len(before.Suspects)
-		news := due && (differs(before, m) || now.Sub(told) >= pkshare.Quiet)
+		due = due || !s.withHubs.Load() || len(m.Suspects) != len(before.Suspects)
+		news := due && (differs(before, m) || now.Sub(last) >= pkshare.Quiet)
 		if news {
-			before, told = m, now
+			before, last = m, now
 		}
 		d.broadcast(now, m, due, news)
+	}
+	pktimer.EveryOr(ctx, pkshare.Every, s.urgent, func(ctx context.Context) {
+		if round%linksEvery == 0 {
+			d.updateLinks(ctx, time.Now())
+		}
+		round++
+		tell(round%sumsEvery == 0)
+	}, func(ctx context.Context) {
+		if pktimer.Sleep(ctx, tellGather) {
+			tell(true)
+		}
 	})
 }
 
--- a/pktimer/timer.go
+++ b/pktimer/timer.go
@@ -19,14 +19,23 @@
 
 // Every calls do at once and then each period until ctx ends.
 func Every(ctx context.Context, period time.Duration, do func(context.Context)) {
+	EveryOr(ctx, period, nil, do, nil)
+}
+
+// EveryOr calls do at once and then each period, and early where something comes from
+// a channel in between, until ctx ends.
+func EveryOr(ctx context.Context, period time.Duration, wake <-chan struct{}, do, early func(context.Context)) {
 	t := time.NewTicker(period)
 	defer t.Stop()
+	do(ctx)
 	for {
-		do(ctx)
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
+			do(ctx)
+		case <-wake:
+			early(ctx)
 		}
 	}
 }
