--- a/pkedge/mend.go
+++ b/pkedge/mend.go
@@ -123,11 +123,11 @@
 	a.last = now
 }
 
-// unbegun says whether no event has come.
-func (a *attempt) unbegun() bool {
+// count returns how many events have come.
+func (a *attempt) count() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.events == 0
+	return a.events
 }
 
 func (a *attempt) route() route {
@@ -377,7 +377,7 @@
 		cancel()
 	}
 	done := outcome == pkowner.Begun || outcome == pkowner.Done
-	d.log.Info("a stream changes its path", "request_id", a.call.req.Ask.ID, "target", t.ID, "why", why, "events", a.events,
+	d.log.Info("a stream changes its path", "request_id", a.call.req.Ask.ID, "target", t.ID, "why", why, "events", a.count(),
 		"outcome", outcome.String(), "path", next.String(), "error", err)
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/pkedge/mend_test.go
+++ b/pkedge/mend_test.go
@@ -102,6 +102,33 @@
 	assert.Equal(t, p.targets[1].ID, pkid.TargetID("near"))
 }
 
+// eventfulEngines take each new path while an event of the stream comes.
+type eventfulEngines struct {
+	pkowner.Engines
+	event func()
+}
+
+func (e eventfulEngines) Repath(context.Context, string, pkid.RequestID, []pkforward.Hop) (pkowner.Outcome, error) {
+	go e.event()
+	return pkowner.Done, nil
+}
+
+// A stream changes its path while its events come. The line that tells of it says how many
+// there were; read beside the event that counts itself, the count may be any.
+func TestEventsComeWhileAPathIsChanged(t *testing.T) {
+	d, s := poolDaemon(engine("first", "a", 0, 40), engine("second", "a", 40, 80), engine("other", "a", 40, 80))
+	a := attemptOver(t, d, s, "first", "second")
+	came := make(chan struct{})
+	d.Engines = eventfulEngines{event: func() {
+		a.event(time.Now())
+		close(came)
+	}}
+	second, _ := d.roster.Target("second")
+	d.repath(t.Context(), a, second, whyDead)
+	<-came
+	assert.Equal(t, a.mended, 1)
+}
+
 // spendable gives a daemon a retry budget of so many sends in ten seconds.
 func spendable(d *Daemon, sends float64) {
 	d.retry.Store(&Retry{WindowS: 10, Slack: (sends + 0.5) / 0.85})
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -328,7 +328,7 @@
 				return
 			case <-w.fired:
 			}
-			if (c.stalled(ctx, a) || (asked >= giveUpAfter && a.unbegun())) && a.again && c.mayMove(a, whyDead) {
+			if (c.stalled(ctx, a) || (asked >= giveUpAfter && a.count() == 0)) && a.again && c.mayMove(a, whyDead) {
 				a.cancel(errSilent)
 				return
 			}
