pkedge: a stream takes the engine beside a dead one before it starts over

Cause: where four of 99 engines die at one moment, some 140 streams are sent again and read all of their tokens through all engines, at once.

Change: a stream whose dead engine has others beside it, in its own data centre, that hold its layers takes them in place; only these read its tokens. It has another attempt where the detour would cross a pipe, where another engine of the path is dead too, or where the order is refused. Repath books what it is given and no longer chooses; an attempt is marked free in one place for each outcome.

--- a/pkedge/mend.go
+++ b/pkedge/mend.go
@@ -296,29 +296,37 @@
 	return nil, ""
 }
 
-// mend lets a stream go on without a target: by another attempt after its last event,
-// or where it has no attempt left, by another path in place. A new attempt makes a pause of
-// 0.1 s beside that of finding out, a new path one of 0.1 to 0.9 s, since its engines read
-// all tokens after the others and have to wait for them.
+// mend lets a stream go on without a target: by another path in place, whose new engines
+// alone read the tokens so far, or by another attempt after its last event, which reads them
+// through all engines. Where four of 99 engines died at one moment, 140 streams read all
+// their tokens again at once, and each waited for the others: with the near ones in place
+// before, days with trouble of that pool are worth 0.723 against 0.715 (20 days).
 //
 // A leaving target serves on for seconds: its streams stay with it until there is
 // room elsewhere and a send left.
 func (d *Daemon) mend(ctx context.Context, a *attempt, t *pkreplica.Target, why string) {
-	if a.again && d.mayMove(a, why) {
+	now := time.Now()
+	by, found := d.detour(now, a, t)
+	inPlace := found && (!a.again || (why == whyDead && a.near(now, t, by)))
+	switch {
+	case inPlace && d.repath(ctx, a, t, why, by):
+	case a.again && d.mayMove(a, why):
 		d.log.Info("a stream goes on by another attempt", "request_id", a.call.req.Ask.ID, "target", t.ID, "why", why)
 		a.cancel(errMoved)
-		return
-	}
-	if why == whyLeaving && a.again {
+	case a.again && why == whyLeaving:
 		a.stay()
-		return
+	case found && !inPlace && d.repath(ctx, a, t, why, by):
+	default:
+		d.log.Info("a stream finds no other path", "request_id", a.call.req.Ask.ID, "target", t.ID, "why", why, "detour", found)
+		a.tryLater(now)
 	}
-	d.repath(ctx, a, t, why)
 }
 
 // detour returns the engines that can take the place of one on a path; none take that of
 // the first.
-func (d *Daemon) detour(now time.Time, a *attempt, old route, at int) (route, bool) {
+func (d *Daemon) detour(now time.Time, a *attempt, t *pkreplica.Target) (route, bool) {
+	old := a.route()
+	at := old.find(t.ID)
 	if at <= 0 {
 		return route{}, false
 	}
@@ -328,6 +336,23 @@
 	})
 }
 
+// near says whether a detour stays in the data centre of the dead engine that it leads
+// around, and no other engine of the path is dead. Through a pipe all tokens so far would
+// pass there and back: when 32 streams did so at once, each stood still for half a second.
+func (a *attempt) near(now time.Time, dead *pkreplica.Target, by route) bool {
+	for _, t := range by.targets {
+		if t.DataCenter != dead.DataCenter {
+			return false
+		}
+	}
+	for _, t := range a.route().targets {
+		if t.ID != dead.ID && t.IsDead(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // mayMove says whether a stream that is taken off its path has somewhere to go: a path
 // with room and a send that the retry budget allows, which is counted here. Without
 // both, it would break off for nothing.
@@ -358,49 +383,42 @@
 	a.patience += stayPause
 }
 
-// repath orders another path around a target. Where that cannot be done the attempt
-// stays: giving it up would break the answer off for certain.
-func (d *Daemon) repath(ctx context.Context, a *attempt, t *pkreplica.Target, why string) {
-	now := time.Now()
+// tryLater lets an attempt that found no other path at now keep its own. To give it up would
+// break the answer off for certain. Engines that live after all go on, and a dead one ends the
+// stream itself, but only after seconds. There may be room elsewhere before: tried four times
+// at once and then no more, one stream in ten with a dead engine stood still until its caller
+// left.
+func (a *attempt) tryLater(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.mending = false
+	a.triedUntil = now.Add(stayPause)
+	a.patience += stayPause
+}
+
+// repath orders another path around a target and says whether the stream has it.
+func (d *Daemon) repath(ctx context.Context, a *attempt, t *pkreplica.Target, why string, by route) bool {
 	old := a.route()
 	at := old.find(t.ID)
-	by, found := d.detour(now, a, old, at)
-	next := old
-	outcome := pkowner.Rejected
-	var err error
-	if found {
-		// Counted before the order: the other streams of the same engine choose meanwhile.
-		by.begin(now, a.service.Engine, &d.pipes, a.tokens, a.tokens, d.sharing.toldAfter())
-		next = old.replaced(at, by)
-		order, cancel := context.WithTimeout(ctx, repathTimeout)
-		outcome, err = d.Engines.Repath(order, old.first().Addr, a.call.req.Ask.ID, next.hops)
-		cancel()
-	}
+	// Counted before the order: the other streams of the same engine choose meanwhile.
+	by.begin(time.Now(), a.service.Engine, &d.pipes, a.tokens, a.tokens, d.sharing.toldAfter())
+	next := old.replaced(at, by)
+	order, cancel := context.WithTimeout(ctx, repathTimeout)
+	outcome, err := d.Engines.Repath(order, old.first().Addr, a.call.req.Ask.ID, next.hops)
+	cancel()
 	done := outcome == pkowner.Begun || outcome == pkowner.Done
 	d.log.Info("a stream changes its path", "request_id", a.call.req.Ask.ID, "target", t.ID, "why", why, "events", a.count(),
 		"outcome", outcome.String(), "path", next.String(), "error", err)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	switch {
-	case !found:
-	case a.over || !done:
+	if a.over || !done {
 		by.done(a.tokens)
-	default:
-		old.targets[at].Done(a.tokens * float64(old.parts[at].Layers.Len()))
-	}
-	switch {
-	case a.over:
-	case done:
-		a.mended++
-		a.path = next
-		a.last = time.Now()
-	default:
-		// Engines that live after all go on, and a dead one ends the stream itself, but
-		// only after seconds. There may be room elsewhere before: tried four times at
-		// once and then no more, one stream in ten with a dead engine stood still until
-		// its caller left.
-		a.triedUntil = now.Add(stayPause)
-		a.patience += stayPause
+		return a.over
 	}
+	old.targets[at].Done(a.tokens * float64(old.parts[at].Layers.Len()))
+	a.mended++
+	a.path = next
+	a.last = time.Now()
 	a.mending = false
+	return true
 }
--- a/pkedge/mend_test.go
+++ b/pkedge/mend_test.go
@@ -124,11 +124,71 @@
 		close(came)
 	}}
 	second, _ := d.roster.Target("second")
-	d.repath(t.Context(), a, second, whyDead)
+	by, found := d.detour(time.Now(), a, second)
+	assert.Assert(t, found)
+	assert.Assert(t, d.repath(t.Context(), a, second, whyDead, by))
 	<-came
 	assert.Equal(t, a.mended, 1)
 }
 
+// obedientEngines take each new path and keep it.
+type obedientEngines struct {
+	pkowner.Engines
+	path []pkforward.Hop
+}
+
+func (e *obedientEngines) Repath(_ context.Context, _ string, _ pkid.RequestID, path []pkforward.Hop) (pkowner.Outcome, error) {
+	e.path = path
+	return pkowner.Done, nil
+}
+
+// Four engines of a large pool die at one moment. Their 140 streams all read all of their
+// tokens again, each waits for the others, and what could have gone on within 150 ms goes on
+// after 250. A stream whose dead engine has another beside it must have that one read alone;
+// one that would go through a pipe for it, or that waits for two dead engines, is better off
+// with another attempt.
+func TestAStreamTakesTheEngineBesideADeadOne(t *testing.T) {
+	cases := []struct {
+		name    string
+		beside  pkid.DataCenter
+		dead    []pkid.TargetID
+		inPlace bool
+	}{
+		{"beside it", "a", []pkid.TargetID{"second"}, true},
+		{"in another data centre", "b", []pkid.TargetID{"second"}, false},
+		{"two dead engines", "a", []pkid.TargetID{"second", "third"}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d, s := poolDaemon(
+				engine("first", "a", 0, 30), engine("second", "a", 30, 60), engine("third", "a", 60, 80),
+				engine("beside", c.beside, 30, 60), engine("other", "a", 60, 80),
+			)
+			spendable(d, 9)
+			engines := &obedientEngines{}
+			d.Engines = engines
+			a := attemptOver(t, d, s, "first", "second", "third")
+			a.again = true
+			var moved error
+			a.cancel = func(err error) { moved = err }
+			for _, id := range c.dead {
+				one, _ := d.roster.Target(id)
+				one.Dead(time.Now().Add(suspectPause))
+			}
+			second, _ := d.roster.Target("second")
+			d.mend(t.Context(), a, second, whyDead)
+			if !c.inPlace {
+				assert.Equal(t, moved, errMoved)
+				assert.Equal(t, len(engines.path), 0)
+				return
+			}
+			assert.NilError(t, moved)
+			assert.Equal(t, len(engines.path), 3)
+			assert.Equal(t, engines.path[1].Addr, "beside")
+		})
+	}
+}
+
 // spendable gives a daemon a retry budget of so many sends in ten seconds.
 func spendable(d *Daemon, sends float64) {
 	d.retry.Store(&Retry{WindowS: 10, Slack: (sends + 0.5) / 0.85})
