pkedge: a renewed lease tells that the store is back

Cause: while the store is away each entry asks for its configuration every 0.4 to 0.8 s, at the full price of a call.

Change: the pause after a failed call grows by three up to four seconds; a renewal of the lease, which goes on each second at a tenth of the price, ends it when it succeeds.

--- a/pkedge/follow.go
+++ b/pkedge/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"peridotknot.example/pkreplica"
@@ -12,11 +11,6 @@
 )
 
 const (
-	// retryFirst and retryMost bound the pause after a failed call to the store.
-	// It doubles and is drawn at random, so that daemons which lost the store
-	// together don't come back together.
-	retryFirst = 50 * time.Millisecond
-	retryMost  = 800 * time.Millisecond
 	// changesPace gathers changes of the list and of members: a tenth of the time
 	// within which a leaving replica must get no more requests.
 	changesPace = 200 * time.Millisecond
@@ -133,11 +127,6 @@
 	}
 }
 
-func backOff(failures int) time.Duration {
-	most := min(retryFirst<<min(failures, 10), retryMost)
-	return most/2 + rand.N(most/2)
-}
-
 // followConfig keeps the newest configuration in force.
 func (d *Daemon) followConfig(ctx context.Context) {
 	d.follow(ctx, follower{
--- a/pkedge/gate.go
+++ b/pkedge/gate.go
@@ -2,10 +2,21 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
 
+const (
+	// retryFirst and retryMost bound the pause after a failed call to the store. It grows by
+	// retryGrowth and is drawn at random, so that daemons which lost the store together
+	// don't come back together. It may be long, since a renewal of the lease that succeeds
+	// ends it: renewals go on each second, at a tenth of the price of other calls.
+	retryFirst  = 50 * time.Millisecond
+	retryMost   = 4 * time.Second
+	retryGrowth = 3
+)
+
 // gate lets one loop at a time call a store that is lost; the zero value is open.
 //
 // Each entry follows three prefixes. While the store was lost, each of the three asked again
@@ -17,12 +28,14 @@
 	next time.Time
 	// opened is closed once the store answers; nil while it is not lost.
 	opened chan struct{}
+	// reached is closed where the store may be asked before next.
+	reached chan struct{}
 }
 
 // enter waits until a loop may call the store.
 func (g *gate) enter(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait, opened := g.claim(time.Now())
+		wait, opened, reached := g.claim(time.Now())
 		if wait <= 0 {
 			return
 		}
@@ -30,23 +43,24 @@
 		select {
 		case <-inner.Done():
 		case <-opened:
+		case <-reached:
 		}
 		cancel()
 	}
 }
 
 // claim returns how long a loop must wait at now; the first that need not wait asks for all.
-func (g *gate) claim(now time.Time) (time.Duration, <-chan struct{}) {
+func (g *gate) claim(now time.Time) (wait time.Duration, opened, reached <-chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.opened == nil {
-		return 0, nil
+		return 0, nil, nil
 	}
 	if wait := g.next.Sub(now); wait > 0 {
-		return wait, g.opened
+		return wait, g.opened, g.reached
 	}
 	g.next = now.Add(backOff(g.failures + 1))
-	return 0, nil
+	return 0, nil, nil
 }
 
 // failed notes at now that the store did not answer and returns when it may be asked again.
@@ -54,12 +68,24 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.opened == nil {
-		g.opened = make(chan struct{})
+		g.opened, g.reached = make(chan struct{}), make(chan struct{})
 	}
 	g.failures++
 	g.next = now.Add(backOff(g.failures))
 }
 
+// renewed notes at now that the store renewed the lease: one loop may ask for more.
+func (g *gate) renewed(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opened == nil {
+		return
+	}
+	g.next = now
+	close(g.reached)
+	g.reached = make(chan struct{})
+}
+
 // answered lets all loops in.
 func (g *gate) answered() {
 	g.mu.Lock()
@@ -69,3 +95,12 @@
 	}
 	g.failures, g.opened = 0, nil
 }
+
+// backOff returns the pause after so many failures in a row.
+func backOff(failures int) time.Duration {
+	pause := retryFirst
+	for range failures {
+		pause = min(retryGrowth*pause, retryMost)
+	}
+	return pause/2 + rand.N(pause/2)
+}
--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -220,7 +220,9 @@
 			return
 		}
 		err := d.keepOnce(ctx, &registered)
-		if err != nil && ctx.Err() == nil {
+		if err == nil {
+			d.store.renewed(time.Now())
+		} else if ctx.Err() == nil {
 			d.log.Warn("the lease was not renewed", "error", err)
 		}
 		d.members.kept(err)
