pkedge: the first entries of a data centre hold a connection to each engine there

Change: the two first entries of each data centre (its hubs where there are hubs) hold an idle connection to each engine there. It ends with the engine's process, and the next one is refused: known within milliseconds, for certain, and told to the others with that word. Streams through an engine whose process is gone are mended at once, silent or not; an engine that gave no sign of life is treated as before. Engines end idle connections after 1.5 s here, and are connected to again; where a VM lost power nothing arrives, and silence tells as before.

--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -82,6 +82,7 @@
 	d := &Daemon{Ports: p, settings: s, log: log, configured: make(chan struct{})}
 	d.retry.Store(&s.Retry)
 	d.seeds.Store(&s.Seeds)
+	d.streams.gone = make(chan struct{}, 1)
 	d.metrics = newMetrics(d)
 	var err error
 	if d.callers, err = net.Listen("tcp", s.Listen.Callers); err != nil {
@@ -131,7 +132,7 @@
 		peers := &http.Server{Handler: d.peersHandler(inner), ReadHeaderTimeout: readinessTimeout}
 		g.Add(func() error { return untilDone(inner, peers.Serve(d.sharing.listener)) }, func(error) { _ = peers.Close() })
 	}
-	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.keepLease, d.own, d.tellPeers, d.takeLoads, d.mendStreams} {
+	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.keepLease, d.own, d.tellPeers, d.takeLoads, d.mendStreams, d.watchEngines} {
 		g.Add(func() error { loop(inner); return nil }, func(error) { cancel() })
 	}
 	return g.Run()
--- a/pkedge/mend.go
+++ b/pkedge/mend.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"peridotknot.example/pkconfig"
@@ -152,10 +153,20 @@
 type streams struct {
 	mu  sync.Mutex
 	all map[*attempt]bool
+	// gone asks for a look before the next is due: an engine's process is gone.
+	gone chan struct{}
 	// wg counts what is being asked and mended.
 	wg sync.WaitGroup
 }
 
+// look has the streams looked over at once.
+func (s *streams) look() {
+	select {
+	case s.gone <- struct{}{}:
+	default: // a look is asked for already
+	}
+}
+
 func (s *streams) add(a *attempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -189,7 +200,7 @@
 	defer wg.Wait()
 	for pause := mendEvery; ; {
 		before := time.Now()
-		if !pktimer.Sleep(ctx, pause) {
+		if !pktimer.SleepOr(ctx, pause, d.streams.gone) {
 			return
 		}
 		now := time.Now()
@@ -246,7 +257,7 @@
 	controlErr := <-control
 	dead := pkstall.Dead(err, controlErr)
 	if now := time.Now(); dead {
-		d.suspect(t, now.Add(suspectPause))
+		d.suspect(t, now.Add(suspectPause), err)
 		d.mendAll(ctx, now, d.streams.list())
 	}
 	d.log.Info("asked an engine that silent streams share", "target", t.ID, "dead", dead, "error", err, "control_error", controlErr)
@@ -268,10 +279,21 @@
 	return err
 }
 
-// suspect passes a target over, here and at the other entries.
-func (d *Daemon) suspect(t *pkreplica.Target, until time.Time) {
+// suspect passes a target over for a failure, here and at the other entries. Where nothing
+// listens at its address its process is gone, and all that passed through it.
+func (d *Daemon) suspect(t *pkreplica.Target, until time.Time, err error) {
+	gone := errors.Is(err, syscall.ECONNREFUSED)
+	d.pass(t, until, gone)
+	d.sharing.suspect(t.ID, until, gone)
+}
+
+func (d *Daemon) pass(t *pkreplica.Target, until time.Time, gone bool) {
+	if gone {
+		t.Gone(until)
+		d.streams.look()
+		return
+	}
 	t.Dead(until)
-	d.sharing.suspect(t.ID, until)
 }
 
 // wants returns the target that the attempt should pass no more, if there is one.
@@ -285,7 +307,7 @@
 	for i, t := range a.path.targets {
 		latest, found := a.call.roster.Target(t.ID)
 		switch {
-		case silent && t.IsDead(now):
+		case t.IsGone(now), silent && t.IsDead(now):
 			a.mending = true
 			return t, whyDead
 		case i > 0 && found && a.call.roster.LeavingFor(now, latest) > a.patience:
--- a/pkedge/mend_test.go
+++ b/pkedge/mend_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,7 +33,7 @@
 // poolDaemon is a daemon that knows engines of a model and runs nothing.
 func poolDaemon(infos ...pkreplica.Info) (*Daemon, *pkconfig.Service) {
 	d := &Daemon{log: hclog.NewNullLogger()}
-	d.sharing.suspects = map[pkid.TargetID]time.Time{}
+	d.sharing.suspects = map[pkid.TargetID]suspicion{}
 	var records []pkreplica.Record
 	for _, info := range infos {
 		info.Service = "models"
@@ -189,6 +191,29 @@
 	}
 }
 
+// An engine dies. The entry that asks it is refused a connection and tells the others: nothing
+// that passed through it will go on. Their streams have been silent for 20 ms, a pause as any;
+// to wait until they are silent for long takes half of the pause that callers accept. Where
+// the engine merely gave no sign of life, a stream must be silent too.
+func TestStreamsLeaveAnEngineWhoseProcessIsGoneAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		want string
+	}{
+		{fmt.Errorf("report: %w", syscall.ECONNREFUSED), whyDead},
+		{context.DeadlineExceeded, ""},
+	} {
+		d, s := poolDaemon(engine("first", "a", 0, 40), engine("second", "a", 40, 80))
+		a := attemptOver(t, d, s, "first", "second")
+		now := time.Now()
+		a.last = now.Add(-20 * time.Millisecond)
+		second, _ := d.roster.Target("second")
+		d.suspect(second, now.Add(suspectPause), c.err)
+		_, why := a.wants(now)
+		assert.Equal(t, why, c.want)
+	}
+}
+
 // spendable gives a daemon a retry budget of so many sends in ten seconds.
 func spendable(d *Daemon, sends float64) {
 	d.retry.Store(&Retry{WindowS: 10, Slack: (sends + 0.5) / 0.85})
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -217,7 +217,7 @@
 		return until
 	}
 	until = now.Add(suspectPause)
-	d.suspect(t, until)
+	d.suspect(t, until, err)
 	return until
 }
 
--- a/pkedge/share.go
+++ b/pkedge/share.go
@@ -43,6 +43,12 @@
 	redialMost  = 2 * time.Second
 )
 
+// suspicion is what is told of a target that was found at fault.
+type suspicion struct {
+	until time.Time
+	gone  bool
+}
+
 // sharing is how a daemon tells the others and hears them.
 type sharing struct {
 	table    pkshare.Table
@@ -56,13 +62,15 @@
 	links map[string]*link
 	// withHubs says that there are so many entries that they have hubs.
 	withHubs atomic.Bool
+	// first says that this entry is among the first of its data centre.
+	first atomic.Bool
 
 	// urgent asks for a message before the next is due.
 	urgent chan struct{}
 
 	mu       sync.Mutex
 	sequence uint64
-	suspects map[pkid.TargetID]time.Time
+	suspects map[pkid.TargetID]suspicion
 	wg       sync.WaitGroup
 }
 
@@ -70,7 +78,7 @@
 	s.net = pkpeer.NewNet[pkshare.Message](pkpeer.Identity{}, pkconn.DefaultOptions())
 	s.run = rand.Uint64()
 	s.links = map[string]*link{}
-	s.suspects = map[pkid.TargetID]time.Time{}
+	s.suspects = map[pkid.TargetID]suspicion{}
 	s.urgent = make(chan struct{}, 1)
 	if listen.Peers == "" {
 		return nil
@@ -89,13 +97,14 @@
 //
 // Told with the next message, at 78 entries it went by three of them, and half of the
 // streams of dead engines learned of it 220 to 260 ms after the crash.
-func (s *sharing) suspect(t pkid.TargetID, until time.Time) {
+func (s *sharing) suspect(t pkid.TargetID, until time.Time, gone bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if until.Sub(s.suspects[t]) <= suspectPause/2 {
+	old := s.suspects[t]
+	if until.Sub(old.until) <= suspectPause/2 && (old.gone || !gone) {
 		return
 	}
-	s.suspects[t] = until
+	s.suspects[t] = suspicion{until: until, gone: gone}
 	select {
 	case s.urgent <- struct{}{}:
 	default: // a message is asked for already
@@ -140,10 +149,10 @@
 	for _, one := range m.Suspects {
 		until := now.Add(time.Duration(one.ForMS) * time.Millisecond)
 		if t, found := d.roster.Target(one.Target); found {
-			t.Dead(until)
+			d.pass(t, until, one.Gone)
 		}
 		if d.sharing.withHubs.Load() {
-			d.sharing.suspect(one.Target, until)
+			d.sharing.suspect(one.Target, until, one.Gone)
 		}
 	}
 }
@@ -327,7 +336,9 @@
 	delete(byAddr, self.Addr)
 	delete(byAddr, "")
 	d.sharing.withHubs.Store(pkshare.WithHubs(len(byAddr)))
-	return d.sharing.table.Roles(now, self, slices.Collect(maps.Values(byAddr)))
+	others := slices.Collect(maps.Values(byAddr))
+	d.sharing.first.Store(d.sharing.table.IsFirst(now, self, others))
+	return d.sharing.table.Roles(now, self, others)
 }
 
 func (d *Daemon) runLink(ctx context.Context, addr string, l *link) {
@@ -412,13 +423,13 @@
 	s.mu.Lock()
 	s.sequence++
 	m.Sequence = s.sequence
-	for id, until := range s.suspects {
-		left := until.Sub(now)
+	for id, one := range s.suspects {
+		left := one.until.Sub(now)
 		if left <= 0 {
 			delete(s.suspects, id)
 			continue
 		}
-		m.Suspects = append(m.Suspects, pkshare.Suspect{Target: id, ForMS: left.Milliseconds()})
+		m.Suspects = append(m.Suspects, pkshare.Suspect{Target: id, ForMS: left.Milliseconds(), Gone: one.gone})
 	}
 	s.mu.Unlock()
 	for _, t := range d.roster.All() {
--- a/pkedge/share_test.go
+++ b/pkedge/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,20 +29,15 @@
 	return d
 }
 
-// told returns the engines that a link's newest message suspects; it fails where there is
-// none.
-func told(t *testing.T, l *link) []pkid.TargetID {
+// told returns what a link's newest message suspects; it fails where there is none.
+func told(t *testing.T, l *link) []pkshare.Suspect {
 	t.Helper()
 	synctest.Wait()
 	select {
 	case raw := <-l.out:
 		m, err := pkpeer.Decode[pkshare.Message](raw)
 		assert.NilError(t, err)
-		var out []pkid.TargetID
-		for _, one := range m.Suspects {
-			out = append(out, one.Target)
-		}
-		return out
+		return m.Suspects
 	default:
 		t.Fatal("nothing was told")
 		return nil
@@ -60,11 +56,11 @@
 	}{
 		{"by the one that found it", 2, func(d *Daemon, now time.Time) {
 			one, _ := d.roster.Target("dead")
-			d.suspect(one, now.Add(suspectPause))
+			d.suspect(one, now.Add(suspectPause), syscall.ECONNREFUSED)
 		}},
 		{"by a hub that heard of it", 14, func(d *Daemon, now time.Time) {
 			d.hear(now, pkshare.Message{From: "m-09", Addr: "m-09", DataCenter: "a", Sequence: 2, Suspects: []pkshare.Suspect{
-				{Target: "dead", ForMS: suspectPause.Milliseconds()},
+				{Target: "dead", ForMS: suspectPause.Milliseconds(), Gone: true},
 			}})
 		}},
 	}
@@ -82,7 +78,7 @@
 				time.Sleep(pkshare.Every / 3)
 				c.learn(d, time.Now())
 				time.Sleep(tellGather)
-				assert.DeepEqual(t, told(t, l), []pkid.TargetID{"dead"})
+				assert.DeepEqual(t, told(t, l), []pkshare.Suspect{{Target: "dead", ForMS: (suspectPause - tellGather).Milliseconds(), Gone: true}})
 
 				// What is known is told with the rest.
 				c.learn(d, time.Now())
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -358,7 +358,7 @@
 	}
 	if err != nil {
 		if c.r.Context().Err() == nil {
-			c.suspect(first, now.Add(suspectPause))
+			c.suspect(first, now.Add(suspectPause), err)
 			c.log.Info("a silent engine is passed over", "target", first.ID, "request_id", c.req.Ask.ID, "error", err)
 		}
 		return true
@@ -373,7 +373,7 @@
 			if !t.IsDead(now) {
 				c.log.Info("an engine that others wait for is passed over", "target", t.ID, "request_id", one.ID)
 			}
-			c.suspect(t, now.Add(suspectPause))
+			c.suspect(t, now.Add(suspectPause), nil)
 		}
 	}
 	return found
--- /dev/null
+++ b/pkedge/watch.go
@@ -0,0 +1,86 @@
+package pkedge
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"peridotknot.example/pkid"
+	"peridotknot.example/pkreplica"
+	"peridotknot.example/pktimer"
+)
+
+const (
+	// watchEvery is how often the engines to be watched are compared with the list.
+	watchEvery = 500 * time.Millisecond
+	// holdLeast is how soon a connection to the same engine is made again: engines close
+	// idle ones after a second or more, and reset those that are too many at once.
+	holdLeast = 200 * time.Millisecond
+)
+
+// watchEngines holds an idle connection to each engine of its own data centre, where this
+// entry is among the first there. The connection ends with the engine's process, and no
+// other can be made: that says within milliseconds, and for certain, what silent streams say
+// after 60 to 120, and callers accept pauses of 200.
+func (d *Daemon) watchEngines(ctx context.Context) {
+	watched := map[pkid.TargetID]context.CancelFunc{}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	pktimer.Every(ctx, watchEvery, func(ctx context.Context) {
+		wanted := d.toWatch(time.Now())
+		for id, cancel := range watched {
+			if wanted[id] == nil {
+				cancel()
+				delete(watched, id)
+			}
+		}
+		for id, t := range wanted {
+			if watched[id] != nil {
+				continue
+			}
+			inner, cancel := context.WithCancel(ctx)
+			watched[id] = cancel
+			wg.Go(func() { d.watchEngine(inner, t) })
+		}
+	})
+}
+
+// toWatch returns the engines that this entry watches at now.
+func (d *Daemon) toWatch(now time.Time) map[pkid.TargetID]*pkreplica.Target {
+	out := map[pkid.TargetID]*pkreplica.Target{}
+	table := d.book.Table()
+	if table == nil || !d.sharing.first.Load() {
+		return out
+	}
+	for i := range table.Services {
+		if table.Services[i].Engine == nil {
+			continue
+		}
+		for _, t := range d.roster.Live(now, table.Services[i].ID) {
+			if t.DataCenter == d.settings.DataCenter {
+				out[t.ID] = t
+			}
+		}
+	}
+	return out
+}
+
+// watchEngine holds connections to an engine, one after the other, until ctx ends.
+func (d *Daemon) watchEngine(ctx context.Context, t *pkreplica.Target) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := d.Engines.Hold(ctx, t.Addr)
+		now := time.Now()
+		pause := holdLeast - now.Sub(began)
+		if ctx.Err() == nil && errors.Is(err, syscall.ECONNREFUSED) {
+			d.suspect(t, now.Add(suspectPause), err)
+			d.log.Info("an engine's process is gone", "target", t.ID, "error", err)
+			pause = suspectPause / 2
+		}
+		if !pktimer.Sleep(ctx, max(pause, 0)) {
+			return
+		}
+	}
+}
--- a/pkowner/engine.go
+++ b/pkowner/engine.go
@@ -66,6 +66,9 @@
 	Report(ctx context.Context, addr string) (Report, error)
 	// Place orders the engine at addr to hold layers.
 	Place(ctx context.Context, addr string, o Order) (Outcome, error)
+	// Hold keeps a connection to the engine at addr until the engine ends it, as it does with
+	// all when its process ends; the error is that of connecting.
+	Hold(ctx context.Context, addr string) error
 	// Repath orders the first engine of a request to go on over another path.
 	Repath(ctx context.Context, addr string, id pkid.RequestID, path []pkforward.Hop) (Outcome, error)
 }
--- a/pkreplica/target.go
+++ b/pkreplica/target.go
@@ -46,6 +46,7 @@
 	goneAt     time.Time
 	askedAt    time.Time
 	deadUntil  time.Time
+	goneUntil  time.Time
 	leavingAt  time.Time
 	// readUntil is when this entry's prompts will have been read.
 	readUntil time.Time
@@ -199,6 +200,23 @@
 	}
 }
 
+// Gone passes the target over until a time, as one whose process is gone.
+func (t *Target) Gone(until time.Time) {
+	t.Dead(until)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if until.After(t.goneUntil) {
+		t.goneUntil = until
+	}
+}
+
+// IsGone says whether the target's process is gone, as far as is known at now.
+func (t *Target) IsGone(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.goneUntil)
+}
+
 // IsDead says whether the target gives no sign of life, as far as is known at now.
 func (t *Target) IsDead(now time.Time) bool {
 	t.mu.Lock()
--- a/pkshare/hub.go
+++ b/pkshare/hub.go
@@ -49,6 +49,14 @@
 // WithHubs says whether so many entries tell hubs and not one another.
 func WithHubs(others int) bool { return others >= flatMost }
 
+// IsFirst says whether this entry is among the first of its data centre at now, those that
+// are hubs where there are hubs.
+func (t *Table) IsFirst(now time.Time, self Member, others []Member) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Contains(t.hubs(now, self, append(slices.Clone(others), self), self.DataCenter), self.ID)
+}
+
 // Roles returns the other entries that this one tells at now, by address.
 //
 // Few entries tell all others. Many tell the hubs of their data centre, which add up
--- a/pkshare/hub_test.go
+++ b/pkshare/hub_test.go
@@ -199,3 +199,35 @@
 	table.Hear(start, hub)
 	assert.Assert(t, !table.Led(start))
 }
+
+// What is done once or twice for a data centre, such as holding connections to its engines,
+// is done by its first entries, in fleets with hubs and without. When they fall silent others
+// take it over, or nobody would.
+func TestTheFirstEntriesOfEachDataCenter(t *testing.T) {
+	for _, each := range []int{1, 3, 30} {
+		f := newFleet(2, each)
+		f.say()
+		first := func() map[pkid.DataCenter][]pkid.EntryID {
+			out := map[pkid.DataCenter][]pkid.EntryID{}
+			for _, m := range f.members {
+				if !f.dead[m.ID] && f.tables[m.ID].IsFirst(f.now, m, f.others(m.ID)) {
+					out[m.DataCenter] = append(out[m.DataCenter], m.ID)
+				}
+			}
+			return out
+		}
+		before := first()
+		for _, dc := range []pkid.DataCenter{"a", "b"} {
+			assert.Equal(t, len(before[dc]), min(each, hubsEach), "%d entries", each)
+		}
+		if each <= hubsEach {
+			continue
+		}
+		f.dead = map[pkid.EntryID]bool{before["a"][0]: true}
+		for range int(2*hubGrace/EveryWithHubs) + 1 {
+			f.say()
+			first()
+		}
+		assert.Equal(t, len(first()["a"]), hubsEach, "%d entries", each)
+	}
+}
--- a/pkshare/message.go
+++ b/pkshare/message.go
@@ -65,4 +65,6 @@
 type Suspect struct {
 	Target pkid.TargetID `cbor:"1,keyasint"`
 	ForMS  int64         `cbor:"2,keyasint"`
+	// Gone says that its process is: its address refused a connection.
+	Gone bool `cbor:"3,keyasint,omitempty"`
 }
--- a/pktimer/timer.go
+++ b/pktimer/timer.go
@@ -17,6 +17,20 @@
 	}
 }
 
+// SleepOr waits for d, or until something comes from a channel, and says false if ctx ended
+// before.
+func SleepOr(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+	case <-wake:
+	}
+	return true
+}
+
 // Every calls do at once and then each period until ctx ends.
 func Every(ctx context.Context, period time.Duration, do func(context.Context)) {
 	EveryOr(ctx, period, nil, do, nil)
