pkedge: an entry logs what it is told of a dead engine

Cause: a stream's `changes its path` line names the dead engine, but at most of 78 entries nothing said how they knew: word of other entries left no line.

Change: one line for each target that is passed over on a peer's word, with the peer and whether the process is gone; hear's part on suspects is a function of its own.

No decision changes.

--- a/pkedge/share.go
+++ b/pkedge/share.go
@@ -147,13 +147,22 @@
 		d.logReplicas(d.roster.Learn(now, m.NewRecords, *m.RecordsAfter, m.List), m.List, "peer "+string(m.From))
 	}
 	for _, one := range m.Suspects {
-		until := now.Add(time.Duration(one.ForMS) * time.Millisecond)
-		if t, found := d.roster.Target(one.Target); found {
-			d.pass(t, until, one.Gone)
-		}
-		if d.sharing.withHubs.Load() {
-			d.sharing.suspect(one.Target, until, one.Gone)
+		d.hearSuspect(now, m.From, one)
+	}
+}
+
+// hearSuspect passes a target over on another entry's word, and passes the word on where
+// there are hubs.
+func (d *Daemon) hearSuspect(now time.Time, from pkid.EntryID, one pkshare.Suspect) {
+	until := now.Add(time.Duration(one.ForMS) * time.Millisecond)
+	if t, found := d.roster.Target(one.Target); found {
+		if !t.IsDead(now) {
+			d.log.Info("a target is passed over on a peer's word", "target", t.ID, "peer", from, "gone", one.Gone, "for_ms", one.ForMS)
 		}
+		d.pass(t, until, one.Gone)
+	}
+	if d.sharing.withHubs.Load() {
+		d.sharing.suspect(one.Target, until, one.Gone)
 	}
 }
 
