pkedge: a stream that changed its path often is sent again

Since streams take the engine beside a dead one first, those with sends left could reach the bound, and would have stood still beside the next dead engine until engines cut them after seconds.

Change: the bound holds for paths in place; beyond it a stream that may be sent again is.

--- a/pkedge/mend.go
+++ b/pkedge/mend.go
@@ -36,7 +36,8 @@
 	// mendIdle is how often an entry without streams looks for some: a stream's
 	// first events take longer.
 	mendIdle = 100 * time.Millisecond
-	// mendMost bounds how often one attempt is given another path.
+	// mendMost bounds how often one attempt is given another path; after that it is sent
+	// again, where it may be.
 	mendMost = 4
 	// repathTimeout bounds the order of another path.
 	repathTimeout = 150 * time.Millisecond
@@ -124,6 +125,13 @@
 	a.last = now
 }
 
+// mends returns how many other paths the attempt was given.
+func (a *attempt) mends() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.mended
+}
+
 // count returns how many events have come.
 func (a *attempt) count() int {
 	a.mu.Lock()
@@ -300,7 +308,7 @@
 func (a *attempt) wants(now time.Time) (*pkreplica.Target, string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.mending || a.over || a.mended >= mendMost || now.Before(a.triedUntil) {
+	if a.mending || a.over || (a.mended >= mendMost && !a.again) || now.Before(a.triedUntil) {
 		return nil, ""
 	}
 	silent := a.asFlow().Silent(now)
@@ -329,6 +337,7 @@
 func (d *Daemon) mend(ctx context.Context, a *attempt, t *pkreplica.Target, why string) {
 	now := time.Now()
 	by, found := d.detour(now, a, t)
+	found = found && a.mends() < mendMost
 	inPlace := found && (!a.again || (why == whyDead && a.near(now, t, by)))
 	switch {
 	case inPlace && d.repath(ctx, a, t, why, by):
--- a/pkedge/mend_test.go
+++ b/pkedge/mend_test.go
@@ -214,6 +214,32 @@
 	}
 }
 
+// A stream of a long answer has taken the engine beside a dead one as often as one attempt
+// may. Another of its engines dies; it has a send left, and must go on by that. Left with its
+// path for having changed it so often, it stands still until the engines cut it seconds later.
+func TestAStreamThatChangedItsPathOftenIsSentAgain(t *testing.T) {
+	d, s := poolDaemon(engine("first", "a", 0, 40), engine("second", "a", 40, 80), engine("beside", "a", 40, 80))
+	spendable(d, 9)
+	engines := &obedientEngines{}
+	d.Engines = engines
+	a := attemptOver(t, d, s, "first", "second")
+	a.mended = mendMost
+	second, _ := d.roster.Target("second")
+	now := time.Now()
+	second.Gone(now.Add(suspectPause))
+	_, why := a.wants(now)
+	assert.Equal(t, why, "", "without a send it keeps its path")
+
+	a.again = true
+	var moved error
+	a.cancel = func(err error) { moved = err }
+	one, why := a.wants(now)
+	assert.Equal(t, why, whyDead)
+	d.mend(t.Context(), a, one, why)
+	assert.Equal(t, moved, errMoved)
+	assert.Equal(t, len(engines.path), 0)
+}
+
 // spendable gives a daemon a retry budget of so many sends in ten seconds.
 func spendable(d *Daemon, sends float64) {
 	d.retry.Store(&Retry{WindowS: 10, Slack: (sends + 0.5) / 0.85})
