pkedge: the bound on new paths stands where detours are chosen

Change: detour finds none beyond the bound. The same decisions as before; the test of the bound passes unchanged, and so does the linter.

--- a/pkedge/mend.go
+++ b/pkedge/mend.go
@@ -337,7 +337,6 @@
 func (d *Daemon) mend(ctx context.Context, a *attempt, t *pkreplica.Target, why string) {
 	now := time.Now()
 	by, found := d.detour(now, a, t)
-	found = found && a.mends() < mendMost
 	inPlace := found && (!a.again || (why == whyDead && a.near(now, t, by)))
 	switch {
 	case inPlace && d.repath(ctx, a, t, why, by):
@@ -354,11 +353,11 @@
 }
 
 // detour returns the engines that can take the place of one on a path; none take that of
-// the first.
+// the first, and none that of any once the attempt was given as many paths as it may be.
 func (d *Daemon) detour(now time.Time, a *attempt, t *pkreplica.Target) (route, bool) {
 	old := a.route()
 	at := old.find(t.ID)
-	if at <= 0 {
+	if at <= 0 || a.mends() >= mendMost {
 		return route{}, false
 	}
 	return d.find(now, a.service, wish{
