pkstall: all engines in doubt are asked, in turn

Streams that were sent again over another dead one had no event yet, and waited 0.9 s until they were looked after. Change: the engines with the most silent streams are asked first and the others in turn, none that has answered since; a stream without its first event is silent after 0.4 of the time that its route states for it; entries draw whom they ask first and tell one another.

--- a/pkedge/mend.go
+++ b/pkedge/mend.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"peridotknot.example/pkconfig"
+	"peridotknot.example/pkid"
 	"peridotknot.example/pkowner"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkstall"
@@ -145,16 +146,19 @@
 	return a.path
 }
 
-// flow returns the attempt as the search for a dead engine sees it; one that has
-// no event yet, or passes no engine, says nothing.
+// flow returns the attempt as the search for a dead engine sees it; one that passes no
+// engine says nothing.
 func (a *attempt) flow() (pkstall.Flow, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.asFlow(), a.events > 0 && len(a.path.hops) > 0
+	return a.asFlow(), len(a.path.hops) > 0
 }
 
 func (a *attempt) asFlow() pkstall.Flow {
-	return pkstall.Flow{Path: a.path.ids(), Last: a.last, Pause: a.pause, Most: a.call.route.PauseObjective}
+	return pkstall.Flow{
+		Path: a.path.ids(), Begun: a.events > 0, Last: a.last, Pause: a.pause,
+		Most: a.call.route.PauseObjective, First: a.call.route.Objective,
+	}
 }
 
 // streams are the attempts under way.
@@ -239,11 +243,17 @@
 func (d *Daemon) findDead(ctx context.Context, now time.Time, all []*attempt) {
 	flows := make([]pkstall.Flow, 0, len(all))
 	for _, a := range all {
-		if f, begun := a.flow(); begun {
+		if f, overEngines := a.flow(); overEngines {
 			flows = append(flows, f)
 		}
 	}
-	for _, id := range pkstall.Culprits(now, flows) {
+	evidence := pkstall.Evidence{Turn: rand.Uint64(), Answered: func(id pkid.TargetID) time.Time {
+		if t, found := d.roster.Target(id); found {
+			return t.AnsweredAt()
+		}
+		return time.Time{}
+	}}
+	for _, id := range pkstall.Culprits(now, flows, evidence) {
 		t, found := d.roster.Target(id)
 		if !found || t.Avoided(now) || !t.Ask(now, askPause) {
 			continue
--- a/pkstall/culprit.go
+++ b/pkstall/culprit.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"encoding/binary"
 	"errors"
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -28,39 +30,100 @@
 	passed = 45 * time.Millisecond
 	// leastSilent is how many streams must have fallen silent together.
 	leastSilent = 2
-	// mostCulprits bounds the engines that are in question at once; more mean that
-	// something else is slow. Engines of a row share all of their streams, so each silent
-	// stream of one that died leaves its whole row in question. With a bound of four nobody
-	// asked, and 58 streams stood still for a second instead of 0.2 s.
+	// mostCulprits bounds the engines that are asked at once. Engines of a row share all of
+	// their streams, so each silent stream of one that died leaves its whole row in question.
+	// Where more are, those with the most silent streams are asked first and the others after
+	// them: taken for a sign that all is slow, six engines of 38 that fell silent together were
+	// found one after the other over 1.8 s.
 	mostCulprits = 12
+	// firstShare is the share of the time within which callers expect the first event after
+	// which a stream without one counts as silent. A stream that was sent again over another
+	// dead engine waited 0.9 s until it was looked after.
+	firstShare = 0.4
+	// firstDefault is the same where callers have said nothing.
+	firstDefault = 200 * time.Millisecond
 )
 
 // Flow is one stream as the search sees it.
 type Flow struct {
 	Path []pkid.TargetID
-	// Last is when its last event came.
-	Last time.Time
+	// Begun says that an event has come; Last is when the last one did, or when the stream was
+	// sent.
+	Begun bool
+	Last  time.Time
 	// Pause is the mean time between its events; zero before there are two.
 	Pause time.Duration
-	// Most is the longest pause that its caller accepts; zero where none is stated.
-	Most time.Duration
+	// Most is the longest pause that its caller accepts, First the longest wait for the first
+	// event; zero where none is stated.
+	Most  time.Duration
+	First time.Duration
 }
 
 // Silent says whether a stream has fallen silent at now.
 func (f Flow) Silent(now time.Time) bool {
-	least := time.Duration(silentShare * float64(f.Most))
-	if least == 0 {
-		least = silentDefault
+	silence := now.Sub(f.Last)
+	if !f.Begun {
+		return silence >= share(firstShare, f.First, firstDefault)
 	}
-	return now.Sub(f.Last) >= max(least, time.Duration(silentTimes*float64(f.Pause)))
+	return silence >= max(share(silentShare, f.Most, silentDefault), time.Duration(silentTimes*float64(f.Pause)))
 }
 
-// Culprits returns the engines that silent streams may wait for: those on the most of
-// them, on no stream that has moved since they fell silent. It returns none where
-// the streams leave too many to choose from.
-func Culprits(now time.Time, flows []Flow) []pkid.TargetID {
-	silent := map[pkid.TargetID]int{}
-	onset := map[pkid.TargetID]time.Time{}
+// share returns a part of a time, or the default where there is none.
+func share(part float64, of, otherwise time.Duration) time.Duration {
+	if of == 0 {
+		return otherwise
+	}
+	return time.Duration(part * float64(of))
+}
+
+// Evidence is what else is known when streams are silent.
+type Evidence struct {
+	// Answered returns when an engine last gave a sign of life, zero where it never did; nil
+	// says never.
+	Answered func(pkid.TargetID) time.Time
+	// Turn orders engines that are equally in question. Entries that draw it ask different
+	// ones first, and tell one another what they find.
+	Turn uint64
+}
+
+// doubt is an engine that silent streams may wait for.
+type doubt struct {
+	id     pkid.TargetID
+	silent int
+	// onset is when the last of them fell silent.
+	onset time.Time
+	turn  uint64
+}
+
+// Culprits returns the engines that silent streams may wait for and that should be asked at
+// now, those on the most of them first: on no stream that has moved since they fell silent,
+// and without another sign of life.
+func Culprits(now time.Time, flows []Flow, e Evidence) []pkid.TargetID {
+	doubts := doubtsOf(now, flows)
+	if doubts == nil {
+		return nil
+	}
+	acquit(doubts, flows, e)
+	var sorted []*doubt
+	for _, one := range doubts {
+		if one.silent >= leastSilent {
+			one.turn = turn(e.Turn, one.id)
+			sorted = append(sorted, one)
+		}
+	}
+	slices.SortFunc(sorted, func(a, b *doubt) int {
+		return cmp.Or(cmp.Compare(b.silent, a.silent), cmp.Compare(a.turn, b.turn), cmp.Compare(a.id, b.id))
+	})
+	var out []pkid.TargetID
+	for _, one := range sorted[:min(len(sorted), mostCulprits)] {
+		out = append(out, one.id)
+	}
+	return out
+}
+
+// doubtsOf returns the engines of silent streams, where there are enough of those.
+func doubtsOf(now time.Time, flows []Flow) map[pkid.TargetID]*doubt {
+	out := map[pkid.TargetID]*doubt{}
 	n := 0
 	for _, f := range flows {
 		if !f.Silent(now) {
@@ -68,45 +131,49 @@
 		}
 		n++
 		for _, id := range f.Path {
-			silent[id]++
-			if f.Last.After(onset[id]) {
-				onset[id] = f.Last
+			if out[id] == nil {
+				out[id] = &doubt{id: id}
+			}
+			out[id].silent++
+			if f.Last.After(out[id].onset) {
+				out[id].onset = f.Last
 			}
 		}
 	}
 	if n < leastSilent {
 		return nil
 	}
+	return out
+}
+
+// acquit takes out the engines that have run since the last of their silent streams stopped.
+func acquit(doubts map[pkid.TargetID]*doubt, flows []Flow, e Evidence) {
 	for _, f := range flows {
 		for _, id := range f.Path {
-			// The engine has run since the last of its silent streams stopped.
-			if at, suspected := onset[id]; suspected && f.Last.Sub(at) > passed {
-				delete(silent, id)
+			if one := doubts[id]; one != nil && f.Begun && f.Last.Sub(one.onset) > passed {
+				delete(doubts, id)
 			}
 		}
 	}
-	return most(silent)
-}
-
-func most(silent map[pkid.TargetID]int) []pkid.TargetID {
-	best := 0
-	for _, n := range silent {
-		best = max(best, n)
-	}
-	if best < leastSilent {
-		return nil
+	if e.Answered == nil {
+		return
 	}
-	var out []pkid.TargetID
-	for id, n := range silent {
-		if n == best {
-			out = append(out, id)
+	for id, one := range doubts {
+		if e.Answered(id).After(one.onset) {
+			delete(doubts, id)
 		}
 	}
-	if len(out) > mostCulprits {
-		return nil
+}
+
+// turn mixes a draw into an id; the draw zero keeps to the order of ids.
+func turn(draw uint64, id pkid.TargetID) uint64 {
+	if draw == 0 {
+		return 0
 	}
-	slices.SortFunc(out, cmp.Compare[pkid.TargetID])
-	return out
+	h := fnv.New64a()
+	_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, draw)) // a hash takes everything
+	_, _ = h.Write([]byte(id))                                  // here too
+	return h.Sum64()
 }
 
 // Dead says whether an engine that was asked for a sign of life is dead, by the
