--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -64,14 +64,20 @@
 	pipes   pklayers.Pipes
 	members members
 	store   gate
+	calls   calls
 	// desks are the orders under way by pool; they belong to the loop that owns.
-	desks   map[pkid.ServiceID]*pkowner.Desk
-	budgets budgets
-	sharing sharing
-	streams streams
+	desks map[pkid.ServiceID]*pkowner.Desk
+	// ownerless is since when no daemon is known to own; it belongs to the loop that owns.
+	ownerless time.Time
+	budgets   budgets
+	sharing   sharing
+	streams   streams
 	// configItem is the configuration in force as the store has it.
 	configItem atomic.Pointer[pkstore.Item]
 
+	// started is when the daemon began to run.
+	started time.Time
+
 	callers net.Listener
 	ready   net.Listener
 
@@ -125,6 +131,7 @@
 // Run serves until ctx ends, then stops gracefully and returns once everything
 // that it started has ended.
 func (d *Daemon) Run(ctx context.Context) error {
+	d.started = time.Now()
 	// The loops outlive ctx: requests in progress need them until the end.
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -138,7 +145,7 @@
 		peers := &http.Server{Handler: d.peersHandler(inner), ReadHeaderTimeout: readinessTimeout}
 		g.Add(func() error { return untilDone(inner, peers.Serve(d.sharing.listener)) }, func(error) { _ = peers.Close() })
 	}
-	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.keepLease, d.own, d.tellPeers, d.takeLoads, d.mendStreams, d.watchEngines} {
+	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.keepLease, d.own, d.tellPeers, d.takeLoads, d.mendStreams, d.watchEngines, d.logCalls} {
 		g.Add(func() error { loop(inner); return nil }, func(error) { cancel() })
 	}
 	return g.Run()
--- a/pkedge/follow.go
+++ b/pkedge/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"peridotknot.example/pkreplica"
+	"peridotknot.example/pkshare"
 	"peridotknot.example/pkstore"
 	"peridotknot.example/pktimer"
 )
@@ -16,6 +17,15 @@
 	changesPace = 200 * time.Millisecond
 	// ledPoll is how soon an entry that is told of changes looks whether it still is.
 	ledPoll = 250 * time.Millisecond
+	// ledSoon is how long after its start an entry that is not among the first of its data centre
+	// waits for those to tell it what changes, once it has read a list. While a fleet starts the
+	// lists change all the time, and each change was a call of each entry: of 195 entries they
+	// made a seventh of all calls of a calm day. What an entry that has just started knows may be
+	// that old.
+	ledSoon = 3 * time.Second
+	// rolesKnown is how long after its start an entry knows whether others will tell it: it has
+	// read the members, and has brought its links up to date since.
+	rolesKnown = 2 * linksEvery * pkshare.Every
 	// pacedEntries is how many entries may follow at that pace: each change wakes the
 	// watches of all, and the store counts each as a call. More gather for longer.
 	pacedEntries = 8
@@ -51,6 +61,10 @@
 	var at pkstore.Revision
 	listed, failures := false, 0
 	for ctx.Err() == nil {
+		if f.led != nil && listed && d.ledSoon(time.Now()) {
+			pktimer.Sleep(ctx, ledPoll)
+			continue
+		}
 		if f.led != nil && f.led(time.Now()) {
 			// What is told has no place in a watch's order: list again after it.
 			listed = false
@@ -90,8 +104,19 @@
 	}
 }
 
+// ledSoon says whether this entry has started just now into a fleet in which others will tell
+// it what changes.
+func (d *Daemon) ledSoon(now time.Time) bool {
+	age := now.Sub(d.started)
+	if age < rolesKnown {
+		return true
+	}
+	return age < ledSoon && d.sharing.withHubs.Load() && !d.sharing.first.Load()
+}
+
 func (d *Daemon) list(ctx context.Context, f follower) (pkstore.Revision, error) {
 	items, at, err := d.Store.List(ctx, f.prefix)
+	d.asked(callList, f.name, err)
 	if err != nil {
 		return 0, err
 	}
@@ -106,6 +131,7 @@
 	defer cancel()
 	defer d.members.onSilence(cancel)()
 	events, next, err := d.Feed.Changes(ctx, f.prefix, at)
+	d.asked(callWatch, f.name, err)
 	if err != nil {
 		return at, err
 	}
--- a/pkedge/gate.go
+++ b/pkedge/gate.go
@@ -10,11 +10,12 @@
 const (
 	// retryFirst and retryMost bound the pause after a failed call to the store. It grows by
 	// retryGrowth and is drawn at random, so that daemons which lost the store together
-	// don't come back together. It may be long, since a renewal of the lease that succeeds
-	// ends it: renewals go on each second, at a tenth of the price of other calls.
+	// don't come back together. It soon is long, since a renewal of the lease that succeeds
+	// ends it: renewals go on, at a tenth of the price of other calls. One short pause is for a
+	// connection that was cut, one of a second for a store that turned a call away.
 	retryFirst  = 50 * time.Millisecond
-	retryMost   = 4 * time.Second
-	retryGrowth = 3
+	retryMost   = 10 * time.Second
+	retryGrowth = 20
 )
 
 // gate lets one loop at a time call a store that is lost; the zero value is open.
--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -22,8 +22,22 @@
 	// leaseMargin is kept of the lease: an order takes some milliseconds and is
 	// given up after orderTimeout.
 	leaseMargin = time.Second
-	// leaseEvery is how often the lease is renewed: two renewals may be lost.
+	// leaseEvery is how often the lease is renewed by an entry that others depend on, the owner
+	// of the pools or one that tells them what changes: two renewals may be lost.
 	leaseEvery = time.Second
+	// leaseEveryLed is the same of an entry that is told by others: one renewal may be lost.
+	// On a calm day of 195 entries renewals were a quarter of what the store charged.
+	leaseEveryLed = 1800 * time.Millisecond
+	// leaseEveryLost is how often a lost lease is asked for anew: that is a whole call to the
+	// store, which mostly is away then.
+	leaseEveryLost = 2 * time.Second
+	// leaseLook is how often it is looked whether a renewal is due.
+	leaseLook = 200 * time.Millisecond
+	// registerSoon is how long after its start a daemon registers though it could not read the
+	// members, which takes some milliseconds.
+	registerSoon = time.Second
+	// registerLook is how often it looks whether it has read them.
+	registerLook = 10 * time.Millisecond
 	// silentAfter is how many renewals in a row fail before watches that wait are
 	// taken for dead.
 	silentAfter = 2
@@ -50,6 +64,8 @@
 	owner         pkid.EntryID
 	ownerRevision pkstore.Revision
 	known         bool
+	// ownRevision is the revision of this daemon's own entry, as it was last read.
+	ownRevision pkstore.Revision
 	// told is how many members a hub last named; zero once the list was read again.
 	told int
 
@@ -155,7 +171,7 @@
 			now := time.Now()
 			m.mu.Lock()
 			defer m.mu.Unlock()
-			m.owner, m.ownerRevision, m.known, m.told = "", 0, true, 0
+			m.owner, m.ownerRevision, m.ownRevision, m.known, m.told = "", 0, 0, true, 0
 			for id, gone := range m.seen {
 				if gone.IsZero() {
 					m.seen[id] = now
@@ -163,6 +179,9 @@
 				}
 			}
 			for _, one := range items {
+				if one.Key == d.memberKey() {
+					m.ownRevision = one.Revision
+				}
 				m.take(now, strings.TrimPrefix(one.Key, d.OwnPrefix), pkstore.Event{Item: one})
 			}
 		},
@@ -214,12 +233,18 @@
 
 // keepLease keeps this daemon's lease and its entry among the members.
 func (d *Daemon) keepLease(ctx context.Context) {
+	d.awaitMembers(ctx)
 	registered := false
-	pktimer.Every(ctx, leaseEvery, func(ctx context.Context) {
-		if d.stopping.Load() {
+	var kept time.Time
+	var pause time.Duration
+	pktimer.Every(ctx, leaseLook, func(ctx context.Context) {
+		now := time.Now()
+		if d.stopping.Load() || now.Sub(kept) < pause {
 			return
 		}
+		kept = now
 		err := d.keepOnce(ctx, &registered)
+		pause = d.leasePause(now, err)
 		if err == nil {
 			d.store.renewed(time.Now())
 		} else if ctx.Err() == nil {
@@ -229,11 +254,29 @@
 	})
 }
 
+// leasePause returns how long after a renewal at now, which ended with an error or none, the
+// next is due.
+func (d *Daemon) leasePause(now time.Time, err error) time.Duration {
+	m := &d.members
+	m.mu.Lock()
+	lost := m.id == 0
+	m.mu.Unlock()
+	switch {
+	case lost && err != nil && !errors.Is(err, pkstore.ErrNoLease):
+		return leaseEveryLost
+	case d.sharing.first.Load() || !d.membersLed(now):
+		return leaseEvery
+	default:
+		return leaseEveryLed
+	}
+}
+
 func (d *Daemon) keepOnce(ctx context.Context, registered *bool) error {
 	m := &d.members
 	sent := pktimer.Boot()
 	if m.id == 0 {
 		id, err := d.Store.Grant(ctx, leaseTTL)
+		d.asked(callGrant, askerLease, err)
 		if err != nil {
 			return err
 		}
@@ -241,10 +284,10 @@
 		m.id = id
 		m.mu.Unlock()
 		*registered = false
-	} else if err := d.Store.Renew(ctx, m.id); err != nil {
+	} else if err := d.renew(ctx, m.id); err != nil {
 		if errors.Is(err, pkstore.ErrNoLease) {
 			m.mu.Lock()
-			m.id = 0
+			m.id, m.ownRevision = 0, 0
 			m.lease.Lost()
 			m.mu.Unlock()
 		}
@@ -259,6 +302,36 @@
 	return d.register(ctx, registered)
 }
 
+// awaitMembers waits a little until the members have been read. Written blindly, the entry of
+// a daemon that was killed met the one that it had left, and each start of 195 entries took a
+// second write of each.
+func (d *Daemon) awaitMembers(ctx context.Context) {
+	m := &d.members
+	for began := time.Now(); time.Since(began) < registerSoon; {
+		m.mu.Lock()
+		known := m.known
+		m.mu.Unlock()
+		if known || !pktimer.Sleep(ctx, registerLook) {
+			return
+		}
+	}
+}
+
+func (d *Daemon) renew(ctx context.Context, id pkstore.LeaseID) error {
+	err := d.Store.Renew(ctx, id)
+	d.asked(callRenew, askerLease, err)
+	return err
+}
+
+func (d *Daemon) write(ctx context.Context, asker string, w pkstore.Swap) (pkstore.Swapped, error) {
+	out, err := d.Store.Swap(ctx, w)
+	d.asked(callWrite, asker, err)
+	return out, err
+}
+
+// memberKey returns the key of this daemon's own entry.
+func (d *Daemon) memberKey() string { return d.OwnPrefix + memberKey + string(d.settings.Entry) }
+
 // register writes this daemon's entry under its lease, over one that it left
 // behind when it last ran.
 func (d *Daemon) register(ctx context.Context, registered *bool) error {
@@ -266,11 +339,14 @@
 	if err != nil {
 		return err
 	}
-	w := pkstore.Swap{Key: d.OwnPrefix + memberKey + string(d.settings.Entry), Value: value, Lease: d.members.id}
-	out, err := d.Store.Swap(ctx, w)
+	m := &d.members
+	m.mu.Lock()
+	w := pkstore.Swap{Key: d.memberKey(), Value: value, Lease: m.id, Old: m.ownRevision}
+	m.mu.Unlock()
+	out, err := d.write(ctx, askerLease, w)
 	if err == nil && !out.Done {
 		w.Old = out.Item.Revision
-		out, err = d.Store.Swap(ctx, w)
+		out, err = d.write(ctx, askerLease, w)
 	}
 	if err != nil {
 		return err
@@ -297,7 +373,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	if err := d.Store.Revoke(ctx, id); err != nil {
+	err := d.Store.Revoke(ctx, id)
+	d.asked(callRevoke, askerLease, err)
+	if err != nil {
 		d.log.Warn("the lease was not given up and ends by itself", "error", err)
 	}
 }
--- a/pkedge/metrics.go
+++ b/pkedge/metrics.go
@@ -16,6 +16,7 @@
 	failed     *prometheus.CounterVec
 	orders     *prometheus.CounterVec
 	unusable   *prometheus.CounterVec
+	storeCalls *prometheus.CounterVec
 	repeated   prometheus.Counter
 	firstEvent prometheus.Histogram
 }
@@ -25,12 +26,13 @@
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
 	}
 	m := &metrics{
-		registry: prometheus.NewRegistry(),
-		requests: counter("peridotknot_requests_total", "Requests by kind and outcome.", "kind", "outcome"),
-		failed:   counter("peridotknot_sends_failed_total", "Failed sends by verdict and reason.", "verdict", "reason"),
-		orders:   counter("peridotknot_orders_total", "Orders to engines by outcome.", "outcome"),
-		unusable: counter("peridotknot_replica_entries_unusable_total", "Changed entries of the list that name no replica to use, by the field at fault.", "field"),
-		repeated: prometheus.NewCounter(prometheus.CounterOpts{Name: "peridotknot_sends_repeated_total", Help: "Sends beyond the first of a request."}),
+		registry:   prometheus.NewRegistry(),
+		requests:   counter("peridotknot_requests_total", "Requests by kind and outcome.", "kind", "outcome"),
+		failed:     counter("peridotknot_sends_failed_total", "Failed sends by verdict and reason.", "verdict", "reason"),
+		orders:     counter("peridotknot_orders_total", "Orders to engines by outcome.", "outcome"),
+		unusable:   counter("peridotknot_replica_entries_unusable_total", "Changed entries of the list that name no replica to use, by the field at fault.", "field"),
+		storeCalls: counter("peridotknot_store_calls_total", "Calls to the store by kind, asker and outcome.", "call", "asker", "outcome"),
+		repeated:   prometheus.NewCounter(prometheus.CounterOpts{Name: "peridotknot_sends_repeated_total", Help: "Sends beyond the first of a request."}),
 		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "peridotknot_first_event_seconds", Help: "Time from a request to its first event.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 1.6, 16),
@@ -39,7 +41,7 @@
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.requests, m.failed, m.orders, m.unusable, m.repeated, m.firstEvent,
+	m.registry.MustRegister(m.requests, m.failed, m.orders, m.unusable, m.storeCalls, m.repeated, m.firstEvent,
 		gauge("peridotknot_config_version", "Version of the configuration in force.", func() float64 {
 			if t := d.book.Table(); t != nil {
 				return float64(t.Version)
--- a/pkedge/own.go
+++ b/pkedge/own.go
@@ -22,6 +22,9 @@
 	orderTimeout = 600 * time.Millisecond
 	// ordersAtOnce bounds the engines that are ordered at the same time.
 	ordersAtOnce = 8
+	// ownerAbsent is how long a pool may be without an owner until an entry that is not among
+	// the first of its data centre tries to become it.
+	ownerAbsent = 3 * time.Second
 	// ownJitter spreads the attempts of daemons to become the owner.
 	ownJitter = 150 * time.Millisecond
 )
@@ -57,14 +60,13 @@
 		return false
 	}
 	if owner != "" && owner != d.settings.Entry {
+		d.ownerless = time.Time{}
 		return false
 	}
 	if owner == d.settings.Entry && may {
 		return true
 	}
-	// Entries that are told of the list see late who won, and their VMs are the small ones:
-	// each loss of an owner made all of 78 entries write.
-	if d.sharing.table.Led(time.Now()) {
+	if !d.mayAcquire(time.Now()) {
 		return false
 	}
 	if !pktimer.Sleep(ctx, rand.N(ownJitter)) {
@@ -73,6 +75,22 @@
 	return d.acquire(ctx, id, owner, rev)
 }
 
+// mayAcquire says whether this daemon may try at now to become the owner. Entries that are told
+// of the list see late who won, and their VMs are the small ones: each loss of an owner made all
+// of 78 entries write. The first entries of each data centre try at once and the others only
+// where none of those does: at the start of 195 entries all of them wrote.
+func (d *Daemon) mayAcquire(now time.Time) bool {
+	if d.sharing.table.Led(now) {
+		d.ownerless = time.Time{}
+		return false
+	}
+	if d.ownerless.IsZero() {
+		d.ownerless = now
+	}
+	first := d.sharing.first.Load() && now.Sub(d.started) >= rolesKnown
+	return first || now.Sub(d.ownerless) >= ownerAbsent
+}
+
 // acquire writes the owner's key under this daemon's lease. An entry of its own
 // that a former run left is written over.
 func (d *Daemon) acquire(ctx context.Context, id pkstore.LeaseID, owner pkid.EntryID, rev pkstore.Revision) bool {
@@ -81,7 +99,7 @@
 		w.Old = rev
 	}
 	sent := pktimer.Boot()
-	out, err := d.Store.Swap(ctx, w)
+	out, err := d.write(ctx, askerOwner, w)
 	if err != nil {
 		d.log.Warn("the pools were not taken over", "error", err)
 		return false
