pkreplica: applying a record is told in three steps

Cause: the linter found the functions that apply a record and follow a prefix too complex. Change: records that name no replica any more, those that do, and entries that are told of a prefix have functions of their own. Nothing decides otherwise. Conclusion: linter clean, tests of both packages pass.

--- a/pkedge/follow.go
+++ b/pkedge/follow.go
@@ -61,13 +61,9 @@
 	var at pkstore.Revision
 	listed, failures := false, 0
 	for ctx.Err() == nil {
-		if f.led != nil && listed && d.ledSoon(time.Now()) {
-			pktimer.Sleep(ctx, ledPoll)
-			continue
-		}
-		if f.led != nil && f.led(time.Now()) {
+		if told, soon := d.told(time.Now(), f); told || (soon && listed) {
 			// What is told has no place in a watch's order: list again after it.
-			listed = false
+			listed = listed && !told
 			pktimer.Sleep(ctx, ledPoll)
 			continue
 		}
@@ -104,6 +100,14 @@
 	}
 }
 
+// told says whether another entry tells at now what changes under a prefix, or soon will.
+func (d *Daemon) told(now time.Time, f follower) (told, soon bool) {
+	if f.led == nil {
+		return false, false
+	}
+	return f.led(now), d.ledSoon(now)
+}
+
 // ledSoon says whether this entry has started just now into a fleet in which others will tell
 // it what changes.
 func (d *Daemon) ledSoon(now time.Time) bool {
--- a/pkedge/mend.go
+++ b/pkedge/mend.go
@@ -329,7 +329,7 @@
 		d.streams.look()
 	case faultMisplaced:
 		t.Misplaced(one.until)
-	default:
+	case faultSilent:
 		t.Dead(one.until)
 	}
 }
--- a/pkreplica/roster.go
+++ b/pkreplica/roster.go
@@ -107,12 +107,26 @@
 		one.Info.Born = t.Born
 	}
 	r.records[id] = one
-	switch {
-	case one.Deleted && t == nil:
+	if one.Deleted {
+		return lapse(now, t, old, one)
+	}
+	return r.update(now, t, old, one)
+}
+
+// lapse takes a record that names no replica any more, of a target that may be known, and says
+// whether that is new.
+func lapse(now time.Time, t *Target, old, one Record) bool {
+	if t == nil {
 		return one.Unusable != ""
-	case one.Deleted:
-		t.lapsed(now, one.Unusable != "")
-		return !old.Deleted || old.Unusable != one.Unusable
+	}
+	t.lapsed(now, one.Unusable != "")
+	return !old.Deleted || old.Unusable != one.Unusable
+}
+
+// update takes what a record says of a target that may be known, and says whether that is new.
+func (r *Roster) update(now time.Time, t *Target, old, one Record) bool {
+	id := one.Info.ID
+	switch {
 	case t == nil:
 		r.targets[id] = &Target{Info: one.Info, seen: &seen{}}
 	case after(one.Info.Born, t.Born):
