pkedge: an engine that refuses is told where the list cannot say why

Engines that leave refuse all that is new with 503, no entry of the list says so, and each of 195 entries found that out for itself: 600 refused sends a second, most by three engines, passed over for 200 ms at first, until the retry budgets were spent. The count of failures behind that pause never fell for engines. Change: while the list is not followed one refusal passes the engine over at all entries for a second, else the third in a row; a stream's first event ends the count.

--- a/pkedge/restart_test.go
+++ b/pkedge/restart_test.go
@@ -141,3 +141,45 @@
 	one.misplaced(now, old)
 	assert.Assert(t, !one.target(t, "a").Avoided(now), "it was chosen by an earlier entry")
 }
+
+// An engine leaves while the store is away, and refuses all that is new. No entry of the list
+// says so. Whoever is refused must tell the others, or each of them spends its retry budget on
+// the same refusals and turns its callers away. While the list is followed it says within half
+// a second what leaves, and an engine that is short of memory for a moment serves others.
+func TestAnEngineThatRefusesIsToldWhereTheListCannot(t *testing.T) {
+	now := time.Now()
+	one, _ := poolDaemon(engine("a", "x", 0, 80))
+	two, _ := poolDaemon(engine("a", "x", 0, 80))
+	refusing := one.target(t, "a")
+	for range refusedTold - 1 {
+		one.refused(now, refusing)
+	}
+	assert.Equal(t, len(one.message(now).Suspects), 0)
+	refusing.Served()
+	one.refused(now, refusing)
+	assert.Equal(t, len(one.message(now).Suspects), 0, "it served meanwhile")
+	one.roster.StoreAway()
+	one.refused(now, refusing)
+	told := one.message(now).Suspects
+	assert.Equal(t, len(told), 1)
+	two.hearSuspect(now, "one", told[0])
+	assert.Assert(t, two.target(t, "a").Avoided(now.Add(refusedPause-time.Millisecond)))
+	assert.Assert(t, !two.target(t, "a").Avoided(now.Add(refusedPause)))
+	assert.Assert(t, !two.target(t, "a").IsDead(now), "streams that it serves stay with it")
+
+	three, _ := poolDaemon(engine("a", "x", 0, 80))
+	for range refusedTold {
+		three.refused(now, three.target(t, "a"))
+	}
+	assert.Equal(t, len(three.message(now).Suspects), 1, "it has refused several times in a row")
+}
+
+// An entry that the store turns away must not write the owner's key again and again.
+func TestNobodyTriesToOwnWhileTheStoreIsLost(t *testing.T) {
+	d, _ := poolDaemon()
+	d.members.known, d.members.id = true, 1
+	d.sharing.first.Store(true)
+	d.settings.Entry = "one"
+	d.store.failed(time.Now())
+	assert.Assert(t, !d.owns(t.Context()), "a write would fail for want of a store here")
+}
