--- a/pkedge/share.go
+++ b/pkedge/share.go
@@ -60,7 +60,8 @@
 const (
 	// faultSilent targets give no sign of life.
 	faultSilent fault = iota
-	// faultMisplaced targets do not hold the layers that their entry names.
+	// faultMisplaced targets refuse the layers that their entry names: they do not hold them, or
+	// take nothing new.
 	faultMisplaced
 	// faultGone targets have no process.
 	faultGone
