--- a/pkedge/gate.go
+++ b/pkedge/gate.go
@@ -76,13 +76,6 @@
 	g.next = now.Add(backOff(g.failures))
 }
 
-// lost says whether the store did not answer when it was last asked.
-func (g *gate) lost() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.opened != nil
-}
-
 // renewed notes at now that the store renewed the lease: one loop may ask for more.
 func (g *gate) renewed(now time.Time) {
 	g.mu.Lock()
--- a/pkedge/mend.go
+++ b/pkedge/mend.go
@@ -52,13 +52,6 @@
 	askTimeout = 40 * time.Millisecond
 	// askPause is how soon the same engine is asked again.
 	askPause = 200 * time.Millisecond
-	// refusedPause is for how long all entries pass over an engine that refused one of them while
-	// the list cannot say why: word of it takes a quarter of that to reach all, and one that was
-	// merely short of memory has room again.
-	refusedPause = time.Second
-	// refusedTold is after how many refusals in a row the others are told of an engine though the
-	// list is followed, which shows within half a second what leaves.
-	refusedTold = 3
 	// pauseWeight is the weight of the last pause in a stream's mean.
 	pauseWeight = 0.2
 )
@@ -329,26 +322,6 @@
 	return one.until
 }
 
-// refused passes over an engine that refused its part of a path, and tells the others where the
-// list cannot, or where the engine has refused several times in a row. One that leaves while the
-// store is away refuses all that is new, and no entry says so: each of 195 entries found it out
-// for itself, again and again, until the retry budgets of all were spent on refusals and 8 in 10
-// streams were turned away for ten seconds (one day).
-func (d *Daemon) refused(now time.Time, t *pkreplica.Target) time.Time {
-	until := t.Failed(now)
-	away := d.roster.Away()
-	if !away && t.Failures() < refusedTold {
-		return until
-	}
-	if least := now.Add(refusedPause); away && until.Before(least) {
-		until = least
-	}
-	one := suspicion{until: until, fault: faultMisplaced, born: t.Born, entry: d.roster.Revision(t.ID)}
-	d.pass(t, one)
-	d.sharing.suspect(t.ID, one)
-	return until
-}
-
 func (d *Daemon) pass(t *pkreplica.Target, one suspicion) {
 	switch one.fault {
 	case faultGone:
--- a/pkedge/own.go
+++ b/pkedge/own.go
@@ -66,9 +66,7 @@
 	if owner == d.settings.Entry && may {
 		return true
 	}
-	// A write of the owner's key by an entry that the store turns away costs a call like others;
-	// some entries made 425 of them in five seconds.
-	if d.store.lost() || !d.mayAcquire(time.Now()) {
+	if !d.mayAcquire(time.Now()) {
 		return false
 	}
 	if !pktimer.Sleep(ctx, rand.N(ownJitter)) {
--- a/pkedge/share.go
+++ b/pkedge/share.go
@@ -60,8 +60,7 @@
 const (
 	// faultSilent targets give no sign of life.
 	faultSilent fault = iota
-	// faultMisplaced targets refuse the layers that their entry names: they do not hold them, or
-	// take nothing new.
+	// faultMisplaced targets do not hold the layers that their entry names.
 	faultMisplaced
 	// faultGone targets have no process.
 	faultGone
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -250,9 +250,6 @@
 			c.begun = true
 			c.firstEvent = time.Since(c.began)
 			c.metrics.firstEvent.Observe(c.firstEvent.Seconds())
-			for _, t := range a.route().targets {
-				t.Served()
-			}
 			// Not before the first event: a head that is taken over and then given
 			// up would put one target's signature on the router's own failure.
 			pkforward.Forward(c.w.Header(), answer.Header)
@@ -306,12 +303,9 @@
 		}
 	}
 	var until time.Time
-	switch {
-	case answer != nil && answer.Status == http.StatusMisdirectedRequest:
+	if answer != nil && answer.Status == http.StatusMisdirectedRequest {
 		until = c.misplaced(now, fault)
-	case answer != nil && answer.Fault == fault.Addr:
-		until = c.refused(now, fault)
-	default:
+	} else {
 		until = c.failed(now, fault, err)
 	}
 	c.log.Info("a target is passed over", "target", fault.ID, "request_id", c.req.Ask.ID, "path", a.route().String(),
--- a/pkreplica/target.go
+++ b/pkreplica/target.go
@@ -180,21 +180,6 @@
 	return t.avoidUntil
 }
 
-// Failures returns how many sends have failed since one last succeeded.
-func (t *Target) Failures() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.failures
-}
-
-// Served records that a stream through the target has its first event: an engine that was short
-// of memory for a moment is not one that always refuses.
-func (t *Target) Served() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.failures = 0
-}
-
 // Avoid passes the target over until a time.
 func (t *Target) Avoid(until time.Time) {
 	t.mu.Lock()
