pkedge: logs tell which requests are the same

Change: pkquarantine.Identity gives a digest of account, method, host, path and body; the lines `request` and `a send failed` have it. No decision uses it.

--- a/pkedge/front.go
+++ b/pkedge/front.go
@@ -16,6 +16,7 @@
 	"peridotknot.example/pkconfig"
 	"peridotknot.example/pkforward"
 	"peridotknot.example/pkid"
+	"peridotknot.example/pkquarantine"
 	"peridotknot.example/pkverdict"
 )
 
@@ -108,7 +109,9 @@
 	service pkid.ServiceID
 	account pkid.AccountID
 	req     pkforward.Request
-	began   time.Time
+	// digest is the same for requests that differ by their ids alone; zero until the body is read.
+	digest pkquarantine.Digest
+	began  time.Time
 	// deadline is when the caller, or the operator for it, waits no longer.
 	deadline time.Time
 	// sends and runs count targets that the request was sent to, and those of them
@@ -182,7 +185,7 @@
 		name, kind = c.route.Name, c.route.Kind.String()
 	}
 	c.metrics.requests.WithLabelValues(kind, outcome).Inc()
-	c.log.Info("request", "request_id", c.req.Ask.ID, "route", name, "kind", kind, "account", c.account,
+	c.log.Info("request", "request_id", c.req.Ask.ID, "digest", c.digest.String(), "route", name, "kind", kind, "account", c.account,
 		"outcome", outcome, "sends", c.sends, "runs", c.runs, "ms", took.Milliseconds(), "config", c.version(), "path", c.path, "first_ms", c.firstEvent.Milliseconds(), "events", c.events, "pause_ms", c.longest.Milliseconds(),
 		"mended", c.mended, "error", err)
 	switch {
@@ -233,6 +236,7 @@
 	if err := c.readBody(); err != nil {
 		return err
 	}
+	c.digest = c.identity().Digest()
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	c.budgets.of(c.service).Request(c.began, c.retryTerms())
@@ -246,6 +250,12 @@
 	return c.plain(ctx)
 }
 
+// identity returns what makes the request the same when it comes again.
+func (c *call) identity() pkquarantine.Identity {
+	r := &c.req
+	return pkquarantine.Identity{Account: c.account, Method: r.Method, Host: hostOf(r.Host), URI: r.URI, Body: r.Body}
+}
+
 // resolve finds the route, the client account and the service of a request.
 func (c *call) resolve() error {
 	route, found := c.table.Route(hostOf(c.r.Host), c.r.URL.Path)
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -126,7 +126,7 @@
 	}
 	c.count(failure)
 	c.metrics.failed.WithLabelValues(failure.Verdict.String(), string(failure.Reason)).Inc()
-	c.log.Info("a send failed", "request_id", c.req.Ask.ID, "target", t.ID, "send", c.sends,
+	c.log.Info("a send failed", "request_id", c.req.Ask.ID, "digest", c.digest.String(), "target", t.ID, "send", c.sends,
 		"verdict", failure.Verdict.String(), "reason", string(failure.Reason), "error", failure.Err)
 	return failure.Verdict
 }
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -101,7 +101,7 @@
 		c.tried = append(c.tried, p.first().ID)
 	}
 	c.metrics.failed.WithLabelValues(failure.Verdict.String(), string(failure.Reason)).Inc()
-	c.log.Info("a send failed", "request_id", c.req.Ask.ID, "path", p.String(), "send", c.sends, "events", f.events,
+	c.log.Info("a send failed", "request_id", c.req.Ask.ID, "digest", c.digest.String(), "path", p.String(), "send", c.sends, "events", f.events,
 		"verdict", failure.Verdict.String(), "reason", string(failure.Reason), "error", failure.Err)
 	return failure.Verdict
 }
