--- a/pkedge/deadly_test.go
+++ b/pkedge/deadly_test.go
@@ -36,7 +36,11 @@
 func (o *outbreak) send(t *testing.T, n *node) reply {
 	t.Helper()
 	o.sent++
-	got := n.do(t, o.method(), o.uri, fmt.Sprintf("deadly-%d", o.sent), platformtest.Key, o.tokens)
+	method, body := http.MethodGet, ""
+	if o.tokens > 0 {
+		method, body = http.MethodPost, "the same each time"
+	}
+	got := n.doWith(t, patience, method, o.uri, fmt.Sprintf("deadly-%d", o.sent), platformtest.Key, o.tokens, body)
 	for _, id := range o.w.Ended()[o.replaced:] {
 		o.replaced++
 		o.w.Store.Delete("servers/" + id)
@@ -45,13 +49,6 @@
 	return got
 }
 
-func (o *outbreak) method() string {
-	if o.tokens > 0 {
-		return http.MethodPost
-	}
-	return http.MethodGet
-}
-
 // spread sends the request to one entry after the other until it has ended three replicas, and
 // waits until all entries hold it for deadly.
 func (o *outbreak) spread(t *testing.T, nodes ...*node) {
--- a/pkedge/node_test.go
+++ b/pkedge/node_test.go
@@ -138,9 +138,19 @@
 // doWithin sends a request of a caller who waits for a time.
 func (n *node) doWithin(t testing.TB, wait time.Duration, method, path, id, key string, tokens int) reply {
 	t.Helper()
-	var body io.Reader
+	text := ""
 	if method == http.MethodPost {
-		body = strings.NewReader("body of " + id)
+		text = "body of " + id
+	}
+	return n.doWith(t, wait, method, path, id, key, tokens, text)
+}
+
+// doWith sends a request with a body; an empty one is none.
+func (n *node) doWith(t testing.TB, wait time.Duration, method, path, id, key string, tokens int, text string) reply {
+	t.Helper()
+	var body io.Reader
+	if text != "" {
+		body = strings.NewReader(text)
 	}
 	req, err := platformtest.NewRequest(t.Context(), method, "http://"+n.Callers()+path, id, key, tokens, wait, body)
 	assert.NilError(t, err)
