pkedge: requests that crash each replica that runs them are kept from replicas

Cause: a failure was remembered by replica alone. A request that crashes each replica that begins to run it was sent to the next two by each entry that it came to, as if it had not been there. Change: pkquarantine recognizes it by a digest of account, method, host, path and body. A send that broke off at a replica which is gone within two seconds speaks against its request; three hold it for ten minutes. Entries tell one another such cases, which merge in any order; a request that runs well is cleared everywhere. The store keeps what is held under a lease, read with the members at a start. A held request is refused at once with 503, or ends with 502 where a replica may have run it in this attempt.

--- a/pkedge/calls.go
+++ b/pkedge/calls.go
@@ -30,6 +30,8 @@
 const (
 	askerLease = "lease"
 	askerOwner = "owner"
+	// askerQuarantine keeps requests that crash replicas for entries that start.
+	askerQuarantine = "quarantine"
 )
 
 // ask is a call to the store by kind, asker and outcome.
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -72,6 +72,8 @@
 	budgets   budgets
 	sharing   sharing
 	streams   streams
+	// quarantine is which requests are kept from replicas.
+	quarantine quarantine
 	// configItem is the configuration in force as the store has it.
 	configItem atomic.Pointer[pkstore.Item]
 
@@ -145,7 +147,7 @@
 		peers := &http.Server{Handler: d.peersHandler(inner), ReadHeaderTimeout: readinessTimeout}
 		g.Add(func() error { return untilDone(inner, peers.Serve(d.sharing.listener)) }, func(error) { _ = peers.Close() })
 	}
-	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.keepLease, d.own, d.tellPeers, d.takeLoads, d.mendStreams, d.watchEngines, d.logCalls} {
+	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.keepLease, d.own, d.tellPeers, d.takeLoads, d.mendStreams, d.watchEngines, d.logCalls, d.settleEnds, d.saveHeld} {
 		g.Add(func() error { loop(inner); return nil }, func(error) { cancel() })
 	}
 	return g.Run()
--- a/pkedge/front.go
+++ b/pkedge/front.go
@@ -237,6 +237,9 @@
 		return err
 	}
 	c.digest = c.identity().Digest()
+	if c.held(c.began) != nil {
+		return c.heldBack(c.began, pkverdict.NotRun)
+	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	c.budgets.of(c.service).Request(c.began, c.retryTerms())
@@ -323,6 +326,8 @@
 	}
 	late := ctx.Err() != nil
 	switch {
+	case errors.Is(cause, errQuarantined):
+		return c.heldBack(time.Now(), verdict)
 	case verdict == pkverdict.NotRun && late:
 		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryLate, reason: "deadline_not_run"}
 	case verdict == pkverdict.NotRun:
--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -169,6 +169,7 @@
 		paceMost: membersPaceMost,
 		list: func(items []pkstore.Item, _ pkstore.Revision) {
 			now := time.Now()
+			d.takeSaved(now, items)
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			m.owner, m.ownerRevision, m.ownRevision, m.known, m.told = "", 0, 0, true, 0
@@ -187,6 +188,7 @@
 		},
 		change: func(events []pkstore.Event, _ pkstore.Revision) {
 			now := time.Now()
+			d.takeSaved(now, written(events))
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			for _, ev := range events {
@@ -197,6 +199,17 @@
 	})
 }
 
+// written returns the items of events that wrote one.
+func written(events []pkstore.Event) []pkstore.Item {
+	var out []pkstore.Item
+	for _, ev := range events {
+		if !ev.Deleted {
+			out = append(out, ev.Item)
+		}
+	}
+	return out
+}
+
 func (m *members) take(now time.Time, key string, ev pkstore.Event) {
 	if key == ownerKey {
 		if ev.Item.Revision < m.ownerRevision {
--- a/pkedge/mend.go
+++ b/pkedge/mend.go
@@ -74,8 +74,11 @@
 	path  route
 	last  time.Time
 	pause time.Duration
-	// events counts the events of this attempt, mended its new paths.
+	// events counts the events of this attempt, the first of which came at first; proven says
+	// that it has gone on for long enough. mended counts its new paths.
 	events  int
+	first   time.Time
+	proven  bool
 	mended  int
 	mending bool
 	over    bool
@@ -111,10 +114,14 @@
 	return a.mended
 }
 
-// event notes an event at now.
-func (a *attempt) event(now time.Time) {
+// event notes an event at now and says whether the attempt has now shown that its engines bear
+// the request.
+func (a *attempt) event(now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.events == 0 {
+		a.first = now
+	}
 	if a.events > 0 {
 		pause := now.Sub(a.last)
 		if a.pause == 0 {
@@ -124,6 +131,35 @@
 	}
 	a.events++
 	a.last = now
+	before := a.proven
+	a.proven = a.proven || now.Sub(a.first) >= provenAfter
+	return a.proven && !before
+}
+
+// broke suspects the request of an attempt that ended at now with an error, unless its engines
+// had borne it for long.
+func (a *attempt) broke(now time.Time, err error) {
+	if a.isProven() {
+		return
+	}
+	p := a.route()
+	a.call.brokeOff(now, err, p.first(), p.targets[1:]...)
+}
+
+// diedUnder suspects the request of an attempt on whose path an engine is dead at now, unless
+// its engines had borne it for long, and says whether the request is kept from engines.
+func (a *attempt) diedUnder(now time.Time, t *pkreplica.Target, why string) bool {
+	if why != whyDead || a.isProven() {
+		return false
+	}
+	a.call.suspectAt(now, t, false)
+	return a.call.held(now) != nil
+}
+
+func (a *attempt) isProven() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.proven
 }
 
 // mends returns how many other paths the attempt was given.
@@ -366,8 +402,12 @@
 // room elsewhere and a send left.
 func (d *Daemon) mend(ctx context.Context, a *attempt, t *pkreplica.Target, why string) {
 	now := time.Now()
+	if a.diedUnder(now, t, why) {
+		a.cancel(errMoved) // another engine would end under it
+		return
+	}
 	by, found := d.detour(now, a, t)
-	inPlace := found && (!a.again || (why == whyDead && a.near(now, t, by)))
+	inPlace := found && a.staysWith(now, t, by, why)
 	switch {
 	case inPlace && d.repath(ctx, a, t, why, by):
 	case a.again && d.mayMove(a, why):
@@ -382,6 +422,12 @@
 	}
 }
 
+// staysWith says whether an attempt is given another path around a target rather than sent again:
+// it may not be sent again, or the engines beside a dead one take its place.
+func (a *attempt) staysWith(now time.Time, t *pkreplica.Target, by route, why string) bool {
+	return !a.again || (why == whyDead && a.near(now, t, by))
+}
+
 // detour returns the engines that can take the place of one on a path; none take that of
 // the first, and none that of any once the attempt was given as many paths as it may be.
 func (d *Daemon) detour(now time.Time, a *attempt, t *pkreplica.Target) (route, bool) {
--- a/pkedge/metrics.go
+++ b/pkedge/metrics.go
@@ -52,6 +52,14 @@
 		gauge("peridotknot_peers", "Other entries that are heard of.", func() float64 { return float64(d.sharing.table.Fresh(time.Now())) }),
 		gauge("peridotknot_members", "Entries that share what is bounded over all.", func() float64 { return float64(d.entries(time.Now())) }),
 		gauge("peridotknot_targets_avoided", "Targets that are passed over for failures.", func() float64 { return float64(d.avoided(time.Now())) }),
+		gauge("peridotknot_quarantined_requests", "Requests that are kept from replicas, since each that ran them ended.", func() float64 {
+			held, _ := d.quarantine.table.Sizes(time.Now())
+			return float64(held)
+		}),
+		gauge("peridotknot_suspected_requests", "Requests under which replicas ended, the quarantined ones among them.", func() float64 {
+			_, known := d.quarantine.table.Sizes(time.Now())
+			return float64(known)
+		}),
 		gauge("peridotknot_active_requests", "Requests in progress.", func() float64 { return float64(d.active.Load()) }),
 	)
 	return m
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -58,6 +58,10 @@
 	verdict := pkverdict.NotRun
 	var cause error
 	for c.sends < maxSends && ctx.Err() == nil {
+		if held := c.held(time.Now()); held != nil {
+			cause = held
+			break
+		}
 		t, found := c.roster.Choose(time.Now(), c.service, c.tried)
 		if !found || !c.mayStart(verdict) {
 			break
@@ -65,8 +69,10 @@
 		c.sends++
 		a, body, err := c.once(ctx, t)
 		if err == nil {
+			c.ranWell(time.Now())
 			return c.pass(a, body)
 		}
+		c.brokeOff(time.Now(), err, t)
 		cause = err
 		verdict = pkverdict.Join(verdict, c.note(t, err))
 		if verdict != pkverdict.NotRun && a != nil && c.sends >= c.route.MaxAttempts {
--- a/pkedge/share.go
+++ b/pkedge/share.go
@@ -166,6 +166,7 @@
 	for _, one := range m.Suspects {
 		d.hearSuspect(now, m.From, one)
 	}
+	d.learnCases(now, m.Cases, "peer "+string(m.From))
 }
 
 // hearSuspect passes a target over on another entry's word, and passes the word on where
@@ -331,9 +332,9 @@
 			s.table.Reconnected(ids[addr])
 		}
 		tell := tells[l.role]
-		d.help(now, &tell, ids[addr], l.role)
+		helps := d.help(now, &tell, ids[addr], l.role)
 		switch {
-		case tell.NewConfig != nil || tell.RecordsAfter != nil:
+		case helps:
 			l.put(d.encode(tell))
 		case news || connected || (due && l.role != pkshare.Peer):
 			if raws[l.role] == nil {
@@ -354,9 +355,9 @@
 	return raw
 }
 
-// help adds to a message what an entry misses.
-func (d *Daemon) help(now time.Time, m *pkshare.Message, to pkid.EntryID, role pkshare.Role) {
-	known := pkshare.Known{Self: d.settings.Entry, Config: m.Config, List: m.List, Hub: role != pkshare.Peer}
+// help adds to a message what an entry misses and says whether that is anything.
+func (d *Daemon) help(now time.Time, m *pkshare.Message, to pkid.EntryID, role pkshare.Role) bool {
+	known := pkshare.Known{Self: d.settings.Entry, Config: m.Config, List: m.List, Held: m.Held, Hub: role != pkshare.Peer}
 	misses := d.sharing.table.Misses(now, to, known)
 	if misses.Config {
 		m.NewConfig = d.configItem.Load()
@@ -364,6 +365,10 @@
 	if misses.List {
 		m.NewRecords, m.RecordsAfter = d.roster.Since(misses.After), &misses.After
 	}
+	if misses.Held {
+		m.Cases = append(d.quarantine.table.Held(now), m.Cases...)
+	}
+	return misses.Config || misses.List || misses.Held
 }
 
 // roles returns whom to tell: the entries that the store names and those that are heard
@@ -437,7 +442,10 @@
 
 // differs says whether a message says something new.
 func differs(a, b pkshare.Message) bool {
-	if a.Config != b.Config || a.List != b.List || len(a.Loads) != len(b.Loads) || len(b.Suspects) > 0 {
+	if a.Config != b.Config || a.List != b.List || a.Held != b.Held || len(a.Loads) != len(b.Loads) {
+		return true
+	}
+	if len(b.Suspects) > 0 || len(a.Cases) > 0 {
 		return true
 	}
 	for i := range a.Loads {
@@ -455,6 +463,7 @@
 		From: d.settings.Entry, Addr: s.addr, Run: s.run, List: d.roster.At(),
 		DataCenter: d.settings.DataCenter, ProcessorShare: float32(d.settings.ProcessorShare),
 		Following: d.listed.Load() && !d.roster.Away(),
+		Cases:     d.quarantine.table.News(now), Held: d.quarantine.table.Sum(now),
 	}
 	if back := now.Sub(d.roster.Returned()); back < storeBackTold {
 		m.StoreBackMS = max(back.Milliseconds(), 1)
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -71,6 +71,9 @@
 			cause = err
 			break
 		}
+		if cause = c.held(time.Now()); cause != nil {
+			break
+		}
 		c.sends++
 		err = c.attempt(ctx, s, p, &f)
 		if err == nil {
@@ -197,12 +200,13 @@
 }
 
 // attempt sends the stream over one path and passes its events on.
-func (c *call) attempt(ctx context.Context, s *pkconfig.Service, p route, f *flowing) error {
+func (c *call) attempt(ctx context.Context, s *pkconfig.Service, p route, f *flowing) (err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	c.path = p.String()
 	a := c.newAttempt(time.Now(), s, p, cancel)
 	defer func() {
+		a.broke(time.Now(), err)
 		c.mended += a.end()
 		c.paid = a.paid.Load()
 	}()
@@ -274,7 +278,9 @@
 				return errCallerLeft
 			}
 			watch.event()
-			a.event(now)
+			if a.event(now) {
+				c.ranWell(now)
+			}
 		}
 	}
 }
@@ -285,6 +291,7 @@
 	if f.events == 0 {
 		return &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: io.ErrUnexpectedEOF}
 	}
+	c.ranWell(time.Now())
 	return nil
 }
 
--- a/pkshare/message.go
+++ b/pkshare/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"peridotknot.example/pkid"
+	"peridotknot.example/pkquarantine"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkstore"
 )
@@ -38,6 +39,12 @@
 	StoreBackMS int64 `cbor:"17,keyasint,omitempty"`
 	// Members is how many entries a hub knows of by the store; zero where it is told itself.
 	Members int `cbor:"18,keyasint,omitempty"`
+	// Cases are requests under which replicas have ended, of which the sender learned lately or
+	// which the receiver seems to lack.
+	Cases []pkquarantine.Case `cbor:"19,keyasint,omitempty"`
+	// Held tells the requests that the sender keeps from replicas from others; zero where it
+	// knows of no such thing.
+	Held pkquarantine.Sum `cbor:"20,keyasint,omitempty"`
 	// DataCenter and ProcessorShare are those of the sender.
 	DataCenter     pkid.DataCenter `cbor:"12,keyasint,omitempty"`
 	ProcessorShare float32         `cbor:"14,keyasint,omitempty"`
--- a/pkshare/table.go
+++ b/pkshare/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"peridotknot.example/pkid"
+	"peridotknot.example/pkquarantine"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkstore"
 )
@@ -51,9 +52,14 @@
 	// behindSince is when it was first seen to know less than this entry.
 	configBehind time.Time
 	listBehind   time.Time
-	// toldConfig and toldList are when it was helped last.
+	// held tells the requests that it keeps from replicas from others, heldBehind is since when
+	// they are not the same as here.
+	held       pkquarantine.Sum
+	heldBehind time.Time
+	// toldConfig, toldList and toldHeld are when it was helped last.
 	toldConfig time.Time
 	toldList   time.Time
+	toldHeld   time.Time
 	// following says that it follows the list at the store.
 	following bool
 	// members is how many entries it knows of by the store.
@@ -90,7 +96,7 @@
 	}
 	p.addr, p.run, p.sequence, p.at = m.Addr, m.Run, m.Sequence, now
 	p.config, p.list, p.loads, p.flows = m.Config, m.List, m.Loads, m.Flows
-	p.following, p.members = m.Following, m.Members
+	p.following, p.members, p.held = m.Following, m.Members, m.Held
 	p.sum, p.dataCenter, p.share = m.Sum, m.DataCenter, float64(m.ProcessorShare)
 	return true
 }
@@ -155,6 +161,8 @@
 	Self   pkid.EntryID
 	Config pkstore.Revision
 	List   pkstore.Revision
+	// Held tells the requests that it keeps from replicas from others.
+	Held pkquarantine.Sum
 	// Hub says that it is a hub of the peer; what the others know is then not known.
 	Hub bool
 }
@@ -164,6 +172,8 @@
 	Config bool
 	List   bool
 	After  pkstore.Revision
+	// Held says that it keeps other requests from replicas than this entry.
+	Held bool
 }
 
 // Misses returns what to tell a peer that has known less than this entry for some
@@ -190,9 +200,21 @@
 		p.toldList = now
 		out.List, out.After = true, p.list
 	}
+	out.Held = p.missesHeld(now, k.Held)
 	return out
 }
 
+// missesHeld says whether a peer has for some time kept other requests from replicas than this
+// entry. One of an earlier build says nothing of them, and would be told for ever.
+func (p *peer) missesHeld(now time.Time, held pkquarantine.Sum) bool {
+	differs := p.held != 0 && p.held != held
+	if !behind(now, &p.heldBehind, differs, missesFor) || now.Sub(p.toldHeld) < tellAgain {
+		return false
+	}
+	p.toldHeld = now
+	return true
+}
+
 // Led says whether a hub tells this entry of the list and of how many members there are, so
 // that it need not follow them at the store itself: each entry that does costs the store a
 // call for each change.
@@ -244,7 +266,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if p := t.peers[to]; p != nil {
-		p.toldConfig, p.toldList = time.Time{}, time.Time{}
+		p.toldConfig, p.toldList, p.toldHeld = time.Time{}, time.Time{}, time.Time{}
 	}
 }
 
