pkanswer: a request that crashes each engine that runs it is not sent on

The reason `quarantined` is told with 503. Before and after: TestARequestThatCrashesEnginesIsNotSentOn of this package, six engines and `target_lost` -> three and `quarantined`, none when it comes again; streams that break off at engines that live, or after tokens, take six attempts as before. Conclusion: entries of this daemon don't tell one another yet; left to the one core.

--- a/pkanswer/run.go
+++ b/pkanswer/run.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"strings"
+	"syscall"
 	"time"
 
 	"peridotknot.example/pkengine"
 	"peridotknot.example/pkid"
+	"peridotknot.example/pkquarantine"
 	"peridotknot.example/pkroute"
 	"peridotknot.example/pkstream"
 	"peridotknot.example/pktarget"
@@ -18,7 +20,10 @@
 
 // Request is one model request that was admitted.
 type Request struct {
-	ID           pkid.RequestID
+	ID pkid.RequestID
+	// Digest is the same for requests that differ by their ids alone; zero where that is not
+	// told.
+	Digest       pkquarantine.Digest
 	Want         pkroute.Want
 	Prompt       string
 	PromptTokens pkid.Tokens
@@ -81,6 +86,8 @@
 	Options Options
 	// Cancel is told of attempts that were given up.
 	Cancel func(addr string, id pkid.RequestID, attempt pkid.Attempt)
+	// Quarantine is the requests under which engines have ended.
+	Quarantine pkquarantine.Table
 }
 
 // run is one answer in progress.
@@ -100,16 +107,41 @@
 // errCaller marks an error of the caller's side, which no attempt can mend.
 var errCaller = errors.New("the caller is gone")
 
+// errQuarantined ends a request under which too many engines have ended.
+var errQuarantined = errors.New("engines that ran this request have ended")
+
+// goneTimeout bounds the question whether an engine is there after its stream broke off: one
+// whose process is gone refuses the connection at once.
+const goneTimeout = 300 * time.Millisecond
+
+// endedUnder suspects the request of an attempt that gave no token, where its engine is gone.
+// Sent on as if only the engine had failed, a request that crashes each engine which begins to
+// run it ended six engines, and six more each time it came again.
+func (a *run) endedUnder(ctx context.Context, head *pktarget.Target, before pkid.Index) {
+	if a.relay.Next() > before || ctx.Err() != nil || head.Leaving() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, goneTimeout)
+	defer cancel()
+	if _, err := a.Engine.Load(ctx, head.Info.Addr); errors.Is(err, syscall.ECONNREFUSED) {
+		a.Quarantine.Crashed(time.Now(), a.req.Digest, pkquarantine.StartOf(head.Info.ID, 0))
+	}
+}
+
 // Run runs an answer; the error is a *pkverdict.Error.
 func (r *Runner) Run(ctx context.Context, req Request, sink Sink, budget Budget, watch Watcher) (Finish, error) {
 	a := &run{Runner: r, req: req, sink: sink, budget: budget, watch: watch, verdict: pkverdict.NotRun}
 	for {
+		if r.Quarantine.Left(time.Now(), req.Digest) > 0 {
+			return a.finish(""), a.fail(pkverdict.ReasonQuarantined, errQuarantined)
+		}
 		chain, err := a.chain(ctx)
 		if err != nil {
 			return a.finish(""), a.fail(pkverdict.ReasonNoRoute, err)
 		}
 		reason, err := a.attempt(ctx, chain)
 		if err == nil {
+			r.Quarantine.Ran(time.Now(), req.Digest)
 			return a.finish(reason), nil
 		}
 		if errors.Is(err, errCaller) || ctx.Err() != nil {
@@ -166,6 +198,7 @@
 // attempt runs one attempt to its end and returns the finish reason.
 func (a *run) attempt(ctx context.Context, chain pkroute.Chain) (string, error) {
 	a.attempts++
+	before := a.relay.Next()
 	number := a.relay.Begin()
 	for _, t := range chain.Stages {
 		t.Begin()
@@ -175,6 +208,7 @@
 	reason, err := a.stream(ctx, number, chain)
 	a.watch.AttemptEnded(ctx, number, err)
 	if err != nil && !a.refused(err) {
+		a.endedUnder(ctx, chain.Stages[0], before)
 		a.Cancel(chain.Stages[0].Info.Addr, a.req.ID, number)
 	}
 	return reason, err
--- a/pkanswer/run_test.go
+++ b/pkanswer/run_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,8 +40,10 @@
 
 // scripted is an engine that fails each attempt as its script says.
 type scripted struct {
-	t         *testing.T
-	script    []failure
+	t      *testing.T
+	script []failure
+	// gone engines refuse connections once their streams have broken off.
+	gone      bool
 	opened    []pkengine.Open
 	cancelled []pkid.Attempt
 }
@@ -68,7 +71,12 @@
 
 func (s *scripted) Cancel(context.Context, string, pkid.RequestID, pkid.Attempt) error { return nil }
 
-func (s *scripted) Load(context.Context, string) (pkengine.Load, error) { return pkengine.Load{}, nil }
+func (s *scripted) Load(context.Context, string) (pkengine.Load, error) {
+	if s.gone {
+		return pkengine.Load{}, fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
+	}
+	return pkengine.Load{}, nil
+}
 
 func (s *scripted) Order(context.Context, string, pkengine.Order) error { return nil }
 
@@ -265,6 +273,51 @@
 	}
 }
 
+// A request crashes each engine that begins to run it, and comes again. It was sent to six engines
+// each time. Once three have ended it must not reach another; streams that merely break off, of
+// engines that are there, or that had given tokens, are sent on as ever.
+func TestARequestThatCrashesEnginesIsNotSentOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		at     pkid.Index
+		gone   bool
+		opened int
+		reason pkverdict.Reason
+	}{
+		"gone before a token": {0, true, 3, pkverdict.ReasonQuarantined},
+		"there":               {0, false, 6, pkverdict.ReasonTargetLost},
+		"gone in mid-answer":  {1, true, 6, pkverdict.ReasonTargetLost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &scripted{t: t, gone: c.gone}
+				for i := range pkid.Index(20) {
+					e.script = append(e.script, failure{dies, c.at * (1 + i)})
+				}
+				r := &Runner{Engine: e, Router: &router{spares: 9}, Options: DefaultOptions()}
+				r.Cancel = func(string, pkid.RequestID, pkid.Attempt) {}
+				req := Request{ID: "r", Digest: 7, MaxTokens: answerTokens, Deadline: time.Now().Add(time.Minute)}
+				_, err := r.Run(t.Context(), req, &sink{}, &budget{left: 99}, unwatched{})
+				var failure *pkverdict.Error
+				assert.Assert(t, errors.As(err, &failure), err)
+				assert.Equal(t, failure.Reason, c.reason)
+				assert.Equal(t, failure.Verdict, pkverdict.MayHaveRun)
+				assert.Equal(t, len(e.opened), c.opened)
+
+				if c.reason != pkverdict.ReasonQuarantined {
+					return
+				}
+				_, err = r.Run(t.Context(), req, &sink{}, &budget{left: 99}, unwatched{})
+				assert.Assert(t, errors.As(err, &failure), err)
+				assert.Equal(t, failure.Verdict, pkverdict.NotRun)
+				assert.Equal(t, len(e.opened), c.opened, "it comes again")
+				req.Digest, e.gone, e.script = 8, false, nil
+				_, err = r.Run(t.Context(), req, &sink{}, &budget{left: 99}, unwatched{})
+				assert.NilError(t, err, "another request")
+			})
+		})
+	}
+}
+
 // The caller goes away in mid-answer. The engine must be told, and no other
 // attempt may be made: nobody reads it.
 func TestCallerGone(t *testing.T) {
--- a/pkentry/callers.go
+++ b/pkentry/callers.go
@@ -174,7 +174,7 @@
 	switch v.Reason {
 	case pkverdict.ReasonDeadline:
 		out.Status = http.StatusGatewayTimeout
-	case pkverdict.ReasonNoRoute, pkverdict.ReasonStopping:
+	case pkverdict.ReasonNoRoute, pkverdict.ReasonStopping, pkverdict.ReasonQuarantined:
 		out.Status = http.StatusServiceUnavailable
 	case pkverdict.ReasonOverload, pkverdict.ReasonTargetLost, pkverdict.ReasonUnreachable, pkverdict.ReasonRefused, pkverdict.ReasonCanceled:
 	}
@@ -193,6 +193,7 @@
 	pkverdict.ReasonRefused:     "the target refused the request",
 	pkverdict.ReasonStopping:    "this entry is stopping",
 	pkverdict.ReasonCanceled:    "the request was canceled",
+	pkverdict.ReasonQuarantined: "targets that ran this request have ended, and it is not sent to others for some minutes",
 }
 
 // finish writes the answer to a failed call, and logs and counts every call.
--- a/pkentry/chat.go
+++ b/pkentry/chat.go
@@ -19,6 +19,7 @@
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkmanifest"
 	"peridotknot.example/pkopenai"
+	"peridotknot.example/pkquarantine"
 	"peridotknot.example/pkroute"
 	"peridotknot.example/pktrace"
 )
@@ -55,6 +56,7 @@
 	limits := c.view.Manifest.Limits
 	run := pkanswer.Request{
 		ID:           c.id,
+		Digest:       c.digest(req, prompt),
 		Want:         c.wantNow(m, adapter),
 		Prompt:       prompt,
 		PromptTokens: pkopenai.CountTokens(prompt),
@@ -68,6 +70,12 @@
 	return c.run(run, req, endpoint)
 }
 
+// digest tells whether a model request is the same as another but for its id.
+func (c *call) digest(req pkopenai.Request, prompt string) pkquarantine.Digest {
+	same := pkquarantine.Identity{Account: c.account.ID, Method: c.r.Method, URI: c.r.URL.Path, Body: []byte(req.Model + "\n" + prompt)}
+	return same.Digest()
+}
+
 func (c *call) decode(endpoint pkopenai.Endpoint) (pkopenai.Request, error) {
 	limit := c.view.Manifest.Limits.MaxBody
 	if c.r.ContentLength > limit {
--- a/pkverdict/verdict.go
+++ b/pkverdict/verdict.go
@@ -98,6 +98,8 @@
 	ReasonRefused     Reason = "refused"
 	ReasonStopping    Reason = "stopping"
 	ReasonCanceled    Reason = "canceled"
+	// ReasonQuarantined says that replicas have ended under the request.
+	ReasonQuarantined Reason = "quarantined"
 )
 
 // Error returns the reason, the verdict and the cause.
