--- a/pkedge/mend.go
+++ b/pkedge/mend.go
@@ -314,7 +314,7 @@
 		d.suspect(t, now.Add(suspectPause), err)
 		d.mendAll(ctx, now, d.streams.list())
 	}
-	d.log.Info("asked an engine that silent streams share", "target", t.ID, "dead", dead, "error", err, "control_error", controlErr)
+	d.log.Info("asked an engine for a sign of life", "target", t.ID, "dead", dead, "error", err, "control_error", controlErr)
 }
 
 // errNoOther says that there is no other engine to ask.
