--- a/pkedge/quarantine.go
+++ b/pkedge/quarantine.go
@@ -21,9 +21,6 @@
 )
 
 const (
-	// provenAfter is how long after its first event a stream has shown that its engines bear
-	// it: those that a request crashes end within a tenth of a second of beginning to run it.
-	provenAfter = time.Second
 	// settleWithin is how soon after a request broke off its replica must be known to be gone
 	// for the request to be suspected. Other entries' word on it takes a second in large
 	// fleets, and one that crashed is away for some seconds.
--- a/pkedge/share.go
+++ b/pkedge/share.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -18,7 +17,6 @@
 	"peridotknot.example/pkpeer"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkshare"
-	"peridotknot.example/pkstore"
 	"peridotknot.example/pktimer"
 )
 
@@ -37,33 +35,6 @@
 	// loadsEvery is how often the loads of other entries are added up: each tells
 	// them seven times a second.
 	loadsEvery = 75 * time.Millisecond
-	// dialTimeout bounds how long it takes to reach an entry.
-	dialTimeout = time.Second
-	// redialFirst and redialMost bound the pause after a lost connection.
-	redialFirst = 100 * time.Millisecond
-	redialMost  = 2 * time.Second
-)
-
-// suspicion is what is told of a target that was found at fault.
-type suspicion struct {
-	until time.Time
-	fault fault
-	// born is the start of the target, entry the revision of its entry, by which it was judged.
-	born  pkid.Birth
-	entry pkstore.Revision
-}
-
-// fault is how a target was found at fault; a greater one says more.
-type fault uint8
-
-// Faults.
-const (
-	// faultSilent targets give no sign of life.
-	faultSilent fault = iota
-	// faultMisplaced targets do not hold the layers that their entry names.
-	faultMisplaced
-	// faultGone targets have no process.
-	faultGone
 )
 
 // sharing is how a daemon tells the others and hears them.
@@ -108,26 +79,6 @@
 	return nil
 }
 
-// suspect tells the others that a target is passed over until a time, at once where that
-// is news. What one of them said is passed on in the same way, and what comes back to where
-// it began is no news.
-//
-// Told with the next message, at 78 entries it went by three of them, and half of the
-// streams of dead engines learned of it 220 to 260 ms after the crash.
-func (s *sharing) suspect(t pkid.TargetID, one suspicion) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	old := s.suspects[t]
-	if old.born == one.born && one.until.Sub(old.until) <= suspectPause/2 && old.fault >= one.fault {
-		return
-	}
-	s.suspects[t] = one
-	select {
-	case s.urgent <- struct{}{}:
-	default: // a message is asked for already
-	}
-}
-
 // peersHandler takes messages of other entries.
 func (d *Daemon) peersHandler(ctx context.Context) http.Handler {
 	mux := http.NewServeMux()
@@ -169,43 +120,6 @@
 	d.learnCases(now, m.Cases, "peer "+string(m.From))
 }
 
-// hearSuspect passes a target over on another entry's word, and passes the word on where
-// there are hubs. What was said of an earlier start of the target, or by an earlier entry of
-// it, no longer holds.
-func (d *Daemon) hearSuspect(now time.Time, from pkid.EntryID, told pkshare.Suspect) {
-	one := suspicion{until: now.Add(time.Duration(told.ForMS) * time.Millisecond), born: told.Born, entry: told.Entry}
-	switch {
-	case told.Gone:
-		one.fault = faultGone
-	case told.Misplaced:
-		one.fault = faultMisplaced
-	}
-	if d.roster.Restarted(told.Target, told.Born) {
-		d.streams.look()
-	}
-	if t, found := d.roster.Target(told.Target); found {
-		if d.outdated(t, one) {
-			return
-		}
-		if !t.IsDead(now) {
-			d.log.Info("a target is passed over on a peer's word", "target", t.ID, "peer", from, "gone", told.Gone,
-				"misplaced", told.Misplaced, "born", told.Born, "for_ms", told.ForMS)
-		}
-		d.pass(t, one)
-	}
-	if d.sharing.withHubs.Load() {
-		d.sharing.suspect(told.Target, one)
-	}
-}
-
-// outdated says whether more is known of a target than a suspicion was judged by.
-func (d *Daemon) outdated(t *pkreplica.Target, one suspicion) bool {
-	if one.born != 0 && t.Born > one.born {
-		return true
-	}
-	return one.fault == faultMisplaced && d.roster.Revision(t.ID) > one.entry
-}
-
 // takeLoads keeps with each target what the other entries hold of it.
 func (d *Daemon) takeLoads(ctx context.Context) {
 	pktimer.Every(ctx, loadsEvery, func(context.Context) {
@@ -230,29 +144,6 @@
 	return pkshare.Every
 }
 
-// link is the way to one other entry.
-type link struct {
-	cancel context.CancelFunc
-	// role is what the other entry is to this one.
-	role pkshare.Role
-	// out holds the newest message that has not gone out; an older one is dropped.
-	out chan []byte
-	// connected is set by a new connection, whose other end has heard nothing yet.
-	connected atomic.Bool
-}
-
-// put leaves a message for the connection.
-func (l *link) put(raw []byte) {
-	if raw == nil {
-		return
-	}
-	select {
-	case <-l.out:
-	default:
-	}
-	l.out <- raw
-}
-
 // tellPeers keeps a connection to each other entry and tells it what is new. A
 // message is made and encoded once for all: made for each, idle entries spent twice
 // the processor time.
@@ -394,52 +285,6 @@
 	return d.sharing.table.Roles(now, self, others)
 }
 
-func (d *Daemon) runLink(ctx context.Context, addr string, l *link) {
-	pause := redialFirst
-	for ctx.Err() == nil {
-		began := time.Now()
-		err := d.runConn(ctx, addr, l)
-		if ctx.Err() != nil {
-			return
-		}
-		d.log.Info("a peer is not reached", "addr", addr, "error", err)
-		if time.Since(began) > redialMost {
-			pause = redialFirst
-		}
-		pktimer.Sleep(ctx, pause/2+rand.N(pause))
-		pause = min(2*pause, redialMost)
-	}
-}
-
-// runConn tells one entry what is left for it until the connection breaks.
-func (d *Daemon) runConn(ctx context.Context, addr string, l *link) error {
-	dial, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	c, err := d.sharing.net.Dial(dial, addr)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = c.Close() }() // a closed connection has nothing left to lose
-	ctx, lost := context.WithCancel(ctx)
-	defer lost()
-	d.sharing.wg.Go(func() {
-		// Nothing comes this way; a read ends when the connection does.
-		_, _ = c.Receive(ctx)
-		lost()
-	})
-	l.connected.Store(true)
-	for {
-		select {
-		case <-ctx.Done():
-			return errors.New("the connection ended")
-		case raw := <-l.out:
-			if _, err := c.SendRaw(ctx, raw); err != nil {
-				return err
-			}
-		}
-	}
-}
-
 // differs says whether a message says something new.
 func differs(a, b pkshare.Message) bool {
 	if a.Config != b.Config || a.List != b.List || a.Held != b.Held || len(a.Loads) != len(b.Loads) {
