--- a/pkedge/deadly_test.go
+++ b/pkedge/deadly_test.go
@@ -126,19 +126,27 @@
 	assert.Equal(t, got.body, events(3), "the same caller's other requests")
 }
 
-// The same with a plain service: its replicas crash under a call that may be repeated.
-func TestARequestThatCrashesPlainReplicasIsNotSentOn(t *testing.T) {
-	t.Parallel()
-	w := platformtest.NewWorld()
+// plainOutbreak returns a plain service and two entries at which a deadly call has ended three
+// replicas of it.
+func plainOutbreak(t *testing.T) (w *platformtest.World, o *outbreak, one, two *node) {
+	t.Helper()
+	w = platformtest.NewWorld()
 	t.Cleanup(w.Close)
 	for _, id := range []string{"i-a", "i-b", "i-c"} {
 		w.Add(platformtest.App, id, "a")
 	}
-	one, two := start(t, w, "one"), start(t, w, "two")
+	one, two = start(t, w, "one"), start(t, w, "two")
 	meet(t, one, two)
-	o := &outbreak{w: w, service: platformtest.App, uri: "/read/deadly"}
+	o = &outbreak{w: w, service: platformtest.App, uri: "/read/deadly"}
 	w.Deadly(o.uri)
 	o.spread(t, one, two)
+	return w, o, one, two
+}
+
+// The same with a plain service: its replicas crash under a call that may be repeated.
+func TestARequestThatCrashesPlainReplicasIsNotSentOn(t *testing.T) {
+	t.Parallel()
+	_, o, one, two := plainOutbreak(t)
 	o.refused(t, one, two)
 	assert.Equal(t, one.do(t, http.MethodGet, "/read/1", "sound", platformtest.Key, 0).status, http.StatusOK)
 }
@@ -147,16 +155,7 @@
 // fresh entry that does not know of the deadly request ends three replicas more.
 func TestFreshEntriesKnowOfADeadlyRequest(t *testing.T) {
 	t.Parallel()
-	w := platformtest.NewWorld()
-	t.Cleanup(w.Close)
-	for _, id := range []string{"i-a", "i-b", "i-c"} {
-		w.Add(platformtest.App, id, "a")
-	}
-	one, two := start(t, w, "one"), start(t, w, "two")
-	meet(t, one, two)
-	o := &outbreak{w: w, service: platformtest.App, uri: "/read/deadly"}
-	w.Deadly(o.uri)
-	o.spread(t, one, two)
+	w, o, one, two := plainOutbreak(t)
 
 	third := start(t, w, "three")
 	o.held(t, third)
