pkedge: an engine that lives and refuses is asked whether it leaves while the store is away

Change: where the store is away, an engine that gives a sign of life is asked by its health check; one that leaves is passed over by all entries until its entry changes. A rejection of the check by a full engine counts as full. Engines are asked by a loop of their own, which the daemon waits for.

--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -75,6 +75,8 @@
 	budgets     budgets
 	sharing     sharing
 	streams     streams
+	// doubts are engines to be asked whether they live and stay.
+	doubts chan doubt
 	// quarantine is which requests are kept from replicas.
 	quarantine quarantine
 	// configItem is the configuration in force as the store has it.
@@ -100,6 +102,7 @@
 	d.retry.Store(&s.Retry)
 	d.seeds.Store(&s.Seeds)
 	d.streams.gone = make(chan struct{}, 1)
+	d.doubts = make(chan doubt, mostDoubts)
 	d.metrics = newMetrics(d)
 	var err error
 	if d.callers, err = net.Listen("tcp", s.Listen.Callers); err != nil {
@@ -150,7 +153,7 @@
 		peers := &http.Server{Handler: d.peersHandler(inner), ReadHeaderTimeout: readinessTimeout}
 		g.Add(func() error { return untilDone(inner, peers.Serve(d.sharing.listener)) }, func(error) { _ = peers.Close() })
 	}
-	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.keepLease, d.own, d.tellPeers, d.takeLoads, d.mendStreams, d.watchEngines, d.logCalls, d.settleEnds, d.saveHeld} {
+	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.keepLease, d.own, d.tellPeers, d.takeLoads, d.mendStreams, d.watchEngines, d.logCalls, d.settleEnds, d.saveHeld, d.settleDoubts} {
 		g.Add(func() error { loop(inner); return nil }, func(error) { cancel() })
 	}
 	return g.Run()
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -304,23 +304,8 @@
 		until = c.misplaced(now, fault)
 	} else {
 		until = c.failed(now, fault, err)
-		c.askRefused(now, a, fault, answer)
+		c.doubt(now, a, fault, answer)
 	}
 	c.log.Info("a target is passed over", "target", fault.ID, "request_id", c.req.Ask.ID, "path", a.route().String(),
 		"for_ms", until.Sub(now).Milliseconds(), "error", err)
 }
-
-// askRefused asks an engine for a sign of life at now where the first engine of a path refused
-// for it: that engine may be full or leave, or be dead.
-//
-// While the store is away, the list goes on naming engines that fell dark. The streams that show
-// that one is dead pass it over for four seconds; after that new ones found it out one by one,
-// each entry for itself and for two tenths of a second at first. Nine such engines refused 2,260
-// sends of 195 entries in twelve seconds, until the retry budgets were spent.
-func (d *Daemon) askRefused(now time.Time, a *attempt, t *pkreplica.Target, answer *pkforward.Answer) {
-	refused := answer != nil && answer.Status == http.StatusServiceUnavailable
-	if !refused || t == a.route().first() || t.Hopeless(now) || !t.Ask(now, askPause) {
-		return
-	}
-	d.streams.wg.Go(func() { d.ask(context.Background(), t) })
-}
--- a/pkedge/suspect.go
+++ b/pkedge/suspect.go
@@ -74,15 +74,15 @@
 	}
 }
 
-// ask asks an engine for a sign of life, and another one with it.
-func (d *Daemon) ask(ctx context.Context, t *pkreplica.Target) {
+// ask asks an engine for a sign of life, and another one with it, and says whether it is dead.
+func (d *Daemon) ask(ctx context.Context, t *pkreplica.Target) bool {
 	call, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	control := make(chan error, 1)
 	go func() { control <- d.askOther(call, t) }()
 	_, err := d.report(call, t)
 	if ctx.Err() != nil {
-		return
+		return false
 	}
 	controlErr := <-control
 	dead := pkstall.Dead(err, controlErr)
@@ -91,6 +91,7 @@
 		d.mendAll(ctx, now, d.streams.list())
 	}
 	d.log.Info("asked an engine for a sign of life", "target", t.ID, "dead", dead, "error", err, "control_error", controlErr)
+	return dead
 }
 
 // errNoOther says that there is no other engine to ask.
--- a/pkowner/engine.go
+++ b/pkowner/engine.go
@@ -79,6 +79,9 @@
 	// Hold keeps a connection to the engine at addr until the engine ends it, as it does with
 	// all when its process ends; the error is that of connecting.
 	Hold(ctx context.Context, addr string) error
+	// Leaving asks the engine at addr by its health check whether it leaves or fails; one that
+	// is too busy to answer it does not.
+	Leaving(ctx context.Context, addr, healthPath string) (bool, error)
 	// Repath orders the first engine of a request to go on over another path.
 	Repath(ctx context.Context, addr string, id pkid.RequestID, path []pkforward.Hop) (Outcome, error)
 }
