pkexplain: a story has what the same request did under other ids

Cause: a refusal as quarantined rests on what the request did minutes before under other ids, and the story of its id showed none of it. Change: lines with the digest of the request belong to its story. Seen: the new test fails without it; the others are as before.

--- a/pkexplain/story.go
+++ b/pkexplain/story.go
@@ -141,41 +141,79 @@
 
 // related returns the request's own lines and those that they rest on.
 func related(all, own []Line, id string) []Line {
-	targets := map[string]bool{}
-	for _, l := range own {
-		for _, t := range l.targets() {
-			targets[t] = true
-		}
-	}
-	first, last := began(own), own[len(own)-1].At
+	r := relationOf(own, id)
+	last := own[len(own)-1].At
 	var out []Line
 	config := -1
 	for _, l := range all {
 		if l.At.After(last) {
 			break
 		}
-		near := l.At.After(first.Add(-before))
-		switch {
-		case l.value("request_id") == id:
-			l.Why = "request"
-		case l.Message == "configuration in force":
-			l.Why = "configuration"
-			if config >= 0 && !l.At.After(first) {
+		if l.Why = r.why(l); l.Why == "" {
+			continue
+		}
+		if l.Why == whyConfiguration {
+			if config >= 0 && !l.At.After(r.first) {
 				out = slices.Delete(out, config, config+1)
 			}
 			config = len(out)
-		case near && targets[l.value("target")]:
-			l.Why = "target"
-		case near && isState(l.Message):
-			l.Why = "state"
-		default:
-			continue
 		}
 		out = append(out, l)
 	}
 	return out
 }
 
+// Why a line belongs to a story.
+const (
+	whyRequest = "request"
+	// whySame is the same request under another id, and what it did, perhaps minutes ago.
+	whySame          = "same"
+	whyConfiguration = "configuration"
+	whyTarget        = "target"
+	whyState         = "state"
+)
+
+// relation is what ties other lines to a request.
+type relation struct {
+	id      string
+	targets map[string]bool
+	digests map[string]bool
+	// first is when the request came.
+	first time.Time
+}
+
+func relationOf(own []Line, id string) relation {
+	r := relation{id: id, targets: map[string]bool{}, digests: map[string]bool{}, first: began(own)}
+	for _, l := range own {
+		for _, t := range l.targets() {
+			r.targets[t] = true
+		}
+		if digest := l.value("digest"); digest != "" {
+			r.digests[digest] = true
+		}
+	}
+	return r
+}
+
+// why returns what a line has to do with the request; empty where that is nothing.
+func (r relation) why(l Line) string {
+	near := l.At.After(r.first.Add(-before))
+	switch {
+	case l.value("request_id") == r.id:
+		return whyRequest
+	case r.digests[l.value("digest")]:
+		return whySame
+	case l.Message == "configuration in force":
+		return whyConfiguration
+	case near && r.targets[l.value("target")]:
+		return whyTarget
+	case near && isState(l.Message):
+		return whyState
+	default:
+		return ""
+	}
+}
+
 // began returns when a request came: its lines are written as it goes on, the first
 // perhaps at its end, which says how long it took.
 func began(own []Line) time.Time {
--- a/pkexplain/story_test.go
+++ b/pkexplain/story_test.go
@@ -44,6 +44,25 @@
 	assert.Equal(t, s.Lines[3].value("gone"), "true")
 }
 
+// The lines of a request that is refused since it ended three targets earlier, under other ids.
+const quarantined = `
+{"@timestamp":"2026-07-09T14:20:00.000000Z","@level":"info","@message":"a target ended under a request","request_id":"first","digest":"00ab","target":"i-1","crashes":3}
+{"@timestamp":"2026-07-09T14:20:00.000000Z","@level":"warn","@message":"a request is quarantined","digest":"00ab","source":"own","for_ms":600000}
+{"@timestamp":"2026-07-09T14:20:01.000000Z","@level":"warn","@message":"a request is quarantined","digest":"00cd","source":"own","for_ms":600000}
+{"@timestamp":"2026-07-09T14:28:57.400000Z","@level":"info","@message":"request","request_id":"another","digest":"00ef","outcome":"answered"}
+{"@timestamp":"2026-07-09T14:28:58.612975Z","@level":"info","@message":"request","request_id":"ed8f","digest":"00ab","outcome":"quarantined","ms":0}
+`
+
+func TestAStoryHasWhatTheSameRequestDidBefore(t *testing.T) {
+	s, err := Read(strings.NewReader(quarantined), "ed8f")
+	assert.NilError(t, err)
+	var got []string
+	for _, l := range s.Lines {
+		got = append(got, l.Why+": "+l.Message)
+	}
+	assert.DeepEqual(t, got, []string{"same: a target ended under a request", "same: a request is quarantined", "request: request"})
+}
+
 func TestAnUnknownRequestIsSaid(t *testing.T) {
 	_, err := Read(strings.NewReader(brokenStream), "none")
 	assert.ErrorIs(t, err, ErrUnknown)
