--- a/pkedge/deadly_test.go
+++ b/pkedge/poison_test.go
@@ -13,15 +13,15 @@
 )
 
 const (
-	// quarantined is the metric of requests that an entry holds for deadly.
+	// quarantined is the metric of requests that an entry keeps from replicas.
 	quarantined = "peridotknot_quarantined_requests"
-	// mostEnded is how many replicas a deadly request may end: three show what it is, and the
+	// mostEnded is how many replicas a poison request may end: three show what it is, and the
 	// attempt that ends the third may have one more send under way.
 	mostEnded = 4
 )
 
-// outbreak is a deadly request that comes to entries again and again.
-type outbreak struct {
+// poisonRequest is a request that crashes what runs it and comes to entries again and again.
+type poisonRequest struct {
 	w       *platformtest.World
 	service string
 	uri     string
@@ -33,14 +33,14 @@
 
 // send sends the request to an entry under a new id, and brings replicas that it ended back
 // under new ids.
-func (o *outbreak) send(t *testing.T, n *node) reply {
+func (o *poisonRequest) send(t *testing.T, n *node) reply {
 	t.Helper()
 	o.sent++
 	method, body := http.MethodGet, ""
 	if o.tokens > 0 {
 		method, body = http.MethodPost, "the same each time"
 	}
-	got := n.doWith(t, patience, method, o.uri, fmt.Sprintf("deadly-%d", o.sent), platformtest.Key, o.tokens, body)
+	got := n.doWith(t, patience, method, o.uri, fmt.Sprintf("poison-%d", o.sent), platformtest.Key, o.tokens, body)
 	for _, id := range o.w.Ended()[o.replaced:] {
 		o.replaced++
 		o.w.Store.Delete("servers/" + id)
@@ -50,8 +50,8 @@
 }
 
 // spread sends the request to one entry after the other until it has ended three replicas, and
-// waits until all entries hold it for deadly.
-func (o *outbreak) spread(t *testing.T, nodes ...*node) {
+// waits until all entries keep it from replicas.
+func (o *poisonRequest) spread(t *testing.T, nodes ...*node) {
 	t.Helper()
 	for i := 0; len(o.w.Ended()) < 3; i++ {
 		n := nodes[i%len(nodes)]
@@ -64,9 +64,9 @@
 	o.held(t, nodes...)
 }
 
-// held waits until entries hold the request for deadly; the checks that follow fail where they
+// held waits until entries keep the request from replicas; the checks that follow fail where they
 // do not.
-func (o *outbreak) held(t *testing.T, nodes ...*node) {
+func (o *poisonRequest) held(t *testing.T, nodes ...*node) {
 	t.Helper()
 	end := time.Now().Add(patience)
 	for _, n := range nodes {
@@ -78,7 +78,7 @@
 
 // refused checks that entries refuse the request as one that has not run, and that it ends no
 // replica any more.
-func (o *outbreak) refused(t *testing.T, nodes ...*node) {
+func (o *poisonRequest) refused(t *testing.T, nodes ...*node) {
 	t.Helper()
 	before := len(o.w.Ended())
 	var answers []reply
@@ -116,8 +116,8 @@
 	w, _ := pool(t)
 	one, two := start(t, w, "one"), start(t, w, "two")
 	meet(t, one, two)
-	o := &outbreak{w: w, service: platformtest.Pool, uri: "/talk/deadly", tokens: 5}
-	w.Deadly(o.uri)
+	o := &poisonRequest{w: w, service: platformtest.Pool, uri: "/talk/poison", tokens: 5}
+	w.Poison(o.uri)
 	o.spread(t, one, two)
 	o.refused(t, one, two)
 
@@ -126,9 +126,9 @@
 	assert.Equal(t, got.body, events(3), "the same caller's other requests")
 }
 
-// plainOutbreak returns a plain service and two entries at which a deadly call has ended three
+// plainPoison returns a plain service and two entries at which a poison call has ended three
 // replicas of it.
-func plainOutbreak(t *testing.T) (w *platformtest.World, o *outbreak, one, two *node) {
+func plainPoison(t *testing.T) (w *platformtest.World, o *poisonRequest, one, two *node) {
 	t.Helper()
 	w = platformtest.NewWorld()
 	t.Cleanup(w.Close)
@@ -137,8 +137,8 @@
 	}
 	one, two = start(t, w, "one"), start(t, w, "two")
 	meet(t, one, two)
-	o = &outbreak{w: w, service: platformtest.App, uri: "/read/deadly"}
-	w.Deadly(o.uri)
+	o = &poisonRequest{w: w, service: platformtest.App, uri: "/read/poison"}
+	w.Poison(o.uri)
 	o.spread(t, one, two)
 	return w, o, one, two
 }
@@ -146,16 +146,16 @@
 // The same with a plain service: its replicas crash under a call that may be repeated.
 func TestARequestThatCrashesPlainReplicasIsNotSentOn(t *testing.T) {
 	t.Parallel()
-	_, o, one, two := plainOutbreak(t)
+	_, o, one, two := plainPoison(t)
 	o.refused(t, one, two)
 	assert.Equal(t, one.do(t, http.MethodGet, "/read/1", "sound", platformtest.Key, 0).status, http.StatusOK)
 }
 
 // The entries that have seen the crashes stop, one by one or all at once, and others start. A
-// fresh entry that does not know of the deadly request ends three replicas more.
-func TestFreshEntriesKnowOfADeadlyRequest(t *testing.T) {
+// fresh entry that does not know of the poison request ends three replicas more.
+func TestFreshEntriesKnowOfAPoisonRequest(t *testing.T) {
 	t.Parallel()
-	w, o, one, two := plainOutbreak(t)
+	w, o, one, two := plainPoison(t)
 
 	third := start(t, w, "three")
 	o.held(t, third)
--- a/pkedge/quarantine_fleet_test.go
+++ b/pkedge/quarantine_fleet_test.go
@@ -113,14 +113,14 @@
 	return len(raw) - len(empty)
 }
 
-// rounds plays rounds until entries hold the deadly request, and returns for how long.
+// rounds plays rounds until entries hold the poison request, and returns for how long.
 func (f *fleetModel) rounds(t *testing.T, entries ...*Daemon) time.Duration {
 	t.Helper()
 	began := f.now
 	for {
 		all := true
 		for _, d := range entries {
-			all = all && d.quarantine.table.Left(f.now, deadly) > 0
+			all = all && d.quarantine.table.Left(f.now, poison) > 0
 		}
 		if all {
 			return f.now.Sub(began)
@@ -145,7 +145,7 @@
 // three seconds, the shortest time in which an entry counts as reached by the others: in fleets
 // of any size, while a fifth of the messages is lost, with the first hub of each data centre
 // dead, and an entry that was cut off or starts must know as soon after it is back.
-func TestWordOfADeadlyRequestReachesAllEntries(t *testing.T) {
+func TestWordOfAPoisonRequestReachesAllEntries(t *testing.T) {
 	const within = 3 * time.Second
 	for _, size := range []struct{ dataCenters, each int }{{3, 3}, {3, 26}, {17, 23}} {
 		for _, lose := range []float64{0, 0.2} {
@@ -158,7 +158,7 @@
 				cut := f.entries[1]
 				f.away[cut] = true
 				for i, at := range []int{0, size.each, 2*size.each + 1} {
-					f.entries[at].quarantine.table.Crashed(f.now, deadly, pkquarantine.Start(1+i))
+					f.entries[at].quarantine.table.Crashed(f.now, poison, pkquarantine.Start(1+i))
 				}
 				took := f.rounds(t, f.others()...)
 				t.Logf("known to all after %v", took)
@@ -171,7 +171,7 @@
 				fresh := f.add("b", 99, 0.2)
 				took = f.rounds(t, f.entries...)
 				t.Logf("known to one that was cut off, and to a fresh one, after %v", took)
-				assert.Assert(t, took <= within && fresh.quarantine.table.Left(f.now, deadly) > 0, "%v", took)
+				assert.Assert(t, took <= within && fresh.quarantine.table.Left(f.now, poison) > 0, "%v", took)
 				t.Logf("at most %d bytes in %v more than without", f.most, pkshare.EveryWithHubs)
 			})
 		}
@@ -190,7 +190,7 @@
 		f.round(t)
 	}
 	for i, d := range f.others()[:pkquarantine.Limit] {
-		d.quarantine.table.Crashed(f.now, deadly, pkquarantine.Start(1+i))
+		d.quarantine.table.Crashed(f.now, poison, pkquarantine.Start(1+i))
 	}
 	assert.Assert(t, f.rounds(t, f.others()...) <= 3*time.Second)
 	for range 20 {
@@ -203,9 +203,9 @@
 }
 
 // A data centre is lost at the size to design for, and at each entry ten requests end with
-// replicas there, while a deadly request ends one replica at each of three entries and does so
+// replicas there, while a poison request ends one replica at each of three entries and does so
 // again two seconds later, as it comes again. What each entry tells must stay within what control
-// may take, and the deadly request must become known.
+// may take, and the poison request must become known.
 func TestWordOfManySuspectsIsBounded(t *testing.T) {
 	const (
 		perEntry  = 10
@@ -225,7 +225,7 @@
 	for f.now.Sub(began) < span {
 		if at := f.now.Sub(began); at%(2100*time.Millisecond) == 0 && at <= 4200*time.Millisecond {
 			for _, i := range []int{0, 100, 300} {
-				f.entries[i].quarantine.table.Crashed(f.now, deadly, pkquarantine.Start(f.rand.Uint64()))
+				f.entries[i].quarantine.table.Crashed(f.now, poison, pkquarantine.Start(f.rand.Uint64()))
 			}
 		}
 		f.round(t)
@@ -242,11 +242,11 @@
 	assert.Assert(t, most <= bytesMost*int(span/time.Second), "%d bytes", most)
 }
 
-// knowing returns how many entries hold the deadly request.
+// knowing returns how many entries hold the poison request.
 func (f *fleetModel) knowing() int {
 	n := 0
 	for _, d := range f.entries {
-		if d.quarantine.table.Left(f.now, deadly) > 0 {
+		if d.quarantine.table.Left(f.now, poison) > 0 {
 			n++
 		}
 	}
--- a/pkedge/quarantine_test.go
+++ b/pkedge/quarantine_test.go
@@ -17,7 +17,7 @@
 	"peridotknot.example/pkverdict"
 )
 
-const deadly pkquarantine.Digest = 7
+const poison pkquarantine.Digest = 7
 
 // callOf returns a request with a digest at an entry.
 func callOf(d *Daemon, digest pkquarantine.Digest) *call {
@@ -71,21 +71,21 @@
 	} {
 		d, _ := poolDaemon(born(engine("a", "x", 0, 80), 100))
 		one := d.target(t, "a")
-		callOf(d, deadly).brokeOff(now, row.err, one)
+		callOf(d, poison).brokeOff(now, row.err, one)
 		d.settle(now)
 		row.do(d)
 		d.settle(now.Add(row.after))
-		assert.Equal(t, d.crashes(now, deadly), row.want, row.name)
+		assert.Equal(t, d.crashes(now, poison), row.want, row.name)
 	}
 
 	d, _ := poolDaemon(engine("a", "x", 0, 80))
 	leaving := engine("a", "x", 0, 80)
 	leaving.Leaving = true
 	d.lists(now, 2, leaving)
-	callOf(d, deadly).brokeOff(now, lost(io.EOF), d.target(t, "a"))
+	callOf(d, poison).brokeOff(now, lost(io.EOF), d.target(t, "a"))
 	gone(d)
 	d.settle(now)
-	assert.Equal(t, d.crashes(now, deadly), 0, "it leaves")
+	assert.Equal(t, d.crashes(now, poison), 0, "it leaves")
 }
 
 // A path of several engines breaks off and the one in its middle is gone. Only that one ended
@@ -95,11 +95,11 @@
 	now := time.Now()
 	d, s := poolDaemon(engine("a", "x", 0, 40), engine("b", "x", 40, 80))
 	a := attemptOver(t, d, s, "a", "b")
-	a.call.digest = deadly
+	a.call.digest = poison
 	d.target(t, "b").Gone(now.Add(suspectPause))
 	a.broke(now, lost(io.EOF))
 	d.settle(now)
-	assert.Equal(t, d.crashes(now, deadly), 1)
+	assert.Equal(t, d.crashes(now, poison), 1)
 
 	assert.Assert(t, !a.event(now))
 	assert.Assert(t, a.event(now.Add(provenAfter)))
@@ -108,9 +108,9 @@
 	d.target(t, "a").Gone(now.Add(2 * suspectPause))
 	a.broke(now.Add(suspectPause), lost(io.EOF))
 	d.settle(now.Add(suspectPause))
-	assert.Equal(t, d.crashes(now, deadly), 1)
+	assert.Equal(t, d.crashes(now, poison), 1)
 	a.call.ranWell(now)
-	assert.Equal(t, d.crashes(now, deadly), 0)
+	assert.Equal(t, d.crashes(now, poison), 0)
 }
 
 // refusingEngines refuse connections.
@@ -149,10 +149,10 @@
 func TestWhatAHeldRequestIsTold(t *testing.T) {
 	now := time.Now()
 	d, _ := poolDaemon(engine("a", "x", 0, 80))
-	c := callOf(d, deadly)
+	c := callOf(d, poison)
 	assert.NilError(t, c.held(now))
 	for i := range pkquarantine.Limit {
-		d.quarantine.table.Crashed(now, deadly, pkquarantine.Start(1+i))
+		d.quarantine.table.Crashed(now, poison, pkquarantine.Start(1+i))
 	}
 	err := c.held(now)
 	assert.Assert(t, errors.Is(err, errQuarantined))
@@ -196,10 +196,10 @@
 	store := &keepingStore{away: 1}
 	saw.Store = store
 	for i := range pkquarantine.Limit - 1 {
-		saw.quarantine.table.Crashed(now, deadly, pkquarantine.Start(1+i))
+		saw.quarantine.table.Crashed(now, poison, pkquarantine.Start(1+i))
 	}
 	saw.target(t, "a").Gone(now.Add(suspectPause))
-	callOf(saw, deadly).brokeOff(now, lost(io.EOF), saw.target(t, "a"))
+	callOf(saw, poison).brokeOff(now, lost(io.EOF), saw.target(t, "a"))
 	saw.settle(now)
 	heard.learnCases(now, saw.quarantine.table.News(now), "peer")
 	assert.Equal(t, len(heard.toSave(now)), 0)
@@ -208,14 +208,14 @@
 	assert.Equal(t, len(todo), 1)
 	assert.ErrorContains(t, saw.save(t.Context(), todo[0]), "away")
 	assert.NilError(t, saw.save(t.Context(), saw.toSave(now)[0]))
-	saw.saved(deadly)
+	saw.saved(poison)
 	assert.Equal(t, len(saw.toSave(now)), 0)
 	assert.Equal(t, len(store.writes), 1)
 
 	fresh, _ := poolDaemon()
 	item := pkstore.Item{Key: store.writes[0].Key, Value: store.writes[0].Value}
 	fresh.takeSaved(now, []pkstore.Item{{Key: "owner", Value: []byte("x")}, {Key: heldKey + "1", Value: []byte("spoiled")}, item})
-	assert.Assert(t, fresh.quarantine.table.Left(now, deadly) > 0)
+	assert.Assert(t, fresh.quarantine.table.Left(now, poison) > 0)
 	fresh.takeSaved(now, []pkstore.Item{item})
 	assert.Equal(t, len(fresh.toSave(now)), 0)
 }
--- a/pkquarantine/doc.go
+++ b/pkquarantine/doc.go
@@ -1,5 +1,5 @@
 // Package pkquarantine decides which requests are kept from replicas, since each replica that
-// begins to run them crashes.
+// begins to run them crashes: poison requests, or queries of death.
 //
 // A request is known by its digest, so that it is recognized when it comes again under another
 // id at another entry. A Table holds a case for each digest under which replicas have ended:
