--- a/pkedge/quarantine_test.go
+++ b/pkedge/quarantine_test.go
@@ -219,3 +219,37 @@
 	fresh.takeSaved(now, []pkstore.Item{item})
 	assert.Equal(t, len(fresh.toSave(now)), 0)
 }
+
+// A request is found out while an attempt of it waits for a path, or for its dead engine to be
+// replaced. It must not reach another target: not by a send, and not by another path in place.
+func TestAHeldRequestGoesNoFurther(t *testing.T) {
+	now := time.Now()
+	d, s := poolDaemon(engine("a", "x", 0, 40), engine("b", "x", 40, 80), engine("beside", "x", 40, 80))
+	d.Engines = &obedientEngines{}
+	spendable(d, 9)
+	for i := range pkquarantine.Limit {
+		d.quarantine.table.Crashed(now, poison, pkquarantine.Start(1+i))
+	}
+	a := attemptOver(t, d, s, "a", "b")
+	a.call.digest = poison
+	a.call.deadline = now.Add(time.Minute)
+	for name, serve := range map[string]func() error{
+		"stream": func() error { return a.call.stream(t.Context(), s) },
+		"plain":  func() error { return a.call.plain(t.Context()) },
+	} {
+		var got *rejection
+		assert.Assert(t, errors.As(serve(), &got), name)
+		assert.Equal(t, got.reason, "quarantined", name)
+		assert.Equal(t, a.call.sends, 0, name)
+	}
+
+	var cause error
+	a.cancel = func(err error) { cause = err }
+	d.target(t, "b").Gone(now.Add(suspectPause))
+	d.mend(t.Context(), a, d.target(t, "b"), whyDead)
+	assert.Assert(t, errors.Is(cause, errMoved))
+	assert.Equal(t, a.route().find("beside"), -1)
+	cause = nil
+	d.mend(t.Context(), a, d.target(t, "b"), whyLeaving)
+	assert.Assert(t, cause == nil, "a leaving engine has not ended under it")
+}
