--- a/pkquarantine/table_test.go
+++ b/pkquarantine/table_test.go
@@ -237,3 +237,26 @@
 		one.Digest()
 	}
 }
+
+// Words of another build, or spoiled ones, reach the table through messages and the store.
+func FuzzLearn(f *testing.F) {
+	f.Add(uint64(7), uint64(1), int64(0), false, uint8(3))
+	f.Add(uint64(0), uint64(0), int64(-1), true, uint8(200))
+	f.Add(uint64(9), uint64(1<<63), int64(1<<62), false, uint8(9))
+	f.Fuzz(func(t *testing.T, digest, start uint64, agoMS int64, cleared bool, n uint8) {
+		var table Table
+		c := Case{Digest: Digest(digest)}
+		for i := range uint64(n) {
+			c.Crashes = append(c.Crashes, Crash{Start: Start(start + i), AgoMS: agoMS, Cleared: cleared && i%2 == 0})
+		}
+		table.Learn(epoch, []Case{c, c.Older(time.Duration(agoMS))})
+		left := table.Left(epoch, c.Digest)
+		assert.Assert(t, left >= 0 && left <= HoldFor, "%v", left)
+		held, known := table.Sizes(epoch)
+		assert.Assert(t, held <= known && known <= 1)
+		for _, one := range append(table.News(epoch), table.Held(epoch)...) {
+			assert.Assert(t, len(one.Crashes) <= mostCrashes)
+		}
+		assert.Equal(t, table.Left(epoch.Add(keepFor), c.Digest), time.Duration(0))
+	})
+}
