--- a/pkquarantine/table.go
+++ b/pkquarantine/table.go
@@ -30,7 +30,8 @@
 	cases map[Digest]*record
 }
 
-// Sum tells whether two entries hold the same requests; zero is none.
+// Sum is a checksum of held requests, by which two entries see whether they hold the same; zero
+// is none.
 type Sum uint64
 
 // Finding is what a crash adds to what was known.
@@ -195,7 +196,7 @@
 	return max(r.heldUntil().Sub(now), 0)
 }
 
-// Sum returns what tells the requests that are held at now from others.
+// Sum returns the checksum of the requests that are held at now.
 func (t *Table) Sum(now time.Time) Sum {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkshare/message.go
+++ b/pkshare/message.go
@@ -42,8 +42,8 @@
 	// Cases are requests under which replicas have ended, of which the sender learned lately or
 	// which the receiver seems to lack.
 	Cases []pkquarantine.Case `cbor:"19,keyasint,omitempty"`
-	// Held tells the requests that the sender keeps from replicas from others; zero where it
-	// knows of no such thing.
+	// Held is a checksum of the requests that the sender keeps from replicas; zero where its build
+	// keeps none.
 	Held pkquarantine.Sum `cbor:"20,keyasint,omitempty"`
 	// DataCenter and ProcessorShare are those of the sender.
 	DataCenter     pkid.DataCenter `cbor:"12,keyasint,omitempty"`
--- a/pkshare/table.go
+++ b/pkshare/table.go
@@ -52,8 +52,8 @@
 	// behindSince is when it was first seen to know less than this entry.
 	configBehind time.Time
 	listBehind   time.Time
-	// held tells the requests that it keeps from replicas from others, heldBehind is since when
-	// they are not the same as here.
+	// held is a checksum of the requests that it keeps from replicas, heldBehind is since when it
+	// keeps others than this entry.
 	held       pkquarantine.Sum
 	heldBehind time.Time
 	// toldConfig, toldList and toldHeld are when it was helped last.
@@ -161,7 +161,7 @@
 	Self   pkid.EntryID
 	Config pkstore.Revision
 	List   pkstore.Revision
-	// Held tells the requests that it keeps from replicas from others.
+	// Held is a checksum of the requests that it keeps from replicas.
 	Held pkquarantine.Sum
 	// Hub says that it is a hub of the peer; what the others know is then not known.
 	Hub bool
