pkedge: only a target whose connection ended under a request speaks against it

Two ways: an engine that was found gone spoke against each attempt sent towards it, also where it had not taken it; and all engines of a path were suspected of a break of the first one's connection, and spoke against it if they ended of another request within two seconds. Change: a break speaks against the first engine alone; one behind it counts where a stream that it may have taken (30 ms and more) waits for it and is taken off; a target that takes a connection after the break has not ended under it. The row "lived when it was asked" and the two parts of TestWhichEnginesOfAPathEndedUnderARequest fail without it. Callers beside a poison request are refused only after three crashes of engines that had taken their request.

--- a/pkedge/attempt.go
+++ b/pkedge/attempt.go
@@ -24,6 +24,9 @@
 	stayPause = 200 * time.Millisecond
 	// pauseWeight is the weight of the last pause in a stream's mean.
 	pauseWeight = 0.2
+	// refusedWithin is how long an engine takes at most to refuse a request for another one on
+	// its path: some milliseconds. Beginning to run a request takes 40 ms and more.
+	refusedWithin = 30 * time.Millisecond
 	// provenAfter is how long after its first event a stream has shown that its engines bear
 	// it: those that a request crashes end within a tenth of a second of beginning to run it.
 	provenAfter = time.Second
@@ -109,17 +112,21 @@
 	if a.isProven() {
 		return
 	}
-	p := a.route()
-	a.call.brokeOff(now, err, p.first(), p.targets[1:]...)
+	a.call.brokeOff(now, err, a.route().first())
 }
 
 // diedUnder suspects the request of an attempt on whose path an engine is dead at now, unless
-// its engines had borne it for long, and says whether the request is kept from engines.
+// its engines had borne it for long, and says whether the request is kept from engines. The first
+// engine ends the send with it, which says whether it may have run; and one that the request has
+// only just been sent through may refuse it yet. Suspected of engines that had refused them, callers
+// that had met two crashes were refused for three.
 func (a *attempt) diedUnder(now time.Time, t *pkreplica.Target, why string) bool {
 	if why != whyDead || a.isProven() {
 		return false
 	}
-	a.call.suspectAt(now, t, false)
+	if t.ID != a.route().first().ID && now.Sub(a.began) >= refusedWithin {
+		a.call.suspectAt(now, t, false)
+	}
 	return a.call.held(now) != nil
 }
 
--- a/pkedge/poison_test.go
+++ b/pkedge/poison_test.go
@@ -126,6 +126,56 @@
 	assert.Equal(t, got.body, events(3), "the same caller's other requests")
 }
 
+// Twelve streams of other callers are under way when a poison request ends the engines that they
+// begin at, one after the other; some are cut twice and come again. They met as many crashes as
+// the request that is to blame. Each must be served, then or when it comes again: refused for what
+// another's request did, its caller would have lost it for ten minutes.
+func TestCallersBesideAPoisonRequestAreServed(t *testing.T) {
+	t.Parallel()
+	w, _ := pool(t)
+	one, two := start(t, w, "one"), start(t, w, "two")
+	meet(t, one, two)
+	one.streams(t)
+	two.streams(t)
+	const streams, length = 12, 400
+	type outcome struct {
+		stream int
+		reply  reply
+	}
+	answers := make(chan outcome, streams)
+	send := func(n *node, stream, again int) outcome {
+		id := fmt.Sprintf("beside-%d-%d", stream, again)
+		got := n.doWith(t, patience, http.MethodPost, fmt.Sprintf("/talk/%d", stream), id, platformtest.Key, length, fmt.Sprint("prompt ", stream))
+		return outcome{stream: stream, reply: got}
+	}
+	for i := range streams {
+		go func() { answers <- send([]*node{one, two}[i%2], i, 0) }()
+	}
+	eventually(t, "streams under way", func() bool {
+		begun := 0
+		for i := range streams {
+			begun += len(w.Runs(fmt.Sprintf("beside-%d-0", i)))
+		}
+		return begun >= streams
+	})
+	o := &poisonRequest{w: w, service: platformtest.Pool, uri: "/talk/poison", tokens: 5}
+	w.Poison(o.uri)
+	o.spread(t, one, two)
+	o.refused(t, one, two)
+	for range streams {
+		got := <-answers
+		for again := 1; got.reply.err != nil || got.reply.status != http.StatusOK; again++ {
+			assert.Assert(t, again < 200, "stream %d is not served: %d", got.stream, got.reply.status)
+			one.streams(t)
+			got = send([]*node{one, two}[again%2], got.stream, again)
+		}
+		assert.Equal(t, got.reply.body, events(length))
+	}
+	for _, n := range []*node{one, two} {
+		assert.Equal(t, n.metric(t, quarantined), "1", "only the poison request is kept from engines")
+	}
+}
+
 // plainPoison returns a plain service and two entries at which a poison call has ended three
 // replicas of it.
 func plainPoison(t *testing.T) (w *platformtest.World, o *poisonRequest, one, two *node) {
--- a/pkedge/quarantine.go
+++ b/pkedge/quarantine.go
@@ -92,19 +92,18 @@
 	return out
 }
 
-// brokeOff suspects a request whose attempt ended at now with an error, unless that says that
-// no replica ran it, that one answered, or that the caller has left.
-func (c *call) brokeOff(now time.Time, err error, direct *pkreplica.Target, through ...*pkreplica.Target) {
+// brokeOff suspects a request whose send to a target ended at now with an error, unless that says
+// that no replica ran it, that one answered, or that the caller has left. Engines that the target
+// passes the request on to don't end the connection with them; suspected here, they ended of
+// another request a moment later, and callers that had met two crashes were refused for three.
+func (c *call) brokeOff(now time.Time, err error, t *pkreplica.Target) {
 	var failure *pkverdict.Error
 	switch {
 	case !errors.As(err, &failure) || failure.Verdict == pkverdict.NotRun:
 	case errors.Is(err, errOwnFailure) || errors.Is(err, errSpoiled):
 	case errors.Is(err, context.DeadlineExceeded) || c.r.Context().Err() != nil:
 	default:
-		c.suspectAt(now, direct, true)
-		for _, t := range through {
-			c.suspectAt(now, t, false)
-		}
+		c.suspectAt(now, t, true)
 	}
 }
 
@@ -169,16 +168,29 @@
 	return ask
 }
 
-// probe connects to a target; one whose address refuses that has no process. Engines are
-// watched by some entries, but nothing else watches plain services.
+// probe connects to a target; one whose address refuses that has no process, and one that takes
+// the connection has not ended under the requests that broke off there. Engines are watched by
+// some entries, but nothing else watches plain services.
 func (d *Daemon) probe(ctx context.Context, t *pkreplica.Target) {
+	asked := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if err := d.Engines.Hold(ctx, t.Addr); errors.Is(err, syscall.ECONNREFUSED) {
+	err := d.Engines.Hold(ctx, t.Addr)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
 		d.suspect(t, time.Now().Add(suspectPause), err)
+	case err == nil:
+		d.quarantine.acquit(t, asked)
 	}
 }
 
+// acquit drops the sends that broke off at a target before a time at which it was there.
+func (q *quarantine) acquit(t *pkreplica.Target, at time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.broken = slices.DeleteFunc(q.broken, func(b brokenSend) bool { return b.target == t && !b.at.After(at) })
+}
+
 // endedUnder takes a target that ended under a request.
 func (d *Daemon) endedUnder(now time.Time, b brokenSend) {
 	q := &d.quarantine
--- a/pkedge/quarantine_test.go
+++ b/pkedge/quarantine_test.go
@@ -88,39 +88,66 @@
 	assert.Equal(t, d.crashes(now, poison), 0, "it leaves")
 }
 
-// A path of several engines breaks off and the one in its middle is gone. Only that one ended
-// under the request. A stream that has gone on for a second is not suspected at all, and clears
-// what was held against its request before.
+// A stream breaks off at its first engine, and the engine after that ends of another request a
+// moment later. Only the first ended under the stream: suspected of both, its caller was refused
+// after two crashes. An engine behind the first that is found dead while the stream waits for it
+// counts, but not the first, which was there when it was asked. A stream that has gone on for a
+// second is not suspected at all, and clears what was held against its request before.
 func TestWhichEnginesOfAPathEndedUnderARequest(t *testing.T) {
 	now := time.Now()
-	d, s := poolDaemon(engine("a", "x", 0, 40), engine("b", "x", 40, 80))
-	a := attemptOver(t, d, s, "a", "b")
-	a.call.digest = poison
-	d.target(t, "b").Gone(now.Add(suspectPause))
+	setUp := func() (*Daemon, *attempt) {
+		d, s := poolDaemon(engine("a", "x", 0, 40), engine("b", "x", 40, 80))
+		a := attemptOver(t, d, s, "a", "b")
+		a.call.digest = poison
+		a.cancel = func(error) {}
+		return d, a
+	}
+	d, a := setUp()
 	a.broke(now, lost(io.EOF))
+	d.target(t, "a").Gone(now.Add(suspectPause))
+	d.target(t, "b").Gone(now.Add(suspectPause))
+	d.settle(now)
+	assert.Equal(t, d.crashes(now, poison), 1)
+
+	d, a = setUp()
+	d.target(t, "b").Gone(now.Add(suspectPause))
+	a.began = now
+	d.mend(t.Context(), a, d.target(t, "b"), whyDead)
+	d.settle(now)
+	assert.Equal(t, d.crashes(now, poison), 0, "it may be refused yet")
+	a.began = now.Add(-time.Second)
+	d.mend(t.Context(), a, d.target(t, "a"), whyDead)
+	d.mend(t.Context(), a, d.target(t, "b"), whyDead)
+	a.broke(now, lost(errMoved))
+	for _, one := range d.settle(now.Add(probeAfter)) {
+		d.quarantine.acquit(one, now.Add(probeAfter))
+	}
+	d.target(t, "a").Gone(now.Add(suspectPause))
 	d.settle(now)
 	assert.Equal(t, d.crashes(now, poison), 1)
 
 	assert.Assert(t, !a.event(now))
 	assert.Assert(t, a.event(now.Add(provenAfter)))
 	assert.Assert(t, !a.event(now.Add(2*provenAfter)), "once")
-	d.settle(now.Add(settleWithin))
-	d.target(t, "a").Gone(now.Add(2 * suspectPause))
-	a.broke(now.Add(suspectPause), lost(io.EOF))
-	d.settle(now.Add(suspectPause))
+	a.broke(now, lost(io.EOF))
+	d.settle(now.Add(probeAfter))
 	assert.Equal(t, d.crashes(now, poison), 1)
 	a.call.ranWell(now)
 	assert.Equal(t, d.crashes(now, poison), 0)
 }
 
-// refusingEngines refuse connections.
+// refusingEngines refuse connections, or take them where they live.
 type refusingEngines struct {
 	reportingEngines
+	lives bool
 	asked int
 }
 
 func (e *refusingEngines) Hold(context.Context, string) error {
 	e.asked++
+	if e.lives {
+		return nil
+	}
 	return syscall.ECONNREFUSED
 }
 
@@ -144,6 +171,21 @@
 	assert.Equal(t, engines.asked, 1)
 }
 
+// A replica cuts an answer short and lives, and crashes of something else a second later. The
+// request that it cut has not ended it.
+func TestAReplicaThatLivedWhenItWasAskedSpeaksAgainstNobody(t *testing.T) {
+	now := time.Now()
+	d, _ := poolDaemon(engine("a", "x", 0, 80))
+	d.Engines = &refusingEngines{lives: true}
+	callOf(d, poison).brokeOff(now.Add(-probeAfter), lost(io.EOF), d.target(t, "a"))
+	for _, one := range d.settle(now) {
+		d.probe(t.Context(), one)
+	}
+	d.target(t, "a").Gone(now.Add(suspectPause))
+	d.settle(now.Add(time.Second))
+	assert.Equal(t, d.crashes(now, poison), 0)
+}
+
 // A request is held while an attempt of it is under way: its engine ended, and the engine may
 // have begun to run it. The answer must not say that it has not run; where it has not, it must.
 func TestWhatAHeldRequestIsTold(t *testing.T) {
