pkquarantine: each case has its turn to be told

A message has room for a few cases, and they were chosen by crashes and time alone, the same ones each time while they were news. With twelve callers suspected beside it the word of the poison request never went out. Change: cases that were told least often go first; each is told four times at most. Before and after: TestEachCaseHasItsTurnToBeTold fails without it.

--- a/pkquarantine/case.go
+++ b/pkquarantine/case.go
@@ -72,8 +72,9 @@
 type record struct {
 	// crashes are sorted by their time, the newest first.
 	crashes []crash
-	// changed is when it last changed, and was not told.
+	// changed is when it last changed, told in how many messages it was told since.
 	changed time.Time
+	told    int
 }
 
 // add takes a crash and says whether it is news.
--- a/pkquarantine/table.go
+++ b/pkquarantine/table.go
@@ -17,11 +17,14 @@
 	// starts.
 	mostHeld = 256
 	// mostNews bounds the cases in one message. With a data centre of 22 entries lost at the size
-	// to design for, a hub then tells 18 KB a second for ten seconds; control may take 20.
-	mostNews = 8
+	// to design for, a hub then tells 17 KB a second for ten seconds; control may take 20.
+	mostNews = 6
 	// tellFor is how long a case is told after it has changed: longer than three messages from
-	// hub to hub take, of which one may be lost.
+	// hub to hub take. It bounds what the loss of a data centre costs.
 	tellFor = 2 * time.Second
+	// tellTimes is in how many messages a case is told after it has changed. Where there are
+	// hubs, every second one goes out, to two hubs, and of those one may be lost.
+	tellTimes = 4
 )
 
 // Table is the cases that an entry knows; the zero value is empty.
@@ -77,7 +80,7 @@
 	for i := range r.crashes {
 		r.crashes[i].cleared = true
 	}
-	r.changed = now
+	r.changed, r.told = now, 0
 	return true
 }
 
@@ -123,7 +126,7 @@
 		news = r.add(c) || news
 	}
 	if news {
-		r.changed = now
+		r.changed, r.told = now, 0
 	}
 	if held = !before && r.isHeld(now); held {
 		t.boundHeld(now)
@@ -225,26 +228,32 @@
 	return len(t.held(now)), len(t.cases)
 }
 
-// News returns the cases that have changed lately, at most a message's worth: those with the
-// most crashes first, and of those the latest to change.
+// News returns the cases that have changed lately and were told least often since, at most a
+// message's worth: of those the ones with the most crashes first, then the latest to change.
+//
+// Each has its turn. In an order by crashes and time alone the same ones were told each time: with
+// twelve callers suspected beside it, a request that had ended three replicas at two entries was
+// told to neither and ended three more.
 func (t *Table) News(now time.Time) []Case {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var fresh []Digest
 	for d, r := range t.cases {
-		if now.Sub(r.changed) < tellFor {
+		if r.told < tellTimes && now.Sub(r.changed) < tellFor {
 			fresh = append(fresh, d)
 		}
 	}
 	slices.SortFunc(fresh, func(a, b Digest) int { return t.compareNews(a, b) })
 	var out []Case
 	for _, d := range fresh[:min(len(fresh), mostNews)] {
-		out = append(out, t.cases[d].tell(now, d))
+		r := t.cases[d]
+		r.told++
+		out = append(out, r.tell(now, d))
 	}
 	return out
 }
 
 func (t *Table) compareNews(a, b Digest) int {
 	x, y := t.cases[a], t.cases[b]
-	return cmp.Or(cmp.Compare(len(y.crashes), len(x.crashes)), y.changed.Compare(x.changed), cmp.Compare(a, b))
+	return cmp.Or(cmp.Compare(x.told, y.told), cmp.Compare(len(y.crashes), len(x.crashes)), y.changed.Compare(x.changed), cmp.Compare(a, b))
 }
--- a/pkquarantine/table_test.go
+++ b/pkquarantine/table_test.go
@@ -85,7 +85,7 @@
 		var said [][]Case
 		now := epoch
 		for range 60 {
-			now = now.Add(time.Duration(r.IntN(int(tellFor / 10))))
+			now = now.Add(time.Duration(r.IntN(int(time.Second))))
 			e := entries[r.IntN(len(entries))]
 			d := Digest(1 + r.IntN(3))
 			switch r.IntN(8) {
@@ -156,6 +156,29 @@
 	assert.Equal(t, table.Left(now, 8), HoldFor)
 }
 
+// Thirty callers stand beside a request that ends replicas, at each of two entries, and meet the
+// same crashes. A message has room for eight cases. Told in an order that never changes, the word
+// of the one request never went out, no entry knew of all three crashes, and it ended three more.
+func TestEachCaseHasItsTurnToBeTold(t *testing.T) {
+	var one, two Table
+	for i := range 30 {
+		one.crash(epoch, Digest(1000+i), Limit-1)
+		two.Crashed(epoch, Digest(2000+i), startN(7))
+	}
+	one.crash(epoch, 5000, Limit-1)
+	two.Crashed(epoch, 5000, startN(7))
+	for range 61/mostNews + 1 {
+		one.Learn(epoch, two.News(epoch))
+		two.Learn(epoch, one.News(epoch))
+	}
+	assert.Assert(t, one.Left(epoch, 5000) > 0)
+	assert.Assert(t, two.Left(epoch, 5000) > 0)
+	for range 62 * tellTimes {
+		one.News(epoch)
+	}
+	assert.Equal(t, len(one.News(epoch)), 0, "what was told often is no news")
+}
+
 // More requests are held than a table keeps. Entries that heard of them in another order must
 // drop the same ones, or they tell them to one another for ever.
 func TestTooManyHeldRequestsAreDroppedAlike(t *testing.T) {
