pklayers: a pool of thousands is laid out and searched in milliseconds

Cause: the layout added up the room at each layer anew for each engine, and for each asked all others whether they are fast: it grew with the cube of the pool. A path was looked for among all engines at each cut, with a map by data centre at each step. Change: a pool of the plan keeps its room by layer, in whole tokens, as engines are given layers; a search looks at the cheapest engines of each range alone, each in its own layers.

--- a/pklayers/group.go
+++ b/pklayers/group.go
@@ -12,13 +12,18 @@
 func groups(m *Model, cards []Card) []group {
 	var own []group
 	layers := map[pkid.DataCenter]int{}
+	usual := map[pkid.Kind]int{}
 	var centers []pkid.DataCenter
 	for i := range cards {
 		dc := cards[i].DataCenter
 		if layers[dc] == 0 {
 			centers = append(centers, dc)
 		}
-		layers[dc] += m.usualLayers(cards[i].Kind)
+		k := cards[i].Kind
+		if _, known := usual[k]; !known {
+			usual[k] = m.usualLayers(k)
+		}
+		layers[dc] += usual[k]
 	}
 	rest := group{}
 	for _, dc := range centers {
@@ -34,20 +39,9 @@
 	return own
 }
 
-// groupOf returns the group of a data centre.
-func groupOf(all []group, dc pkid.DataCenter) group {
-	for _, g := range all {
-		if g[dc] {
-			return g
-		}
-	}
-	return group{dc: true}
-}
-
 // usualRoom returns how many tokens an engine should have room for beside its layers: what
-// the pool declares. Days with trouble of a pool of 38 engines were worth 0.61 with 46,000
-// tokens, 0.75 with 83,000 and 0.76 with 110,000, 0.67 with 165,000, which leaves hardly a
-// layer in two copies (means of 15 days).
+// the pool declares. With much less, requests are refused while layers stand twice; with much
+// more, hardly a layer is held by two engines, and each crash sends streams through the pipes.
 func (m *Model) usualRoom() float64 {
 	if m.EngineTokens > 0 {
 		return float64(m.EngineTokens)
--- a/pklayers/layout.go
+++ b/pklayers/layout.go
@@ -21,5 +21,5 @@
 	for i := range sorted {
 		sorted[i].Held, sorted[i].Fresh = pkid.Range{}, false
 	}
-	return fillEmpty(m, sorted)
+	return fillEmpty(newPool(m, sorted))
 }
--- a/pklayers/path.go
+++ b/pklayers/path.go
@@ -1,7 +1,6 @@
 package pklayers
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -59,137 +58,51 @@
 // maxParts is how many parts engines accept in a path.
 const maxParts = 32
 
-// step is the cheapest way to stand in an engine at a cut.
-type step struct {
-	cost  time.Duration
-	from  int // the engine at the cut before, or -1
-	parts int
-	known bool
-}
-
 // Find returns the cheapest path over a span of layers that is reached from a data
 // centre; an empty one counts as near to all.
 //
 // Paths change engines only where some engine's range begins or ends: between two
 // such cuts the same engines are there to be had, so a change would only add a hop.
 func Find(span pkid.Range, engines []Engine, c Costs, home pkid.DataCenter) (Path, bool) {
-	cuts := cutsOf(span, engines)
-	if len(cuts) < 2 {
+	s := newSearch(span, useful(engines), c, home)
+	if s == nil {
 		return Path{}, false
 	}
-	table := make([][]step, len(cuts)-1)
-	for i := range table {
-		table[i] = stepsAt(table, i, pkid.Range{First: cuts[i], End: cuts[i+1]}, engines, c, home)
-	}
-	return trace(table, cuts, engines, c)
-}
-
-func cutsOf(span pkid.Range, engines []Engine) []pkid.Layer {
-	cuts := make([]pkid.Layer, 0, 2*len(engines)+2)
-	cuts = append(cuts, span.First, span.End)
-	for i := range engines {
-		for _, l := range []pkid.Layer{engines[i].Held.First, engines[i].Held.End} {
-			if span.First < l && l < span.End {
-				cuts = append(cuts, l)
-			}
-		}
+	s.run()
+	if p, found := s.cheapest(); found || !s.returned {
+		return p, found
 	}
-	slices.Sort(cuts)
-	return slices.Compact(cuts)
+	// The cheapest ways came back to an engine that they had left. One that was passed over as
+	// like another may take its place.
+	s = newSearch(span, engines, c, home)
+	s.run()
+	return s.cheapest()
 }
 
-// stepsAt returns the cheapest step into each engine for one run of layers.
-func stepsAt(table [][]step, i int, run pkid.Range, engines []Engine, c Costs, home pkid.DataCenter) []step {
-	out := make([]step, len(engines))
-	var best map[pkid.DataCenter]int
-	if i > 0 {
-		best = cheapest(table[i-1], engines)
+// useful leaves out engines beside which another of the same data centre holds the same layers
+// and costs no more. Pools of thousands of engines have some hundred ranges, so that most of
+// their engines are left out.
+func useful(engines []Engine) []Engine {
+	type place struct {
+		dataCenter pkid.DataCenter
+		held       pkid.Range
 	}
-	for e := range engines {
-		one := &engines[e]
-		if one.Held.First > run.First || one.Held.End < run.End {
-			continue
-		}
-		work := time.Duration(run.Len()) * one.Cost
-		if i == 0 {
-			out[e] = step{cost: one.Enter + work + c.reach(home, one.DataCenter), from: -1, parts: 1, known: true}
+	kept := make([]Engine, 0, len(engines))
+	at := make(map[place][]int, len(engines))
+	for i := range engines {
+		one := &engines[i]
+		k := place{one.DataCenter, one.Held}
+		worse := func(j int) bool { return one.Cost >= kept[j].Cost && one.Enter >= kept[j].Enter }
+		if slices.ContainsFunc(at[k], worse) {
 			continue
 		}
-		if s := table[i-1][e]; s.known {
-			out[e] = step{cost: s.cost + work, from: e, parts: s.parts, known: true}
-		}
-		for dc, from := range best {
-			s := table[i-1][from]
-			cost := s.cost + one.Enter + work + c.Hop + crossing(c, dc, one.DataCenter)
-			if from != e && s.parts < maxParts && (!out[e].known || cost < out[e].cost) {
-				out[e] = step{cost: cost, from: from, parts: s.parts + 1, known: true}
-			}
-		}
-	}
-	return out
-}
-
-// cheapest returns the cheapest engine of each data centre.
-func cheapest(row []step, engines []Engine) map[pkid.DataCenter]int {
-	best := map[pkid.DataCenter]int{}
-	for e := range row {
-		if !row[e].known {
+		better := slices.IndexFunc(at[k], func(j int) bool { return one.Cost <= kept[j].Cost && one.Enter <= kept[j].Enter })
+		if better >= 0 {
+			kept[at[k][better]] = *one
 			continue
 		}
-		dc := engines[e].DataCenter
-		if old, found := best[dc]; !found || row[e].cost < row[old].cost {
-			best[dc] = e
-		}
-	}
-	return best
-}
-
-func crossing(c Costs, from, to pkid.DataCenter) time.Duration {
-	if from == to || from == "" || c.Crossing == nil {
-		return 0
-	}
-	return c.Crossing(from, to)
-}
-
-// trace walks back from the cheapest end. A path that leaves an engine and comes
-// back to it is refused by engines, so it counts as none.
-func trace(table [][]step, cuts []pkid.Layer, engines []Engine, c Costs) (Path, bool) {
-	last := table[len(table)-1]
-	ends := make([]int, 0, len(last))
-	for e := range last {
-		if last[e].known {
-			ends = append(ends, e)
-		}
-	}
-	slices.SortFunc(ends, func(a, b int) int { return cmp.Compare(last[a].cost, last[b].cost) })
-	for _, end := range ends {
-		if c.Most > 0 && last[end].cost > c.Most {
-			break
-		}
-		if parts, ok := walk(table, cuts, engines, end); ok {
-			return Path{Parts: parts, Cost: last[end].cost}, true
-		}
-	}
-	return Path{}, false
-}
-
-func walk(table [][]step, cuts []pkid.Layer, engines []Engine, end int) ([]Part, bool) {
-	var parts []Part
-	seen := map[int]bool{}
-	at := end
-	for i := len(table) - 1; i >= 0; i-- {
-		n := len(parts)
-		if n > 0 && parts[n-1].ID == engines[at].ID {
-			parts[n-1].Layers.First = cuts[i]
-		} else {
-			if seen[at] {
-				return nil, false
-			}
-			seen[at] = true
-			parts = append(parts, Part{ID: engines[at].ID, Layers: pkid.Range{First: cuts[i], End: cuts[i+1]}})
-		}
-		at = table[i][at].from
+		at[k] = append(at[k], len(kept))
+		kept = append(kept, *one)
 	}
-	slices.Reverse(parts)
-	return parts, true
+	return kept
 }
--- a/pklayers/plan.go
+++ b/pklayers/plan.go
@@ -88,13 +88,14 @@
 	if float64(held) < coldShare*float64(len(live)) {
 		return layOut(m, live)
 	}
-	out := fillEmpty(m, live)
-	if len(out) == 0 && quiet >= urgentTime && missing(m, live) {
-		return restore(m, live)
+	p := newPool(m, live)
+	out := fillEmpty(p)
+	if len(out) == 0 && quiet >= urgentTime && p.missing() {
+		return restore(p)
 	}
-	for _, g := range groups(m, live) {
+	for g := range p.groups {
 		if len(out) == 0 {
-			rebalance(m, live, g, out, quiet)
+			rebalance(p, g, out, quiet)
 		}
 	}
 	return out
--- /dev/null
+++ b/pklayers/search.go
@@ -0,0 +1,222 @@
+package pklayers
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"peridotknot.example/pkid"
+)
+
+// step is the cheapest way to stand in an engine at a cut.
+type step struct {
+	engine int32
+	from   int32 // the engine at the cut before, or -1
+	parts  int32
+	cost   time.Duration
+}
+
+// search is one search for a path. It looks at each engine only in the runs of layers that it
+// holds, so that its work grows with the layers that the engines of a pool hold together.
+type search struct {
+	engines []Engine
+	costs   Costs
+	home    pkid.DataCenter
+	// cuts are where ranges begin or end; run i lies between the cuts i and i+1.
+	cuts []pkid.Layer
+	// holders are the engines of each run, table the steps into them, in the same order.
+	holders [][]int32
+	table   [][]step
+	// last is the step into each engine at the newest run, if it holds the run before.
+	last []step
+	// centers is the data centre of each engine as a number, names their names.
+	centers []int
+	names   []pkid.DataCenter
+	// crossings are costs between data centres that have been asked for; negative otherwise.
+	crossings []time.Duration
+	// returned says that the cheapest ways came back to an engine that they had left.
+	returned bool
+}
+
+// newSearch prepares a search; nil where no engine holds a part of the span.
+func newSearch(span pkid.Range, engines []Engine, c Costs, home pkid.DataCenter) *search {
+	s := &search{engines: engines, costs: c, home: home, cuts: cutsOf(span, engines)}
+	if len(s.cuts) < 2 {
+		return nil
+	}
+	s.holders = make([][]int32, len(s.cuts)-1)
+	s.table = make([][]step, len(s.cuts)-1)
+	s.last = make([]step, len(engines))
+	s.centers = make([]int, len(engines))
+	for e := range engines {
+		s.centers[e] = s.center(engines[e].DataCenter)
+		s.hold(int32(e), span)
+	}
+	s.crossings = make([]time.Duration, len(s.names)*len(s.names))
+	for i := range s.crossings {
+		s.crossings[i] = -1
+	}
+	return s
+}
+
+func cutsOf(span pkid.Range, engines []Engine) []pkid.Layer {
+	if span.Len() <= 0 {
+		return nil
+	}
+	is := make([]bool, span.Len()+1)
+	is[0], is[span.Len()] = true, true
+	for i := range engines {
+		for _, l := range [...]pkid.Layer{engines[i].Held.First, engines[i].Held.End} {
+			if span.First < l && l < span.End {
+				is[l-span.First] = true
+			}
+		}
+	}
+	cuts := make([]pkid.Layer, 0, len(is))
+	for i, cut := range is {
+		if cut {
+			cuts = append(cuts, span.First+pkid.Layer(i))
+		}
+	}
+	return cuts
+}
+
+// center returns the number of a data centre; there are few.
+func (s *search) center(dc pkid.DataCenter) int {
+	at := slices.Index(s.names, dc)
+	if at < 0 {
+		at = len(s.names)
+		s.names = append(s.names, dc)
+	}
+	return at
+}
+
+// hold notes an engine with the runs that it holds.
+func (s *search) hold(e int32, span pkid.Range) {
+	held := s.engines[e].Held
+	from, _ := slices.BinarySearch(s.cuts, max(held.First, span.First))
+	for i := from; i+1 < len(s.cuts) && s.cuts[i+1] <= held.End; i++ {
+		s.holders[i] = append(s.holders[i], e)
+	}
+}
+
+// run finds the cheapest step into each engine, run by run.
+func (s *search) run() {
+	var best []step
+	for i := range s.table {
+		if i > 0 {
+			best = s.bestOf(s.table[i-1])
+		}
+		s.table[i] = make([]step, 0, len(s.holders[i]))
+		for _, e := range s.holders[i] {
+			if one, found := s.into(e, i, best); found {
+				s.table[i] = append(s.table[i], one)
+			}
+		}
+		s.settle(i)
+	}
+}
+
+// settle keeps the steps of a run for the next.
+func (s *search) settle(i int) {
+	for _, e := range s.holders[i] {
+		s.last[e].parts = 0
+	}
+	for _, one := range s.table[i] {
+		s.last[one.engine] = one
+	}
+}
+
+// into returns the cheapest step into an engine at a run, where best are those of the run before
+// by data centre.
+func (s *search) into(e int32, i int, best []step) (step, bool) {
+	one := &s.engines[e]
+	work := time.Duration(s.cuts[i+1]-s.cuts[i]) * one.Cost
+	if i == 0 {
+		return step{engine: e, from: -1, parts: 1, cost: one.Enter + work + s.costs.reach(s.home, one.DataCenter)}, true
+	}
+	var out step
+	if before := s.last[e]; before.parts > 0 && one.Held.First <= s.cuts[i-1] {
+		out = step{engine: e, from: e, parts: before.parts, cost: before.cost + work}
+	}
+	for dc := range best {
+		b := &best[dc]
+		if b.parts == 0 || b.parts >= maxParts || b.engine == e {
+			continue
+		}
+		cost := b.cost + one.Enter + work + s.costs.Hop + s.crossing(dc, s.centers[e])
+		if out.parts == 0 || cost < out.cost {
+			out = step{engine: e, from: b.engine, parts: b.parts + 1, cost: cost}
+		}
+	}
+	return out, out.parts > 0
+}
+
+// bestOf returns the cheapest step of a run by data centre; one without parts is none.
+func (s *search) bestOf(steps []step) []step {
+	best := make([]step, len(s.names))
+	for _, one := range steps {
+		if old := &best[s.centers[one.engine]]; old.parts == 0 || one.cost < old.cost {
+			*old = one
+		}
+	}
+	return best
+}
+
+func (s *search) crossing(from, to int) time.Duration {
+	known := &s.crossings[from*len(s.names)+to]
+	if *known < 0 {
+		*known = crossing(s.costs, s.names[from], s.names[to])
+	}
+	return *known
+}
+
+func crossing(c Costs, from, to pkid.DataCenter) time.Duration {
+	if from == to || from == "" || c.Crossing == nil {
+		return 0
+	}
+	return c.Crossing(from, to)
+}
+
+// cheapest walks back from the cheapest end. A path that leaves an engine and comes
+// back to it is refused by engines, so it counts as none.
+func (s *search) cheapest() (Path, bool) {
+	ends := slices.Clone(s.table[len(s.table)-1])
+	slices.SortStableFunc(ends, func(a, b step) int { return cmp.Compare(a.cost, b.cost) })
+	for _, end := range ends {
+		if s.costs.Most > 0 && end.cost > s.costs.Most {
+			break
+		}
+		if parts, ok := s.walk(end.engine); ok {
+			return Path{Parts: parts, Cost: end.cost}, true
+		}
+		s.returned = true
+	}
+	return Path{}, false
+}
+
+func (s *search) walk(end int32) ([]Part, bool) {
+	var parts []Part
+	var seen []int32
+	at := end
+	for i := len(s.table) - 1; i >= 0; i-- {
+		if n := len(parts); n > 0 && seen[n-1] == at {
+			parts[n-1].Layers.First = s.cuts[i]
+		} else {
+			if slices.Contains(seen, at) {
+				return nil, false
+			}
+			seen = append(seen, at)
+			parts = append(parts, Part{ID: s.engines[at].ID, Layers: pkid.Range{First: s.cuts[i], End: s.cuts[i+1]}})
+		}
+		at = s.before(i, at)
+	}
+	slices.Reverse(parts)
+	return parts, true
+}
+
+// before returns the engine from which the cheapest step leads into an engine at a run.
+func (s *search) before(i int, e int32) int32 {
+	at, _ := slices.BinarySearchFunc(s.table[i], e, func(one step, e int32) int { return cmp.Compare(one.engine, e) })
+	return s.table[i][at].from
+}
