pkstore: a revision says the era of the store that gave it out

Everything here was ordered by the bare number, so newer truth would have been taken for old; nothing read the header. Change: a revision holds the era above the number; the client of the platform puts them together, sends no condition, lease or watch of an era that has ended, and takes late answers of one for errors.

--- a/pkconfig/table.go
+++ b/pkconfig/table.go
@@ -85,11 +85,20 @@
 // Adopt puts a configuration in force unless one of the same or a higher version
 // is. Sources overtake each other: a peer or a late answer of the store can bring
 // an older version after a newer one, and a key that was taken away would serve
-// again.
+// again. So can a store that has come back from an older copy, until the operators
+// have written again what it lost; what it names later in its order is none the newer.
 func (b *Book) Adopt(c Config, rev pkstore.Revision) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if now := b.now.Load(); now != nil && (c.Version <= now.Version || rev <= now.Revision) {
+	now := b.now.Load()
+	switch {
+	case now == nil:
+	case c.Version == now.Version && rev.Era() > now.Revision.Era():
+		again := *now
+		again.Revision = rev
+		b.now.Store(&again)
+		return false
+	case c.Version <= now.Version, rev.Era() == now.Revision.Era() && rev <= now.Revision:
 		return false
 	}
 	b.now.Store(NewTable(c, rev))
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -64,6 +64,7 @@
 	pipes   pklayers.Pipes
 	members members
 	store   gate
+	era     eraClock
 	calls   calls
 	// desks are the orders under way by pool; they belong to the loop that owns.
 	desks map[pkid.ServiceID]*pkowner.Desk
--- a/pkedge/follow.go
+++ b/pkedge/follow.go
@@ -81,17 +81,17 @@
 			d.store.answered()
 			if failures > 0 {
 				failures = 0
-				d.log.Info("the store is back", "watch", f.name, "revision", at)
+				d.log.Info("the store is back", "watch", f.name, "revision", at.String())
 				tell(f.back)
 			}
 			listed = true
 		case errors.Is(err, pkstore.ErrCompacted):
-			d.log.Warn("the store no longer has the history", "watch", f.name, "revision", at)
+			d.log.Warn("the store no longer has the history", "watch", f.name, "revision", at.String())
 			listed = false
 		default:
 			listed = false
 			if failures == 0 && ctx.Err() == nil {
-				d.log.Warn("the store is lost", "watch", f.name, "revision", at, "error", err)
+				d.log.Warn("the store is lost", "watch", f.name, "revision", at.String(), "error", err)
 				tell(f.lost)
 			}
 			failures++
@@ -124,6 +124,7 @@
 	if err != nil {
 		return 0, err
 	}
+	d.noteEra(time.Now(), at, f.name)
 	f.list(items, at)
 	return at, nil
 }
@@ -193,7 +194,7 @@
 	}
 	c, err := d.Config(item.Value)
 	if err != nil {
-		d.log.Error("a configuration is passed over", "revision", item.Revision, "source", source, "error", err)
+		d.log.Error("a configuration is passed over", "revision", item.Revision.String(), "source", source, "error", err)
 		return false
 	}
 	first := d.book.Table() == nil
@@ -201,7 +202,7 @@
 		return false
 	}
 	d.configItem.Store(&item)
-	d.log.Info("configuration in force", "version", c.Version, "revision", item.Revision, "source", source,
+	d.log.Info("configuration in force", "version", c.Version, "revision", item.Revision.String(), "source", source,
 		"routes", len(c.Routes), "accounts", len(c.Accounts))
 	if first {
 		close(d.configured)
@@ -245,7 +246,7 @@
 		}
 		record, err := d.Replica(ev.Item)
 		if err != nil {
-			d.log.Debug("an entry names no replica", "key", ev.Item.Key, "revision", ev.Item.Revision, "error", err)
+			d.log.Debug("an entry names no replica", "key", ev.Item.Key, "revision", ev.Item.Revision.String(), "error", err)
 		}
 		out = append(out, record)
 	}
@@ -268,11 +269,11 @@
 }
 
 func (d *Daemon) logReplica(one pkreplica.Record, at pkstore.Revision, source string) {
-	d.log.Info("replica changed", "target", one.Info.ID, "service", one.Info.Service, "revision", one.Revision,
-		"known_to", at, "source", source, "gone", one.Deleted, "leaving", one.Info.Leaving,
+	d.log.Info("replica changed", "target", one.Info.ID, "service", one.Info.Service, "revision", one.Revision.String(),
+		"known_to", at.String(), "source", source, "gone", one.Deleted, "leaving", one.Info.Leaving,
 		"first", one.Info.Held.First, "end", one.Info.Held.End, "born", one.Info.Born, "addr", one.Info.Addr)
 	if problem := d.problem(one); problem != "" {
-		d.log.Warn("an entry names no replica to use", "target", one.Info.ID, "revision", one.Revision, "source", source, "field", problem)
+		d.log.Warn("an entry names no replica to use", "target", one.Info.ID, "revision", one.Revision.String(), "source", source, "field", problem)
 		d.metrics.unusable.WithLabelValues(problem).Inc()
 	}
 }
--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -287,7 +287,10 @@
 func (d *Daemon) keepOnce(ctx context.Context, registered *bool) error {
 	m := &d.members
 	sent := pktimer.Boot()
-	if m.id == 0 {
+	m.mu.Lock()
+	kept := m.id
+	m.mu.Unlock()
+	if kept == 0 {
 		id, err := d.Store.Grant(ctx, leaseTTL)
 		d.asked(callGrant, askerLease, err)
 		if err != nil {
@@ -297,7 +300,7 @@
 		m.id = id
 		m.mu.Unlock()
 		*registered = false
-	} else if err := d.renew(ctx, m.id); err != nil {
+	} else if err := d.renew(ctx, kept); err != nil {
 		if errors.Is(err, pkstore.ErrNoLease) {
 			m.mu.Lock()
 			m.id, m.ownRevision = 0, 0
--- a/pkedge/metrics.go
+++ b/pkedge/metrics.go
@@ -18,6 +18,7 @@
 	unusable   *prometheus.CounterVec
 	storeCalls *prometheus.CounterVec
 	repeated   prometheus.Counter
+	eras       prometheus.Counter
 	firstEvent prometheus.Histogram
 }
 
@@ -33,6 +34,7 @@
 		unusable:   counter("peridotknot_replica_entries_unusable_total", "Changed entries of the list that name no replica to use, by the field at fault.", "field"),
 		storeCalls: counter("peridotknot_store_calls_total", "Calls to the store by kind, asker and outcome.", "call", "asker", "outcome"),
 		repeated:   prometheus.NewCounter(prometheus.CounterOpts{Name: "peridotknot_sends_repeated_total", Help: "Sends beyond the first of a request."}),
+		eras:       prometheus.NewCounter(prometheus.CounterOpts{Name: "peridotknot_store_returns_total", Help: "Returns of the store from an older copy of itself."}),
 		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "peridotknot_first_event_seconds", Help: "Time from a request to its first event.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 1.6, 16),
@@ -41,14 +43,15 @@
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.requests, m.failed, m.orders, m.unusable, m.storeCalls, m.repeated, m.firstEvent,
+	m.registry.MustRegister(m.requests, m.failed, m.orders, m.unusable, m.storeCalls, m.repeated, m.eras, m.firstEvent,
 		gauge("peridotknot_config_version", "Version of the configuration in force.", func() float64 {
 			if t := d.book.Table(); t != nil {
 				return float64(t.Version)
 			}
 			return 0
 		}),
-		gauge("peridotknot_list_revision", "Revision that the list of replicas is known up to.", func() float64 { return float64(d.roster.At()) }),
+		gauge("peridotknot_list_revision", "Revision that the list of replicas is known up to, within the store's era.", func() float64 { return float64(d.roster.At().Number()) }),
+		gauge("peridotknot_store_era", "Era of the store that the list of replicas is known of; it rises when the store comes back from an older copy.", func() float64 { return float64(d.roster.At().Era()) }),
 		gauge("peridotknot_peers", "Other entries that are heard of.", func() float64 { return float64(d.sharing.table.Fresh(time.Now())) }),
 		gauge("peridotknot_members", "Entries that share what is bounded over all.", func() float64 { return float64(d.entries(time.Now())) }),
 		gauge("peridotknot_targets_avoided", "Targets that are passed over for failures.", func() float64 { return float64(d.avoided(time.Now())) }),
--- a/pkedge/own.go
+++ b/pkedge/own.go
@@ -86,7 +86,7 @@
 // One that the store turns away, as it does with some, waits like its lists do: entries that
 // tried again each 0.2 s made 425 failing writes on a day.
 func (d *Daemon) mayAcquire(now time.Time) bool {
-	if now.Before(d.acquireNext) {
+	if now.Before(d.acquireNext) || !d.era.settled(now) {
 		return false
 	}
 	if d.sharing.table.Led(now) {
@@ -125,7 +125,7 @@
 	}
 	m.lease.Terms = pklease.Terms{TTL: leaseTTL, Margin: leaseMargin}
 	m.lease.Began(sent, pkid.Fence(out.Item.Revision))
-	d.log.Info("owns the pools", "revision", out.Item.Revision)
+	d.log.Info("owns the pools", "revision", out.Item.Revision.String())
 	return true
 }
 
--- a/pkedge/share.go
+++ b/pkedge/share.go
@@ -105,6 +105,7 @@
 	if m.From == d.settings.Entry || !d.sharing.table.Hear(now, m) {
 		return
 	}
+	d.noteEra(now, max(m.Config, m.List), "peer "+string(m.From))
 	if m.NewConfig != nil {
 		d.adopt(*m.NewConfig, "peer "+string(m.From))
 	}
@@ -248,7 +249,7 @@
 
 // help adds to a message what an entry misses and says whether that is anything.
 func (d *Daemon) help(now time.Time, m *pkshare.Message, to pkid.EntryID, role pkshare.Role) bool {
-	known := pkshare.Known{Self: d.settings.Entry, Config: m.Config, List: m.List, Held: m.Held, Hub: role != pkshare.Peer}
+	known := pkshare.Known{Self: d.settings.Entry, Config: m.Config, Version: m.Version, List: m.List, Held: m.Held, Hub: role != pkshare.Peer}
 	misses := d.sharing.table.Misses(now, to, known)
 	if misses.Config {
 		m.NewConfig = d.configItem.Load()
@@ -287,7 +288,7 @@
 
 // differs says whether a message says something new.
 func differs(a, b pkshare.Message) bool {
-	if a.Config != b.Config || a.List != b.List || a.Held != b.Held || len(a.Loads) != len(b.Loads) {
+	if a.Config != b.Config || a.Version != b.Version || a.List != b.List || a.Held != b.Held || len(a.Loads) != len(b.Loads) {
 		return true
 	}
 	if len(b.Suspects) > 0 || len(a.Cases) > 0 {
@@ -320,7 +321,7 @@
 		m.Members = d.members.entries(now, 0)
 	}
 	if table := d.book.Table(); table != nil {
-		m.Config = table.Revision
+		m.Config, m.Version = table.Revision, table.Version
 	}
 	s.mu.Lock()
 	s.sequence++
--- a/pkreplica/roster.go
+++ b/pkreplica/roster.go
@@ -22,7 +22,8 @@
 	Info     Info
 	// Beats is how many heartbeats the replica had written since its start.
 	Beats uint64
-	// Deleted says that the entry is gone; Info then has only its ID.
+	// Deleted says that the entry is gone; Info then has only its ID and, as far as they are
+	// known, the start that it was of. Beats then is the count that was last known.
 	Deleted bool
 	// Unusable is the field that keeps an entry which is there from naming a replica; Deleted
 	// is set with it.
@@ -39,8 +40,10 @@
 	// order keeps targets by service, sorted by id.
 	order map[pkid.ServiceID][]*Target
 	// ended is the addresses of processes that are gone for good.
-	ended    []string
-	at       pkstore.Revision
+	ended []string
+	at    pkstore.Revision
+	// era is the newest era of the store that is known.
+	era      pkstore.Era
 	returned time.Time
 	away     bool
 }
@@ -50,8 +53,10 @@
 func (r *Roster) Apply(now time.Time, records []Record, at pkstore.Revision) []Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.enter(now, at.Era())
 	var changed []Record
 	for _, one := range records {
+		r.enter(now, one.Revision.Era())
 		if r.apply(now, one) {
 			changed = append(changed, one)
 		}
@@ -89,6 +94,27 @@
 	return r.Apply(now, records, at)
 }
 
+// enter notes at now that the store is in an era. One that has come back from an older copy lacks
+// what replicas wrote since; they write it again, and live meanwhile.
+func (r *Roster) enter(now time.Time, e pkstore.Era) {
+	if e <= r.era {
+		return
+	}
+	if r.era != 0 || len(r.records) > 0 {
+		r.returned = now
+	}
+	r.era = e
+}
+
+// saysLess says whether a record is of a later era and yet older than one that is known: the copy
+// that the store came back from has the entry as it was some seconds before. A replica that left
+// since would get requests again, one that is gone would come back to life, and one that was given
+// layers would count as empty. What the replica writes itself has a higher count of heartbeats.
+func (one Record) saysLess(known Record) bool {
+	return one.Revision.Era() > known.Revision.Era() && !one.Deleted &&
+		one.Info.Born == known.Info.Born && one.Beats <= known.Beats
+}
+
 func (r *Roster) apply(now time.Time, one Record) bool {
 	id := one.Info.ID
 	old, found := r.records[id]
@@ -106,6 +132,14 @@
 	if t != nil && one.Info.Born == 0 {
 		one.Info.Born = t.Born
 	}
+	if found && one.saysLess(old) {
+		old.Revision = one.Revision
+		r.records[id] = old
+		return false
+	}
+	if one.Deleted {
+		one.Beats = max(one.Beats, old.Beats)
+	}
 	r.records[id] = one
 	if one.Deleted {
 		return lapse(now, t, old, one)
--- a/pkshare/message.go
+++ b/pkshare/message.go
@@ -1,6 +1,7 @@
 package pkshare
 
 import (
+	"peridotknot.example/pkconfig"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkquarantine"
 	"peridotknot.example/pkreplica"
@@ -45,6 +46,9 @@
 	// Held is a checksum of the requests that the sender keeps from replicas; zero where its build
 	// keeps none.
 	Held pkquarantine.Sum `cbor:"20,keyasint,omitempty"`
+	// Version is that of the configuration at Config: it is ordered also where the store has come
+	// back from an older copy, and has another version at a later revision.
+	Version pkconfig.Version `cbor:"22,keyasint,omitempty"`
 	// DataCenter and ProcessorShare are those of the sender.
 	DataCenter     pkid.DataCenter `cbor:"12,keyasint,omitempty"`
 	ProcessorShare float32         `cbor:"14,keyasint,omitempty"`
--- a/pkshare/table.go
+++ b/pkshare/table.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"peridotknot.example/pkconfig"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkquarantine"
 	"peridotknot.example/pkreplica"
@@ -42,6 +43,7 @@
 	sequence uint64
 	at       time.Time
 	config   pkstore.Revision
+	version  pkconfig.Version
 	list     pkstore.Revision
 	loads    []Load
 	flows    []Flow
@@ -95,7 +97,7 @@
 		*p = peer{}
 	}
 	p.addr, p.run, p.sequence, p.at = m.Addr, m.Run, m.Sequence, now
-	p.config, p.list, p.loads, p.flows = m.Config, m.List, m.Loads, m.Flows
+	p.config, p.version, p.list, p.loads, p.flows = m.Config, m.Version, m.List, m.Loads, m.Flows
 	p.following, p.members, p.held = m.Following, m.Members, m.Held
 	p.sum, p.dataCenter, p.share = m.Sum, m.DataCenter, float64(m.ProcessorShare)
 	return true
@@ -160,7 +162,9 @@
 type Known struct {
 	Self   pkid.EntryID
 	Config pkstore.Revision
-	List   pkstore.Revision
+	// Version is that of the configuration at Config.
+	Version pkconfig.Version
+	List    pkstore.Revision
 	// Held is a checksum of the requests that it keeps from replicas.
 	Held pkquarantine.Sum
 	// Hub says that it is a hub of the peer; what the others know is then not known.
@@ -190,13 +194,13 @@
 		wait = 0
 	}
 	var out Help
-	if behind(now, &p.configBehind, p.config < k.Config, missesFor) && now.Sub(p.toldConfig) >= tellAgain &&
-		(k.Hub || t.helps(now, to, k.Self, k.Config, false)) {
+	if behind(now, &p.configBehind, p.lacksConfig(k), missesFor) && now.Sub(p.toldConfig) >= tellAgain &&
+		(k.Hub || t.helps(now, to, k.Self, func(p *peer) bool { return !p.lacksConfig(k) })) {
 		p.toldConfig = now
 		out.Config = true
 	}
 	if behind(now, &p.listBehind, p.list < k.List, wait) && now.Sub(p.toldList) >= tellAgain &&
-		(k.Hub || t.helps(now, to, k.Self, k.List, true)) {
+		(k.Hub || t.helps(now, to, k.Self, func(p *peer) bool { return p.list >= k.List })) {
 		p.toldList = now
 		out.List, out.After = true, p.list
 	}
@@ -245,15 +249,21 @@
 	return now.Sub(*since) >= wait
 }
 
+// lacksConfig says whether a peer has an older configuration than this entry. Versions decide
+// where both are known: a store that has come back from an older copy may name an older one at a
+// later revision, until the operators write the newest again.
+func (p *peer) lacksConfig(k Known) bool {
+	if p.version != 0 && k.Version != 0 && p.version != k.Version {
+		return p.version < k.Version
+	}
+	return p.config < k.Config
+}
+
 // helps says whether this entry is among the first by name that could help.
-func (t *Table) helps(now time.Time, to, self pkid.EntryID, rev pkstore.Revision, list bool) bool {
+func (t *Table) helps(now time.Time, to, self pkid.EntryID, could func(*peer) bool) bool {
 	able := []pkid.EntryID{self}
 	for id, p := range t.peers {
-		knows := p.config
-		if list {
-			knows = p.list
-		}
-		if id != to && now.Sub(p.at) < freshFor && knows >= rev {
+		if id != to && now.Sub(p.at) < freshFor && could(p) {
 			able = append(able, id)
 		}
 	}
--- a/pkstore/store.go
+++ b/pkstore/store.go
@@ -6,10 +6,6 @@
 	"time"
 )
 
-// Revision is the store's own version of a key; zero means that there is no
-// such key.
-type Revision uint64
-
 // LeaseID names a lease of the store; zero is no lease.
 type LeaseID int64
 
