--- a/pkreplica/era_test.go
+++ b/pkreplica/era_test.go
@@ -32,8 +32,10 @@
 	leaves := func(i *Info) { i.Leaving = true }
 	old := []Record{entryAt(1, 10, "leaves", 5, nil), entryAt(1, 11, "loaded", 5, nil), entryAt(1, 12, "gone", 5, nil)}
 	r.Replace(now, old, pkstore.NewRevision(1, 12))
-	r.Apply(now, []Record{entryAt(1, 13, "leaves", 8, leaves), entryAt(1, 14, "loaded", 8, held),
-		{Revision: pkstore.NewRevision(1, 15), Info: Info{ID: "gone"}, Deleted: true}}, pkstore.NewRevision(1, 15))
+	r.Apply(now, []Record{
+		entryAt(1, 13, "leaves", 8, leaves), entryAt(1, 14, "loaded", 8, held),
+		{Revision: pkstore.NewRevision(1, 15), Info: Info{ID: "gone"}, Deleted: true},
+	}, pkstore.NewRevision(1, 15))
 
 	now = now.Add(time.Second)
 	back := []Record{entryAt(2, 10, "leaves", 5, nil), entryAt(2, 11, "loaded", 5, nil), entryAt(2, 12, "gone", 5, nil)}
