pkpace: engines that are slower than their kind are known to all entries

Cause: with slow engines (a share of 0.4, twelve times, nine seconds) half of the streams of those seconds are late: paths are chosen by what kinds declare, though reports say how slow an engine is. Change: the entries that watch the engines of their data centre ask each once a second; what they learn is told at once, as words with an age, and multiplies an engine's cost.

--- a/pkedge/choose.go
+++ b/pkedge/choose.go
@@ -96,6 +96,7 @@
 		if w.hurry {
 			cost += time.Duration(float64(m.ReadTime(t.Kind, 1, w.tokens)) / hurryTokens)
 		}
+		cost = time.Duration(float64(cost) * float64(d.paces.Factor(now, t.ID, t.Born)))
 		byID[t.ID] = t
 		engines = append(engines, pklayers.Engine{
 			ID: t.ID, DataCenter: t.DataCenter, Kind: t.Kind, Held: t.Held, Cost: cost,
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -20,6 +20,7 @@
 	"peridotknot.example/pkid"
 	"peridotknot.example/pklayers"
 	"peridotknot.example/pkowner"
+	"peridotknot.example/pkpace"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkretry"
 	"peridotknot.example/pkstore"
@@ -61,6 +62,7 @@
 
 	book    pkconfig.Book
 	roster  pkreplica.Roster
+	paces   pkpace.Table
 	pipes   pklayers.Pipes
 	members members
 	store   gate
@@ -154,7 +156,7 @@
 		peers := &http.Server{Handler: d.peersHandler(inner), ReadHeaderTimeout: readinessTimeout}
 		g.Add(func() error { return untilDone(inner, peers.Serve(d.sharing.listener)) }, func(error) { _ = peers.Close() })
 	}
-	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.keepLease, d.own, d.tellPeers, d.takeLoads, d.mendStreams, d.watchEngines, d.logCalls, d.settleEnds, d.saveHeld, d.settleDoubts} {
+	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.keepLease, d.own, d.tellPeers, d.takeLoads, d.mendStreams, d.watchEngines, d.askPaces, d.logCalls, d.settleEnds, d.saveHeld, d.settleDoubts} {
 		g.Add(func() error { loop(inner); return nil }, func(error) { cancel() })
 	}
 	return g.Run()
--- a/pkedge/own.go
+++ b/pkedge/own.go
@@ -198,6 +198,7 @@
 		return report, err
 	}
 	t.Answered(asked)
+	d.learnPace(t, report, asked)
 	later := d.roster.Restarted(t.ID, report.Born)
 	if !later && !report.Empty(t.Held) {
 		return report, nil
--- a/pkedge/share.go
+++ b/pkedge/share.go
@@ -118,6 +118,7 @@
 	for _, one := range m.Suspects {
 		d.hearSuspect(now, m.From, one)
 	}
+	d.hearPaces(now, m.Paces)
 	d.learnCases(now, m.Cases, "peer "+string(m.From))
 }
 
@@ -291,7 +292,7 @@
 	if a.Config != b.Config || a.Version != b.Version || a.List != b.List || a.Held != b.Held || len(a.Loads) != len(b.Loads) {
 		return true
 	}
-	if len(b.Suspects) > 0 || len(a.Cases) > 0 {
+	if len(b.Suspects) > 0 || len(a.Cases) > 0 || len(b.Paces) > 0 {
 		return true
 	}
 	for i := range a.Loads {
@@ -310,6 +311,7 @@
 		DataCenter: d.settings.DataCenter, ProcessorShare: float32(d.settings.ProcessorShare),
 		Following: d.listed.Load() && !d.roster.Away(),
 		Cases:     d.quarantine.table.News(now), Held: d.quarantine.table.Sum(now),
+		Paces: d.paces.Words(now),
 	}
 	if back := now.Sub(d.roster.Returned()); back < storeBackTold {
 		m.StoreBackMS = max(back.Milliseconds(), 1)
--- a/pkedge/suspect.go
+++ b/pkedge/suspect.go
@@ -161,10 +161,7 @@
 		return
 	}
 	s.suspects[t] = one
-	select {
-	case s.urgent <- struct{}{}:
-	default: // a message is asked for already
-	}
+	s.hurry()
 }
 
 // hearSuspect passes a target over on another entry's word, and passes the word on where
--- a/pkshare/message.go
+++ b/pkshare/message.go
@@ -3,6 +3,7 @@
 import (
 	"peridotknot.example/pkconfig"
 	"peridotknot.example/pkid"
+	"peridotknot.example/pkpace"
 	"peridotknot.example/pkquarantine"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkstore"
@@ -49,6 +50,8 @@
 	// Version is that of the configuration at Config: it is ordered also where the store has come
 	// back from an older copy, and has another version at a later revision.
 	Version pkconfig.Version `cbor:"22,keyasint,omitempty"`
+	// Paces are engines that are or lately were slower than their kind.
+	Paces []pkpace.Word `cbor:"21,keyasint,omitempty"`
 	// DataCenter and ProcessorShare are those of the sender.
 	DataCenter     pkid.DataCenter `cbor:"12,keyasint,omitempty"`
 	ProcessorShare float32         `cbor:"14,keyasint,omitempty"`
