pkedge: engines that are as fast as their kind are seldom asked for their pace

Change: an engine is asked each second only while it is known to be slow, else each five seconds. Those that turn slow are mostly asked at once, since streams through them fall silent.

--- a/pkedge/metrics.go
+++ b/pkedge/metrics.go
@@ -55,6 +55,7 @@
 		gauge("peridotknot_peers", "Other entries that are heard of.", func() float64 { return float64(d.sharing.table.Fresh(time.Now())) }),
 		gauge("peridotknot_members", "Entries that share what is bounded over all.", func() float64 { return float64(d.entries(time.Now())) }),
 		gauge("peridotknot_targets_avoided", "Targets that are passed over for failures.", func() float64 { return float64(d.avoided(time.Now())) }),
+		gauge("peridotknot_slow_engines", "Engines that are slower than their kind.", func() float64 { return float64(d.paces.Slow(time.Now())) }),
 		gauge("peridotknot_quarantined_requests", "Requests that are kept from replicas, since each that ran them ended.", func() float64 {
 			held, _ := d.quarantine.table.Sizes(time.Now())
 			return float64(held)
--- a/pkedge/node_test.go
+++ b/pkedge/node_test.go
@@ -61,6 +61,17 @@
 	return startAt(t, w.Store.Addr(), name, seeds...)
 }
 
+// startIn starts a node in a data centre.
+func startIn(t testing.TB, w *platformtest.World, name, dataCenter string) *node {
+	t.Helper()
+	return startWith(t, pkedge.Settings{
+		Entry: pkid.EntryID(name), DataCenter: pkid.DataCenter(dataCenter), Store: w.Store.Addr(),
+		Listen: pkedge.Listen{Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: "127.0.0.1:0"},
+		Stop:   pkedge.Stop{GraceS: 4},
+		Retry:  pkedge.Retry{Ratio: 0.2, WindowS: 10, Slack: 200},
+	})
+}
+
 func startAt(t testing.TB, store, name string, seeds ...string) *node {
 	t.Helper()
 	return startWith(t, pkedge.Settings{
--- a/pkedge/pace.go
+++ b/pkedge/pace.go
@@ -13,9 +13,13 @@
 )
 
 const (
-	// paceEvery is how often an entry asks each engine that it watches for its pace; two entries
-	// watch each. Reports are some hundred milliseconds old, and each question costs.
+	// paceEvery is how often an entry asks an engine that it watches and that is known to be slow;
+	// two entries watch each. Reports are some hundred milliseconds old, and each question costs.
 	paceEvery = time.Second
+	// paceSeldom is the same of engines that are as fast as their kind, as far as is known. Most of
+	// those that turn slow are found sooner: streams through them fall silent, and they are asked
+	// for a sign of life.
+	paceSeldom = 5 * time.Second
 	// paceLook is how often it is looked which engines are due: questions are spread over time.
 	paceLook = 50 * time.Millisecond
 	// paceTimeout bounds a question; engines answer in milliseconds whatever their load.
@@ -41,18 +45,29 @@
 			}
 		}
 		for one, t := range wanted {
+			pause := d.pacePause(now, t)
 			at, known := due[one]
 			switch {
 			case !known:
-				due[one] = now.Add(rand.N(paceEvery))
+				due[one] = now.Add(rand.N(pause))
 			case !now.Before(at):
-				due[one] = now.Add(paceEvery)
+				due[one] = now.Add(pause)
 				wg.Go(func() { d.askPace(ctx, t) })
+			case at.Sub(now) > pause:
+				due[one] = now.Add(rand.N(pause))
 			}
 		}
 	})
 }
 
+// pacePause returns how long after a question at now an engine is asked for its pace again.
+func (d *Daemon) pacePause(now time.Time, t *pkreplica.Target) time.Duration {
+	if d.paces.Factor(now, t.ID, t.Born) > pkpace.Usual {
+		return paceEvery
+	}
+	return paceSeldom
+}
+
 // askPace reads an engine's report for its pace.
 func (d *Daemon) askPace(ctx context.Context, t *pkreplica.Target) {
 	ctx, cancel := context.WithTimeout(ctx, paceTimeout)
--- a/pkpace/table.go
+++ b/pkpace/table.go
@@ -96,6 +96,19 @@
 	return one.factor
 }
 
+// Slow returns how many engines are slow at now.
+func (t *Table) Slow(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, one := range t.said {
+		if now.Sub(one.at) < holdsFor && one.factor >= slowFrom {
+			n++
+		}
+	}
+	return n
+}
+
 // Words returns what the others are told at now, the slowest engines first, and forgets what is
 // too old.
 func (t *Table) Words(now time.Time) []Word {
