pklayers: memory costs little until an engine is nearly full

Paths turned to slow engines since one that is half full counted as four times as slow, though it is as fast as an empty one. Change: two ways stand beside one another, EarlyCrowding (as before) and LateCrowding; the second is in force.

--- a/pkedge/choose.go
+++ b/pkedge/choose.go
@@ -24,8 +24,6 @@
 	// many at once, and 191 of 9,704 had pauses of over 300 ms in the pipes; with it none had (one
 	// day, the same seed).
 	unseenPrompts = 1.1
-	// leastFree bounds the cost of a full engine.
-	leastFree = 0.05
 	// hopCost is what one more engine on a path costs a token.
 	hopCost = 100 * time.Microsecond
 	// mostCost bounds the cost of a token for a new request: at twice a caller's usual
@@ -89,7 +87,7 @@
 	engines := make([]pklayers.Engine, 0, len(live))
 	byID := make(map[pkid.TargetID]*pkreplica.Target, len(live))
 	for _, t := range live {
-		cost, ok := layerCost(now, m, t, w, entries)
+		cost, ok := layerCost(now, m, t, w, entries, d.crowding)
 		if !ok || !w.passes(now, t) {
 			continue
 		}
@@ -163,7 +161,7 @@
 
 // layerCost returns the time that a layer takes at an engine for a token, longer
 // the fuller its memory is, and whether it has room for a request.
-func layerCost(now time.Time, m *pklayers.Model, t *pkreplica.Target, w wish, entries int) (time.Duration, bool) {
+func layerCost(now time.Time, m *pklayers.Model, t *pkreplica.Target, w wish, entries int, crowding pklayers.Crowding) (time.Duration, bool) {
 	held := t.Held.Len()
 	if held == 0 {
 		return 0, false
@@ -174,6 +172,5 @@
 	if room <= 0 || full > w.share {
 		return 0, false
 	}
-	free := max(1-full, leastFree)
-	return time.Duration(float64(m.StepTime(t.Kind, 1)) / (free * free)), true
+	return time.Duration(float64(m.StepTime(t.Kind, 1)) * crowding(full)), true
 }
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -60,14 +60,16 @@
 	log     hclog.Logger
 	metrics *metrics
 
-	book    pkconfig.Book
-	roster  pkreplica.Roster
-	paces   pkpace.Table
-	pipes   pklayers.Pipes
-	members members
-	store   gate
-	era     eraClock
-	calls   calls
+	book   pkconfig.Book
+	roster pkreplica.Roster
+	paces  pkpace.Table
+	pipes  pklayers.Pipes
+	// crowding is how soon requests turn to slower engines.
+	crowding pklayers.Crowding
+	members  members
+	store    gate
+	era      eraClock
+	calls    calls
 	// desks are the orders under way by pool; they belong to the loop that owns.
 	desks map[pkid.ServiceID]*pkowner.Desk
 	// ownerless is since when no daemon is known to own; it belongs to the loop that owns.
@@ -101,7 +103,7 @@
 
 // New returns a daemon that listens already and serves once Run is called.
 func New(s Settings, p Ports, log hclog.Logger) (*Daemon, error) {
-	d := &Daemon{Ports: p, settings: s, log: log, configured: make(chan struct{})}
+	d := &Daemon{Ports: p, settings: s, log: log, configured: make(chan struct{}), crowding: pklayers.LateCrowding}
 	d.retry.Store(&s.Retry)
 	d.seeds.Store(&s.Seeds)
 	d.streams.gone = make(chan struct{}, 1)
--- a/pkedge/shortage.go
+++ b/pkedge/shortage.go
@@ -29,7 +29,7 @@
 	all := make([]shortage, m.Layers)
 	entries := d.entries(now)
 	for _, t := range d.engines(now, s.ID, m) {
-		_, room := layerCost(now, m, t, w, entries)
+		_, room := layerCost(now, m, t, w, entries, d.crowding)
 		avoided := !w.passes(now, t)
 		for l := t.Held.First; l < t.Held.End; l++ {
 			one := &all[l]
