--- a/pkedge/link.go
+++ b/pkedge/link.go
@@ -28,15 +28,20 @@
 	out chan []byte
 	// connected is set by a new connection, whose other end has heard nothing yet.
 	connected atomic.Bool
+	// lacks says that the other end may not have heard all that was told; it belongs to the loop
+	// that tells peers.
+	lacks bool
 }
 
-// put leaves a message for the connection.
+// put leaves a message for the connection; one before it that has not gone out is dropped.
 func (l *link) put(raw []byte) {
 	if raw == nil {
 		return
 	}
+	l.lacks = false
 	select {
 	case <-l.out:
+		l.lacks = true
 	default:
 	}
 	l.out <- raw
--- a/pkshare/hub.go
+++ b/pkshare/hub.go
@@ -46,6 +46,9 @@
 	FarHub
 )
 
+// roles is how many roles there are.
+const roles = int(FarHub) + 1
+
 // WithHubs says whether so many entries tell hubs and not one another.
 func WithHubs(others int) bool { return others >= flatMost }
 
@@ -135,6 +138,10 @@
 	Entries int    `cbor:"2,keyasint"`
 	Loads   []Load `cbor:"3,keyasint,omitempty"`
 	Flows   []Flow `cbor:"4,keyasint,omitempty"`
+	// Partial says that Loads stand as they were told before but for those in Changed, of which one
+	// of no tokens ends. Entries of earlier builds take the loads for none meanwhile.
+	Partial bool   `cbor:"5,keyasint,omitempty"`
+	Changed []Load `cbor:"6,keyasint,omitempty"`
 }
 
 // Sums returns what the entries of this one's data centre hold together, this one
--- a/pkshare/table.go
+++ b/pkshare/table.go
@@ -74,8 +74,9 @@
 	peers map[pkid.EntryID]*peer
 	// awaited is since when a hub has been expected to be heard of.
 	awaited map[pkid.EntryID]time.Time
-	// told is what this entry last told its hubs.
-	told Message
+	// told is what this entry last told its hubs, toldSums what it told as a hub, by role.
+	told     Message
+	toldSums [roles]told
 }
 
 // Hear takes a message at now and says whether it was newer than the last one.
@@ -96,6 +97,15 @@
 	if p.run != m.Run {
 		*p = peer{}
 	}
+	if m.Sum != nil && m.Sum.Partial {
+		whole := *m.Sum
+		whole.Partial, whole.Changed = false, nil
+		if p.sum != nil {
+			whole.Loads = p.sum.Loads
+		}
+		whole.Loads = merge(whole.Loads, m.Sum.Changed)
+		m.Sum = &whole
+	}
 	p.addr, p.run, p.sequence, p.at = m.Addr, m.Run, m.Sequence, now
 	p.config, p.version, p.list, p.loads, p.flows = m.Config, m.Version, m.List, m.Loads, m.Flows
 	p.following, p.members, p.held = m.Following, m.Members, m.Held
