--- a/pkedge/pace.go
+++ b/pkedge/pace.go
@@ -21,7 +21,7 @@
 	// for a sign of life.
 	paceSeldom = 5 * time.Second
 	// paceLook is how often it is looked which engines are due: questions are spread over time.
-	paceLook = 50 * time.Millisecond
+	paceLook = 250 * time.Millisecond
 	// paceTimeout bounds a question; engines answer in milliseconds whatever their load.
 	paceTimeout = 200 * time.Millisecond
 )
--- a/pkreplica/roster.go
+++ b/pkreplica/roster.go
@@ -37,7 +37,9 @@
 	targets map[pkid.TargetID]*Target
 	// origins is how each id came to be known.
 	origins map[pkid.TargetID]origin
-	// order keeps targets by service, sorted by id.
+	// all keeps the targets sorted by id, order the same by service. Neither slice changes once it
+	// is made.
+	all   []*Target
 	order map[pkid.ServiceID][]*Target
 	// ended is the addresses of processes that are gone for good.
 	ended []string
@@ -210,15 +212,11 @@
 
 func (r *Roster) sort() {
 	r.order = map[pkid.ServiceID][]*Target{}
-	all := r.sorted()
-	for _, t := range all {
+	r.all = slices.SortedFunc(maps.Values(r.targets), func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
+	for _, t := range r.all {
 		r.order[t.Service] = append(r.order[t.Service], t)
 	}
-	r.displace(all)
-}
-
-func (r *Roster) sorted() []*Target {
-	return slices.SortedFunc(maps.Values(r.targets), func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
+	r.displace(r.all)
 }
 
 // StoreAway notes that the list cannot be followed at present.
@@ -334,11 +332,12 @@
 	}
 }
 
-// All returns all targets, also those that are gone.
+// All returns all targets, also those that are gone, sorted by id; the caller must not change the
+// slice.
 func (r *Roster) All() []*Target {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.sorted()
+	return r.all
 }
 
 // Target returns a target by its id.
