--- a/pkedge/choose.go
+++ b/pkedge/choose.go
@@ -20,9 +20,8 @@
 	hurryTokens = 10.0
 	// unseenPrompts is how many prompts a second of other entries pass through a pipe that are not
 	// known of yet. A token waits for each, and with hubs the word of them is three times as old.
-	// Without this charge streams of a calm day of 195 entries left data centres that had room,
-	// many at once, and 191 of 9,704 had pauses of over 300 ms in the pipes; with it none had (one
-	// day, the same seed).
+	// Without this charge streams of many entries left data centres that had room at the same
+	// moment, and paused in the pipes.
 	unseenPrompts = 1.1
 	// hopCost is what one more engine on a path costs a token.
 	hopCost = 100 * time.Microsecond
--- a/pkedge/mend.go
+++ b/pkedge/mend.go
@@ -116,9 +116,8 @@
 
 // mend lets a stream go on without a target: by another path in place, whose new engines
 // alone read the tokens so far, or by another attempt after its last event, which reads them
-// through all engines. Where four of 99 engines died at one moment, 140 streams read all
-// their tokens again at once, and each waited for the others. With a near path in place tried
-// first, days with trouble of that pool are worth 0.012 more (mean of 20 days).
+// through all engines. A near path in place is tried first: where engines died together, all of
+// their streams read all their tokens again at once, and each waited for the others.
 //
 // A leaving target serves on for seconds: its streams stay with it until there is
 // room elsewhere and a send left.
--- a/pkedge/suspect.go
+++ b/pkedge/suspect.go
@@ -123,8 +123,8 @@
 
 // misplaced passes over a target that refused its part of a path as one that it does not
 // hold, here and at the other entries, until its entry says something new. It has started
-// again empty, and the list learns of that only once the target reaches the store: cut off
-// from it for four seconds, six engines cost 378 sends that were refused (one day).
+// again empty, and the list learns of that only once the target reaches the store; until then
+// each request that is sent to it is refused.
 func (d *Daemon) misplaced(now time.Time, t *pkreplica.Target) time.Time {
 	one := suspicion{until: now.Add(misdirectedPause), fault: faultMisplaced, born: t.Born, entry: d.roster.Revision(t.ID)}
 	if latest, found := d.roster.Target(t.ID); !found || latest != t {
--- a/pkedge/watch.go
+++ b/pkedge/watch.go
@@ -23,8 +23,7 @@
 // watchEngines holds an idle connection to each engine of its own data centre, where this
 // entry is among the first there. The connection ends with the engine's process, and no
 // other can be made: that says within milliseconds, and for certain, what silent streams say
-// after 60 to 120, and callers accept pauses of 200. Days with trouble of a pool of 99 engines
-// are worth 0.013 more with it (mean of 20 days).
+// after some tens more, of which callers accept few.
 func (d *Daemon) watchEngines(ctx context.Context) {
 	watched := map[process]context.CancelFunc{}
 	var wg sync.WaitGroup
--- a/pkstall/culprit.go
+++ b/pkstall/culprit.go
@@ -15,9 +15,8 @@
 const (
 	// silentShare is the share of the longest pause that callers accept after which a
 	// stream without an event counts as silent: what is left must do for asking the
-	// engines, 5 to 40 ms, and for the first event of another attempt, 70 ms. At 60 of
-	// 200 ms rather than 90, and asked for 40 ms rather than 80, the median pause of streams
-	// that left a dead engine was 279 ms instead of 358 (one day, 131 and 143 streams).
+	// engines, 5 to 40 ms, and for the first event of another attempt. With less, streams that are
+	// merely slow have sound engines asked, which then look dead to entries that are slow themselves.
 	silentShare = 0.3
 	// silentDefault is the same where callers have said nothing.
 	silentDefault = 60 * time.Millisecond
