--- a/pkedge/choose.go
+++ b/pkedge/choose.go
@@ -1,6 +1,7 @@
 package pkedge
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -84,7 +85,6 @@
 	live := d.engines(now, s.ID, m)
 	entries := d.entries(now)
 	engines := make([]pklayers.Engine, 0, len(live))
-	byID := make(map[pkid.TargetID]*pkreplica.Target, len(live))
 	for _, t := range live {
 		cost, ok := layerCost(now, m, t, w, entries, d.crowding)
 		if !ok || !w.passes(now, t) {
@@ -94,7 +94,6 @@
 			cost += time.Duration(float64(m.ReadTime(t.Kind, 1, w.tokens)) / hurryTokens)
 		}
 		cost = time.Duration(float64(cost) * float64(d.paces.Factor(now, t.ID, t.Born)))
-		byID[t.ID] = t
 		engines = append(engines, pklayers.Engine{
 			ID: t.ID, DataCenter: t.DataCenter, Kind: t.Kind, Held: t.Held, Cost: cost,
 			Enter: enter(t.Held.Len(), cost) + time.Duration(float64(t.Backlog(now, entries))/w.waitOver(m)),
@@ -107,7 +106,8 @@
 	}
 	out := route{cost: p.Cost}
 	for _, part := range p.Parts {
-		out.add(byID[part.ID], part)
+		at, _ := slices.BinarySearchFunc(live, part.ID, func(t *pkreplica.Target, id pkid.TargetID) int { return cmp.Compare(t.ID, id) })
+		out.add(live[at], part)
 	}
 	return out, true
 }
--- /dev/null
+++ b/pkedge/scale_bench_test.go
@@ -0,0 +1,68 @@
+package pkedge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotknot.example/pkconfig"
+	"peridotknot.example/pkid"
+	"peridotknot.example/pklayers"
+	"peridotknot.example/pkreplica"
+)
+
+// scaleDaemon returns a daemon before so many engines, some of which it has requests at.
+func scaleDaemon(engines int) (*Daemon, *pkconfig.Service) {
+	m := shiftedPool()
+	kinds := []pkid.Kind{"h100", "a100s", "a100s", "l4", "l4", "l4", "l4", "l4", "t4", "t4", "t4", "t4"}
+	var cards []pklayers.Card
+	for i := range engines {
+		dc := pkid.DataCenter(fmt.Sprintf("d%d", i%3))
+		cards = append(cards, pklayers.Card{ID: pkid.TargetID(fmt.Sprintf("i-%08d", i)), DataCenter: dc, Kind: kinds[i/3%len(kinds)]})
+	}
+	laid := pklayers.Plan(m, cards, time.Minute)
+	var infos []pkreplica.Info
+	for _, c := range cards {
+		infos = append(infos, pkreplica.Info{ID: c.ID, DataCenter: c.DataCenter, Kind: c.Kind, Held: laid[c.ID]})
+	}
+	d, _ := poolDaemon(infos...)
+	d.settings.DataCenter = "d0"
+	d.members.told = engines / 10
+	d.sharing.withHubs.Store(true)
+	now := time.Now()
+	for i, t := range d.roster.All() {
+		if i%40 == 0 {
+			t.Begin(now, 7000, 0, time.Second)
+		}
+	}
+	return d, &pkconfig.Service{ID: "models", Engine: m}
+}
+
+// BenchmarkChoose times the choice of a path by an entry, all that it asks of targets included.
+func BenchmarkChoose(b *testing.B) {
+	for _, engines := range []int{98, 300, 1000, 3000} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			d, s := scaleDaemon(engines)
+			for b.Loop() {
+				_, found := d.choosePath(time.Now(), s, 940, 0)
+				assert.Check(b, found)
+			}
+		})
+	}
+}
+
+// BenchmarkShare times what an entry that is no hub does for each message to its hubs.
+func BenchmarkShare(b *testing.B) {
+	for _, engines := range []int{98, 300, 1000, 3000} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			d, _ := scaleDaemon(engines)
+			for b.Loop() {
+				now := time.Now()
+				d.broadcast(now, d.message(now), true, true)
+				d.addLoads(now)
+			}
+		})
+	}
+}
--- a/pklayers/path.go
+++ b/pklayers/path.go
@@ -1,7 +1,6 @@
 package pklayers
 
 import (
-	"slices"
 	"time"
 
 	"peridotknot.example/pkid"
@@ -87,22 +86,44 @@
 		dataCenter pkid.DataCenter
 		held       pkid.Range
 	}
-	kept := make([]Engine, 0, len(engines))
-	at := make(map[place][]int, len(engines))
+	kept := make([]Engine, 0, min(len(engines), usualUseful))
+	// first is the first engine that was kept of a place, next the one after another of its place.
+	first := make(map[place]int32, min(len(engines), usualUseful))
+	next := make([]int32, 0, min(len(engines), usualUseful))
 	for i := range engines {
 		one := &engines[i]
 		k := place{one.DataCenter, one.Held}
-		worse := func(j int) bool { return one.Cost >= kept[j].Cost && one.Enter >= kept[j].Enter }
-		if slices.ContainsFunc(at[k], worse) {
-			continue
+		head, known := first[k]
+		if !known {
+			head = -1
 		}
-		better := slices.IndexFunc(at[k], func(j int) bool { return one.Cost <= kept[j].Cost && one.Enter <= kept[j].Enter })
-		if better >= 0 {
-			kept[at[k][better]] = *one
+		if at, other := compare(kept, next, head, one); at >= 0 {
+			if other {
+				kept[at] = *one
+			}
 			continue
 		}
-		at[k] = append(at[k], len(kept))
+		first[k] = int32(len(kept))
+		next = append(next, head)
 		kept = append(kept, *one)
 	}
 	return kept
 }
+
+// usualUseful is how many engines are left in most pools.
+const usualUseful = 512
+
+// compare looks among the engines of one place for one that makes another needless, or that it
+// makes needless, which other says; at is negative where there is none.
+func compare(kept []Engine, next []int32, head int32, one *Engine) (at int32, other bool) {
+	for at = head; at >= 0; at = next[at] {
+		old := &kept[at]
+		switch {
+		case one.Cost >= old.Cost && one.Enter >= old.Enter:
+			return at, false
+		case one.Cost <= old.Cost && one.Enter <= old.Enter:
+			return at, true
+		}
+	}
+	return -1, false
+}
--- a/pklayers/search.go
+++ b/pklayers/search.go
@@ -50,8 +50,8 @@
 	s.centers = make([]int, len(engines))
 	for e := range engines {
 		s.centers[e] = s.center(engines[e].DataCenter)
-		s.hold(int32(e), span)
 	}
+	s.hold(span)
 	s.crossings = make([]time.Duration, len(s.names)*len(s.names))
 	for i := range s.crossings {
 		s.crossings[i] = -1
@@ -91,13 +91,47 @@
 	return at
 }
 
-// hold notes an engine with the runs that it holds.
-func (s *search) hold(e int32, span pkid.Range) {
-	held := s.engines[e].Held
-	from, _ := slices.BinarySearch(s.cuts, max(held.First, span.First))
-	for i := from; i+1 < len(s.cuts) && s.cuts[i+1] <= held.End; i++ {
-		s.holders[i] = append(s.holders[i], e)
+// hold notes which engines hold each run.
+func (s *search) hold(span pkid.Range) {
+	runOf := make([]int32, span.Len()+1) // the first run that begins at a layer or after it
+	for i, run := len(runOf)-1, len(s.cuts)-1; i >= 0; i-- {
+		if run > 0 && s.cuts[run-1] >= span.First+pkid.Layer(i) {
+			run--
+		}
+		runOf[i] = int32(run)
+	}
+	runs := func(e int) (from, to int32) {
+		held := s.engines[e].Held
+		from, to = runOf[min(max(held.First, span.First), span.End)-span.First], 0
+		if held.End > span.First {
+			to = runOf[min(held.End, span.End)-span.First]
+		}
+		return from, max(from, to)
+	}
+	counts := make([]int, len(s.holders)+1)
+	for e := range s.engines {
+		for from, to := runs(e); from < to; from++ {
+			counts[from]++
+		}
+	}
+	all, steps := make([]int32, sum(counts)), make([]step, sum(counts))
+	for i := range s.holders {
+		s.holders[i], all = all[:0:counts[i]], all[counts[i]:]
+		s.table[i], steps = steps[:0:counts[i]], steps[counts[i]:]
+	}
+	for e := range s.engines {
+		for from, to := runs(e); from < to; from++ {
+			s.holders[from] = append(s.holders[from], int32(e))
+		}
+	}
+}
+
+func sum(counts []int) int {
+	n := 0
+	for _, one := range counts {
+		n += one
 	}
+	return n
 }
 
 // run finds the cheapest step into each engine, run by run.
@@ -107,7 +141,6 @@
 		if i > 0 {
 			best = s.bestOf(s.table[i-1])
 		}
-		s.table[i] = make([]step, 0, len(s.holders[i]))
 		for _, e := range s.holders[i] {
 			if one, found := s.into(e, i, best); found {
 				s.table[i] = append(s.table[i], one)
