pkstall: streams without a first event wait as before

What is sent again while engines are slow takes their time twice, and half of a first event's time is too little to know a lost answer from a slow one.

--- a/pkedge/attempt.go
+++ b/pkedge/attempt.go
@@ -91,7 +91,6 @@
 	defer a.mu.Unlock()
 	if a.events == 0 {
 		a.first = now
-		a.call.firsts.Came(now.Sub(a.began))
 	}
 	if a.events > 0 {
 		pause := now.Sub(a.last)
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -23,7 +23,6 @@
 	"peridotknot.example/pkpace"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkretry"
-	"peridotknot.example/pkstall"
 	"peridotknot.example/pkstore"
 	"peridotknot.example/pktimer"
 )
@@ -64,8 +63,6 @@
 	book   pkconfig.Book
 	roster pkreplica.Roster
 	paces  pkpace.Table
-	// firsts is how long first events take at present.
-	firsts pkstall.Firsts
 	pipes  pklayers.Pipes
 	// crowding is how soon requests turn to slower engines.
 	crowding pklayers.Crowding
--- a/pkedge/mend.go
+++ b/pkedge/mend.go
@@ -25,17 +25,16 @@
 	mendMost = 4
 	// repathTimeout bounds the order of another path.
 	repathTimeout = 150 * time.Millisecond
-	// spareSends is how many sends the retry budget must allow where a stream leaves engines that
-	// are not known to be dead: those that it is sent to next may refuse it, and with its last send
-	// spent it would break off.
-	spareSends = 3
+	// leaveSpare is how many sends the retry budget must allow where a stream leaves an engine
+	// that still serves: the engines that it is sent to next may refuse it, and with its last
+	// send spent it would break off.
+	leaveSpare = 3
 )
 
 // Reasons to take a stream off a target.
 const (
 	whyDead    = "dead"
 	whyLeaving = "leaving"
-	whyLost    = "lost"
 )
 
 // streams are the attempts under way.
@@ -169,7 +168,7 @@
 		return false
 	}
 	budget, terms := d.budgets.of(a.call.service), d.retry.Load().terms(d.entries(now))
-	if why != whyDead && !budget.Spare(now, terms, spareSends) {
+	if why == whyLeaving && !budget.Spare(now, terms, leaveSpare) {
 		return false
 	}
 	if !budget.Repeat(now, terms) {
--- a/pkedge/mend_test.go
+++ b/pkedge/mend_test.go
@@ -256,8 +256,8 @@
 		why   string
 		want  bool
 	}{
-		{spareSends, whyLeaving, true},
-		{spareSends - 1, whyLeaving, false},
+		{leaveSpare, whyLeaving, true},
+		{leaveSpare - 1, whyLeaving, false},
 		{1, whyDead, true},
 		{0, whyDead, false},
 	} {
--- a/pkedge/watchdog.go
+++ b/pkedge/watchdog.go
@@ -4,21 +4,27 @@
 	"context"
 	"errors"
 	"time"
+)
 
-	"peridotknot.example/pkstall"
+const (
+	// firstEventWait is how long a stream may stay without its first event before
+	// its engines are asked: a prompt is read in 60 ms, under load in 300 ms.
+	firstEventWait = 900 * time.Millisecond
+	// nextEventWait is the same between events, which come each 30 to 60 ms.
+	nextEventWait = 450 * time.Millisecond
+	// giveUpAfter is how often a silent path is asked before another takes over.
+	giveUpAfter = 3
 )
 
 // watchdog asks a silent path for the engine that it waits for.
 type watchdog struct {
 	timer *time.Timer
-	// patience is how long the path may stay silent.
-	patience pkstall.Patience
-	fired    chan struct{}
-	quit     chan struct{}
-	done     chan struct{}
+	fired chan struct{}
+	quit  chan struct{}
+	done  chan struct{}
 }
 
-func (w *watchdog) event() { w.timer.Reset(w.patience.Next) }
+func (w *watchdog) event() { w.timer.Reset(nextEventWait) }
 
 func (w *watchdog) stop() {
 	w.timer.Stop()
@@ -32,8 +38,7 @@
 // take over, or engines live, an answer that is late is better than one broken off.
 func (c *call) watchOver(ctx context.Context, a *attempt) *watchdog {
 	w := &watchdog{fired: make(chan struct{}, 1), quit: make(chan struct{}), done: make(chan struct{})}
-	w.patience = pkstall.PatienceFor(c.route.Objective, c.route.PauseObjective, c.firsts.Usual())
-	w.timer = time.AfterFunc(w.patience.First, func() {
+	w.timer = time.AfterFunc(firstEventWait, func() {
 		select {
 		case w.fired <- struct{}{}:
 		default:
@@ -47,23 +52,16 @@
 				return
 			case <-w.fired:
 			}
-			if (c.stalled(ctx, a) && a.again && c.mayMove(a, whyDead)) || (asked >= w.patience.Asks && c.lost(a)) {
+			if (c.stalled(ctx, a) || (asked >= giveUpAfter && a.count() == 0)) && a.again && c.mayMove(a, whyDead) {
 				a.cancel(errSilent)
 				return
 			}
-			w.timer.Reset(w.patience.Next)
+			w.timer.Reset(nextEventWait)
 		}
 	}()
 	return w
 }
 
-// lost says whether an attempt has no event after all that its caller can wait, though no engine of
-// it is known to be dead, and may be sent again. Moves off dead engines come first in what may be
-// sent again.
-func (c *call) lost(a *attempt) bool {
-	return a.count() == 0 && a.again && c.mayMove(a, whyLost)
-}
-
 // stalled asks the first engine of a path what the request waits for.
 func (c *call) stalled(parent context.Context, a *attempt) bool {
 	ctx, cancel := context.WithTimeout(parent, orderTimeout/2)
