pkreplica: what the list of an entry that was turned away alone lacks is gone

An entry that the store turned away took that for an outage, in which entries of live replicas lapse, and went on using a removed replica for 2.2 s; and it came back a second late, since a renewal that is answered with "no such lease" did not end its pause. Change: an entry that comes back asks whether another has followed the list all the while; any answer to a renewal ends the pause.

--- a/pkedge/doubt_test.go
+++ b/pkedge/doubt_test.go
@@ -105,7 +105,7 @@
 			d, s := poolDaemon(engine("a", "x", 0, 40), engine("b", "x", 40, 80), engine("c", "x", 40, 80))
 			d.Engines = &row.engines
 			if row.away {
-				d.roster.StoreAway()
+				d.roster.StoreAway(time.Now())
 			}
 			d.doubts = make(chan doubt, mostDoubts)
 			a := attemptOver(t, d, s, "a", "b")
--- a/pkedge/follow.go
+++ b/pkedge/follow.go
@@ -179,13 +179,19 @@
 		// An entry that is told of the list sees by this watch that the store is away.
 		lost: func() {
 			if d.sharing.table.Led(time.Now()) {
-				d.roster.StoreAway()
+				d.roster.StoreAway(time.Now())
 			}
 		},
-		back: func() { d.roster.StoreBack(time.Now()) },
+		back: d.storeBack,
 	})
 }
 
+// storeBack notes that the list is followed again.
+func (d *Daemon) storeBack() {
+	now := time.Now()
+	d.roster.StoreBack(now, func(since time.Time) bool { return d.sharing.table.Followed(now, since) })
+}
+
 // adopt puts a configuration in force unless a newer one is. One that cannot be
 // read is passed over: the one in force serves on.
 func (d *Daemon) adopt(item pkstore.Item, source string) bool {
@@ -229,8 +235,8 @@
 			d.replicasChanged(d.roster.Apply(time.Now(), d.records(events), at), at, "watch")
 		},
 		led:  func(now time.Time) bool { return d.listed.Load() && d.sharing.table.Led(now) },
-		lost: d.roster.StoreAway,
-		back: func() { d.roster.StoreBack(time.Now()) },
+		lost: func() { d.roster.StoreAway(time.Now()) },
+		back: d.storeBack,
 	})
 }
 
--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -258,9 +258,11 @@
 		kept = now
 		err := d.keepOnce(ctx, &registered)
 		pause = d.leasePause(now, err)
-		if err == nil {
+		if err == nil || errors.Is(err, pkstore.ErrNoLease) {
+			// A store that knows no such lease answers, and may be asked for more.
 			d.store.renewed(time.Now())
-		} else if ctx.Err() == nil {
+		}
+		if err != nil && ctx.Err() == nil {
 			d.log.Warn("the lease was not renewed", "error", err)
 		}
 		d.members.kept(err)
--- a/pkreplica/roster.go
+++ b/pkreplica/roster.go
@@ -47,7 +47,9 @@
 	// era is the newest era of the store that is known.
 	era      pkstore.Era
 	returned time.Time
-	away     bool
+	// away says that the list cannot be followed, lost since when.
+	away bool
+	lost time.Time
 }
 
 // Apply takes records, older ones are passed over; at is the store's revision
@@ -219,19 +221,27 @@
 	r.displace(r.all)
 }
 
-// StoreAway notes that the list cannot be followed at present.
-func (r *Roster) StoreAway() {
+// StoreAway notes at now that the list cannot be followed at present.
+func (r *Roster) StoreAway(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.away = true
+	if !r.away {
+		r.away, r.lost = true, now
+	}
 }
 
-// StoreBack notes at now that the list is followed again.
-func (r *Roster) StoreBack(now time.Time) {
+// StoreBack notes at now that the list is followed again. Where others followed it all the while,
+// which followed says of a time since when, the store has turned this entry away alone: what its
+// list lacks is gone. Taken for an outage, a replica whose entry was removed meanwhile got requests
+// for two seconds more, later than a leaving one may get any.
+func (r *Roster) StoreBack(now time.Time, followed func(since time.Time) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.away {
-		r.away = false
+	if !r.away {
+		return
+	}
+	r.away = false
+	if !followed(r.lost) {
 		r.returned = now
 	}
 }
--- a/pkreplica/roster_test.go
+++ b/pkreplica/roster_test.go
@@ -30,9 +30,9 @@
 func TestEntriesThatLapsedWithTheStoreStay(t *testing.T) {
 	var r Roster
 	r.Apply(start, []Record{record(1, "a"), record(2, "b")}, 2)
-	r.StoreAway()
+	r.StoreAway(start)
 	back := start.Add(10 * time.Second)
-	r.StoreBack(back)
+	r.StoreBack(back, nobody)
 	r.Replace(back, nil, 9)
 	assert.Equal(t, live(&r, back), 2)
 	a, _ := r.Target("a")
@@ -141,7 +141,7 @@
 		var r Roster
 		r.Apply(start, []Record{{Revision: 1, Info: Info{ID: "i", Service: "s"}}}, 1)
 		if away {
-			r.StoreAway()
+			r.StoreAway(start)
 		}
 		back := start.Add(time.Minute)
 		r.StoreReturned(back)
@@ -152,3 +152,26 @@
 		assert.Equal(t, r.At(), pkstore.Revision(2))
 	}
 }
+
+// nobody followed the list while the store was away.
+func nobody(time.Time) bool { return false }
+
+// The store turns one entry away for some seconds and serves the others. Meanwhile a replica's entry
+// is removed, as that of one that leaves without saying so. The entry's next list lacks it; waited
+// for as after an outage, the replica gets requests for two seconds more, though it has left for
+// longer than a leaving one may be sent anything.
+func TestAnEntryThatWasTurnedAwayAloneWaitsForNoReplica(t *testing.T) {
+	for _, alone := range []bool{false, true} {
+		var r Roster
+		r.Apply(start, []Record{record(1, "a"), record(2, "b")}, 2)
+		lost, back := start.Add(time.Second), start.Add(4*time.Second)
+		r.StoreAway(lost)
+		r.StoreAway(lost.Add(time.Second)) // by another of its loops
+		r.StoreBack(back, func(since time.Time) bool { return alone && since.Equal(lost) })
+		r.Replace(back.Add(10*time.Millisecond), []Record{record(2, "b")}, 9)
+		now := back.Add(20 * time.Millisecond)
+		assert.Equal(t, live(&r, now) == 1, alone)
+		assert.Equal(t, live(&r, now.Add(lapseGrace)), 1)
+		assert.Equal(t, r.Returned().IsZero(), alone, "the others are told of an outage alone")
+	}
+}
--- a/pkreplica/start_test.go
+++ b/pkreplica/start_test.go
@@ -170,8 +170,8 @@
 func TestAnUnusableEntryIsGoneForCertain(t *testing.T) {
 	var r Roster
 	r.Apply(start, []Record{record(1, "a")}, 1)
-	r.StoreAway()
-	r.StoreBack(start)
+	r.StoreAway(start)
+	r.StoreBack(start, nobody)
 	bad := gone(2, "a")
 	bad.Unusable = "state"
 	assert.Equal(t, len(r.Apply(start, []Record{bad}, 2)), 1)
--- a/pkshare/table.go
+++ b/pkshare/table.go
@@ -62,8 +62,10 @@
 	toldConfig time.Time
 	toldList   time.Time
 	toldHeld   time.Time
-	// following says that it follows the list at the store.
-	following bool
+	// following says that it follows the list at the store, followingSince when it was first heard
+	// to, without a word that it does not since.
+	following      bool
+	followingSince time.Time
 	// members is how many entries it knows of by the store.
 	members int
 }
@@ -108,6 +110,9 @@
 	}
 	p.addr, p.run, p.sequence, p.at = m.Addr, m.Run, m.Sequence, now
 	p.config, p.version, p.list, p.loads, p.flows = m.Config, m.Version, m.List, m.Loads, m.Flows
+	if m.Following && !p.following {
+		p.followingSince = now
+	}
 	p.following, p.members, p.held = m.Following, m.Members, m.Held
 	p.sum, p.dataCenter, p.share = m.Sum, m.DataCenter, float64(m.ProcessorShare)
 	return true
@@ -229,6 +234,19 @@
 	return true
 }
 
+// Followed says whether some entry that is heard of at now has followed the list at the store since
+// before a time: the store has served it all the while.
+func (t *Table) Followed(now, since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		if p.following && p.followingSince.Before(since) && now.Sub(p.at) < freshFor {
+			return true
+		}
+	}
+	return false
+}
+
 // Led says whether a hub tells this entry of the list and of how many members there are, so
 // that it need not follow them at the store itself: each entry that does costs the store a
 // call for each change.
--- a/pkshare/table_test.go
+++ b/pkshare/table_test.go
@@ -62,3 +62,30 @@
 	assert.Equal(t, table.Misses(later, "z", known("d")), Help{}, "two others are first by name")
 	assert.Equal(t, table.Misses(later, "b", known("a")), Help{})
 }
+
+// An entry finds out whether it alone was turned away by the store. An entry that says that it
+// follows the list, and said so before the store was lost, has been served meanwhile; one that began
+// since, that lost it too, or that is not heard of any more says nothing.
+func TestWhoFollowedTheListAllTheWhile(t *testing.T) {
+	lost := time.Unix(1000, 0)
+	now := lost.Add(time.Second)
+	for _, row := range []struct {
+		name     string
+		said     []bool
+		first    time.Duration
+		followed bool
+	}{
+		{"served all the while", []bool{true, true, true, true}, -time.Second, true},
+		{"back before this entry", []bool{true, false, true, true}, -time.Second, false},
+		{"away still", []bool{true, true, true, false}, -time.Second, false},
+		{"began since", []bool{true, true}, 500 * time.Millisecond, false},
+		{"not heard of", []bool{true}, -time.Second, false},
+	} {
+		var table Table
+		for i, following := range row.said {
+			at := lost.Add(row.first + time.Duration(i)*600*time.Millisecond)
+			table.Hear(at, Message{From: "p", Run: 1, Sequence: uint64(i + 1), Following: following})
+		}
+		assert.Equal(t, table.Followed(now, lost), row.followed, row.name)
+	}
+}
