pkedge: logs and metrics tell how a watch ended, and renewals that succeed again

Cause: by the logs, a watch that a dead connection ended, one that silence of the store ended and one of an ended history look alike ('the store is lost'), its wait is not named, and a renewal that succeeds after one that failed, which shows that only older connections are dead, leaves no line. Change: a line and a counter for each end of a watch, by reason and wait; a line for the first renewal that succeeds again. No decision changes.

--- a/pkedge/follower.go
+++ b/pkedge/follower.go
@@ -70,11 +70,15 @@
 			d.store.enter(ctx)
 		}
 		var err error
+		began := time.Now()
 		if listed {
 			at, err = d.changes(ctx, f, at)
 		} else {
 			at, err = d.list(ctx, f)
 		}
+		if err != nil && listed && ctx.Err() == nil {
+			d.noteWatchEnd(f, time.Since(began), err)
+		}
 		switch {
 		case err == nil:
 			d.store.answered()
@@ -99,6 +103,27 @@
 	}
 }
 
+// noteWatchEnd logs and counts a watch that ended, after a wait, without an answer to go on from.
+func (d *Daemon) noteWatchEnd(f follower, waited time.Duration, err error) {
+	reason := watchEnd(err)
+	d.metrics.watchEnds.WithLabelValues(f.name, reason).Inc()
+	d.log.Info("a watch has ended", "watch", f.name, "reason", reason, "waited_ms", waited.Milliseconds(), "error", err)
+}
+
+// watchEnd returns why a watch that ended with an error did, as it stands in logs and metrics.
+func watchEnd(err error) string {
+	switch {
+	case errors.Is(err, pkstore.ErrCompacted):
+		return "history"
+	case errors.Is(err, context.Canceled):
+		return "silence"
+	case errors.Is(err, pkstore.ErrRefused):
+		return "refused"
+	default:
+		return "connection"
+	}
+}
+
 // told says whether another entry tells at now what changes under a prefix, or soon will.
 func (d *Daemon) told(now time.Time, f follower) (told, soon bool) {
 	if f.led == nil {
--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -138,21 +138,23 @@
 	}
 }
 
-// kept notes a renewal that succeeded or failed.
-func (m *members) kept(err error) {
+// kept notes a renewal that succeeded or failed and returns how many failed in a row before it.
+func (m *members) kept(err error) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	before := m.failures
 	if err == nil {
 		m.failures = 0
-		return
+		return before
 	}
 	m.failures++
 	if m.failures != silentAfter {
-		return
+		return before
 	}
 	for _, cut := range m.cuts {
 		cut()
 	}
+	return before
 }
 
 // entries returns how many daemons share at now what is bounded over all.
@@ -265,7 +267,9 @@
 		if err != nil && ctx.Err() == nil {
 			d.log.Warn("the lease was not renewed", "error", err)
 		}
-		d.members.kept(err)
+		if failures := d.members.kept(err); err == nil && failures > 0 {
+			d.log.Info("the lease is renewed again", "failures", failures)
+		}
 	})
 }
 
--- a/pkedge/metrics.go
+++ b/pkedge/metrics.go
@@ -17,6 +17,7 @@
 	orders     *prometheus.CounterVec
 	unusable   *prometheus.CounterVec
 	storeCalls *prometheus.CounterVec
+	watchEnds  *prometheus.CounterVec
 	repeated   prometheus.Counter
 	eras       prometheus.Counter
 	firstEvent prometheus.Histogram
@@ -33,6 +34,7 @@
 		orders:     counter("peridotknot_orders_total", "Orders to engines by outcome.", "outcome"),
 		unusable:   counter("peridotknot_replica_entries_unusable_total", "Changed entries of the list that name no replica to use, by the field at fault.", "field"),
 		storeCalls: counter("peridotknot_store_calls_total", "Calls to the store by kind, asker and outcome.", "call", "asker", "outcome"),
+		watchEnds:  counter("peridotknot_watches_ended_total", "Watches at the store that ended without an answer to go on from, by reason.", "watch", "reason"),
 		repeated:   prometheus.NewCounter(prometheus.CounterOpts{Name: "peridotknot_sends_repeated_total", Help: "Sends beyond the first of a request."}),
 		eras:       prometheus.NewCounter(prometheus.CounterOpts{Name: "peridotknot_store_returns_total", Help: "Returns of the store from an older copy of itself."}),
 		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
@@ -43,7 +45,7 @@
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.requests, m.failed, m.orders, m.unusable, m.storeCalls, m.repeated, m.eras, m.firstEvent,
+	m.registry.MustRegister(m.requests, m.failed, m.orders, m.unusable, m.storeCalls, m.watchEnds, m.repeated, m.eras, m.firstEvent,
 		gauge("peridotknot_config_version", "Version of the configuration in force.", func() float64 {
 			if t := d.book.Table(); t != nil {
 				return float64(t.Version)
