pkedge: failing tests of versions that are acknowledged and not in force

Seen by callers: 401 and 404 of an older version, seconds after the newer one was acknowledged. Cause: a watch that can't be answered any more waits until its own time is up, 29 s, or until keep-alive probes end its connection, 3 s, although a renewal of the lease has shown that it is pointless: over a new connection after the older ones fell silent, or with a new era of the store. The stand-in was kinder than the store: its return ended all connections; it can leave watches unanswered now, and a link to it can fall silent.

--- a/pkedge/era_test.go
+++ b/pkedge/era_test.go
@@ -113,8 +113,8 @@
 	t.Parallel()
 	w, _ := pool(t)
 	w.Store.BeginEras()
-	g := newGate(t, w.Store.Addr())
-	owner := startAt(t, g.addr(), "n-owner")
+	l := link(t, w)
+	owner := startAt(t, l.Addr(), "n-owner")
 	owner.streams(t)
 	assert.Equal(t, len(w.Store.Keys(platform.OwnPrefix+"owner")), 1)
 	other := start(t, w, "n-other")
@@ -125,3 +125,23 @@
 		return string(w.Store.Value(platform.OwnPrefix+"owner")) == string(pkid.EntryID("n-owner"))
 	})
 }
+
+// Guards against a key that is refused long after its version was acknowledged, since the watch of
+// an ended era is never answered, while renewals tell of the new one.
+func TestAVersionIsInForceThoughTheWatchOfAnEndedEraIsNotAnswered(t *testing.T) {
+	t.Parallel()
+	w := platformtest.NewWorld()
+	defer w.Close()
+	w.Store.BeginEras()
+	w.Add(platformtest.App, "i-a", "a")
+	nodes := []*node{start(t, w, "one"), start(t, w, "two")}
+	for _, n := range nodes {
+		eventually(t, "readiness", func() bool { return n.isReady(t) })
+	}
+	eventually(t, "watches", func() bool { return w.Store.Watches(platform.ConfigKey) == len(nodes) })
+	w.Store.ReturnInSilence(w.Store.Copy())
+	key := addKey(w, "key-2")
+	for _, n := range nodes {
+		n.serves(t, key)
+	}
+}
--- a/pkedge/follow_test.go
+++ b/pkedge/follow_test.go
@@ -1,6 +1,7 @@
 package pkedge_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -56,16 +57,16 @@
 	w := platformtest.NewWorld()
 	defer w.Close()
 	w.Add(platformtest.App, "i-a", "a")
-	gate := newGate(t, w.Store.Addr())
+	l := link(t, w)
 	one := start(t, w, "one")
-	two := startAt(t, gate.addr(), "two")
+	two := startAt(t, l.Addr(), "two")
 	eventually(t, "readiness", func() bool { return one.isReady(t) && two.isReady(t) })
 	// An entry is ready before it has met the others; one that the store turns away
 	// before that, and that has no seeds, can be told by nobody.
 	eventually(t, "a meeting", func() bool {
 		return one.metric(t, "peridotknot_peers") == "1" && two.metric(t, "peridotknot_peers") == "1"
 	})
-	gate.shut()
+	l.Close()
 	w.Configure(func(c map[string]any) {
 		c["tenants"] = []any{map[string]any{"name": platformtest.Account, "api_keys": []string{"key-2"}}}
 	})
@@ -73,3 +74,35 @@
 		return two.do(t, http.MethodGet, "/read/1", "1", platformtest.Key, 0).status == http.StatusUnauthorized
 	})
 }
+
+// addKey writes a version with one more key and returns the key.
+func addKey(w *platformtest.World, key string) string {
+	w.Configure(func(c map[string]any) {
+		c["tenants"] = []any{map[string]any{"name": platformtest.Account, "api_keys": []string{platformtest.Key, key}}}
+	})
+	return key
+}
+
+// serves waits until an entry serves calls with a key.
+func (n *node) serves(t *testing.T, key string) {
+	t.Helper()
+	calls := 0
+	eventually(t, "the key's version", func() bool {
+		calls++
+		return n.do(t, http.MethodGet, "/read/1", fmt.Sprintf("%s-%d", key, calls), key, 0).status == http.StatusOK
+	})
+}
+
+// Guards against a key that is refused long after its version was acknowledged, since the watch waits
+// on a connection that has fallen silent, while renewals succeed over new ones.
+func TestAVersionIsInForceAfterConnectionsFellSilent(t *testing.T) {
+	t.Parallel()
+	w := platformtest.NewWorld()
+	defer w.Close()
+	w.Add(platformtest.App, "i-a", "a")
+	l := link(t, w)
+	n := startAt(t, l.Addr(), "one")
+	eventually(t, "readiness", func() bool { return n.isReady(t) })
+	l.Silence()
+	n.serves(t, addKey(w, "key-2"))
+}
--- a/pkedge/follower.go
+++ b/pkedge/follower.go
@@ -181,4 +181,3 @@
 		do()
 	}
 }
-
--- a/pkedge/node_test.go
+++ b/pkedge/node_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -239,48 +238,10 @@
 	}
 }
 
-// gate passes connections on until it is shut.
-type gate struct {
-	l     net.Listener
-	to    string
-	conns chan net.Conn
-}
-
-func newGate(t *testing.T, to string) *gate {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	g := &gate{l: l, to: to, conns: make(chan net.Conn, 1000)}
-	t.Cleanup(g.shut)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			up, err := net.Dial("tcp", to)
-			if err != nil {
-				_ = c.Close()
-				continue
-			}
-			g.conns <- c
-			g.conns <- up
-			go func() { _, _ = io.Copy(up, c); _ = up.Close() }()
-			go func() { _, _ = io.Copy(c, up); _ = c.Close() }()
-		}
-	}()
-	return g
-}
-
-func (g *gate) addr() string { return g.l.Addr().String() }
-
-func (g *gate) shut() {
-	_ = g.l.Close()
-	for {
-		select {
-		case c := <-g.conns:
-			_ = c.Close()
-		default:
-			return
-		}
-	}
+// link starts a link to the store of a world.
+func link(t *testing.T, w *platformtest.World) *platformtest.Link {
+	t.Helper()
+	l := platformtest.NewLink(w.Store.Addr())
+	t.Cleanup(l.Close)
+	return l
 }
