pkedge: watches are begun again once the store answers over new connections

Seen by callers: 401 and 404 of an older version up to 1.6 s after it had to be in force, at all entries. Cause: all open connections fall silent. Each entry's next renewal of its lease got no answer, the one after it, over a new connection, did; the watches stayed on the silent ones until keep-alive probes ended them, 3 s after the silence began, and 2 s of that are granted to a version. A renewal is tried again at its next turn, and over an idle connection as silent as the others where there is one. Why it works: all of an entry's connections to the store lead the same way, and the renewal that is answered shows which of them are good. It costs three lists for each renewal that gets no answer.

--- a/pkedge/control_test.go
+++ b/pkedge/control_test.go
@@ -99,9 +99,9 @@
 		most := int(looks*(ownEvery+ownJitter)/acquirePause) + 1
 		writes := look(looks)
 		assert.Assert(t, 0 < writes && writes <= most, "%d writes", writes)
-		d.members.kept(pkstore.ErrRefused)
+		_, _ = d.members.kept(pkstore.ErrRefused)
 		assert.Equal(t, look(looks), 0)
-		d.members.kept(nil)
+		_, _ = d.members.kept(nil)
 		assert.Equal(t, look(1), 1)
 	})
 }
@@ -123,4 +123,9 @@
 	d.members.id = 0
 	assert.Equal(t, d.leasePause(now, errors.New("away")), leaseEveryLost)
 	assert.Equal(t, d.leasePause(now, pkstore.ErrNoLease), leaseEvery, "the store answers")
+	d.members.id = 1
+	assert.Equal(t, d.leasePause(now, errors.New("no answer")), time.Duration(0), "over a new connection")
+	assert.Equal(t, d.leasePause(now, pkstore.ErrRefused), leaseEvery)
+	d.members.failures = 1
+	assert.Equal(t, d.leasePause(now, errors.New("no answer")), leaseEvery)
 }
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -68,6 +68,7 @@
 	crowding pklayers.Crowding
 	members  members
 	store    gate
+	waits    waits
 	era      eraClock
 	calls    calls
 	// desks are the orders under way by pool; they belong to the loop that owns.
--- a/pkedge/follower.go
+++ b/pkedge/follower.go
@@ -52,55 +52,72 @@
 	back func()
 }
 
+// progress is how far a follower has come.
+type progress struct {
+	at pkstore.Revision
+	// listed says that all is known up to at, failures counts the calls since then that failed.
+	listed   bool
+	failures int
+}
+
 // follow lists a prefix and then reads its changes, until ctx ends. It lists again
 // after each break: a watch that takes up again while the store loses its history
 // waits without a word of what was written meanwhile, and a key that was revoked
 // then served for five seconds. The list costs one call.
 func (d *Daemon) follow(ctx context.Context, f follower) {
-	var at pkstore.Revision
-	listed, failures := false, 0
+	var p progress
 	for ctx.Err() == nil {
-		if told, soon := d.told(time.Now(), f); told || (soon && listed) {
+		if told, soon := d.told(time.Now(), f); told || (soon && p.listed) {
 			// What is told has no place in a watch's order: list again after it.
-			listed = listed && !told
+			p.listed = p.listed && !told
 			pktimer.Sleep(ctx, ledPoll)
 			continue
 		}
-		if !listed {
-			d.store.enter(ctx)
+		began, watched := time.Now(), p.listed
+		err := d.advance(ctx, f, &p)
+		if ctx.Err() != nil {
+			return
 		}
-		var err error
-		began := time.Now()
-		if listed {
-			at, err = d.changes(ctx, f, at)
-		} else {
-			at, err = d.list(ctx, f)
-		}
-		if err != nil && listed && ctx.Err() == nil {
+		if err != nil && watched {
 			d.noteWatchEnd(f, time.Since(began), err)
 		}
-		switch {
-		case err == nil:
-			d.store.answered()
-			if failures > 0 {
-				failures = 0
-				d.log.Info("the store is back", "watch", f.name, "revision", at.String())
-				tell(f.back)
-			}
-			listed = true
-		case errors.Is(err, pkstore.ErrCompacted):
-			d.log.Warn("the store no longer has the history", "watch", f.name, "revision", at.String())
-			listed = false
-		default:
-			listed = false
-			if failures == 0 && ctx.Err() == nil {
-				d.log.Warn("the store is lost", "watch", f.name, "revision", at.String(), "error", err)
-				tell(f.lost)
-			}
-			failures++
-			d.store.failed(time.Now())
+		d.noteCall(f, &p, err)
+	}
+}
+
+// advance makes the follower's next call to the store.
+func (d *Daemon) advance(ctx context.Context, f follower, p *progress) (err error) {
+	if p.listed {
+		p.at, err = d.changes(ctx, f, p.at)
+		return err
+	}
+	d.store.enter(ctx)
+	p.at, err = d.list(ctx, f)
+	return err
+}
+
+// noteCall notes how the follower's last call to the store ended.
+func (d *Daemon) noteCall(f follower, p *progress, err error) {
+	switch {
+	case err == nil:
+		d.store.answered()
+		if p.failures > 0 {
+			p.failures = 0
+			d.log.Info("the store is back", "watch", f.name, "revision", p.at.String())
+			tell(f.back)
+		}
+	case errors.Is(err, pkstore.ErrCompacted):
+		d.log.Warn("the store no longer has the history", "watch", f.name, "revision", p.at.String())
+	case errors.Is(err, errReconnected):
+	default:
+		if p.failures == 0 {
+			d.log.Warn("the store is lost", "watch", f.name, "revision", p.at.String(), "error", err)
+			tell(f.lost)
 		}
+		p.failures++
+		d.store.failed(time.Now())
 	}
+	p.listed = err == nil
 }
 
 // noteWatchEnd logs and counts a watch that ended, after a wait, without an answer to go on from.
@@ -115,8 +132,10 @@
 	switch {
 	case errors.Is(err, pkstore.ErrCompacted):
 		return "history"
-	case errors.Is(err, context.Canceled):
+	case errors.Is(err, errSilence):
 		return "silence"
+	case errors.Is(err, errReconnected):
+		return "reconnected"
 	case errors.Is(err, pkstore.ErrRefused):
 		return "refused"
 	default:
@@ -154,15 +173,12 @@
 }
 
 func (d *Daemon) changes(ctx context.Context, f follower, at pkstore.Revision) (pkstore.Revision, error) {
-	// A watch waits for long; when the lease cannot be kept either, the store is
-	// silent and the watch is cut.
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer d.members.onSilence(cancel)()
+	ctx, ended := d.waits.begin(ctx)
+	defer ended()
 	events, next, err := d.Feed.Changes(ctx, f.prefix, at)
 	d.asked(callWatch, f.name, err)
 	if err != nil {
-		return at, err
+		return at, errors.Join(err, context.Cause(ctx))
 	}
 	if len(events) > 0 {
 		f.change(events, next)
--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -73,8 +73,9 @@
 	lease pklease.Lease
 	// failures counts failed renewals in a row.
 	failures int
-	cuts     map[int]func()
-	nextCut  int
+	// unanswered says that a renewal got no answer, and none since has shown that the store serves
+	// this entry.
+	unanswered bool
 }
 
 // entries returns how many daemons share what is bounded over all; told is how many hubs
@@ -120,43 +121,36 @@
 	return out
 }
 
-// onSilence has cut called when the store falls silent, until the returned
-// function is called.
-func (m *members) onSilence(cut func()) func() {
+// kept notes a renewal that succeeded or failed. It returns how many failed in a row before it and
+// what it shows of watches under way; nil where it shows nothing.
+func (m *members) kept(err error) (failures int, shows error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.cuts == nil {
-		m.cuts = map[int]func(){}
-	}
-	m.nextCut++
-	n := m.nextCut
-	m.cuts[n] = cut
-	return func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		delete(m.cuts, n)
-	}
-}
-
-// kept notes a renewal that succeeded or failed and returns how many failed in a row before it.
-func (m *members) kept(err error) int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	before := m.failures
+	failures = m.failures
 	if err == nil {
 		m.failures = 0
-		return before
+	} else {
+		m.failures++
 	}
-	m.failures++
-	if m.failures != silentAfter {
-		return before
+	switch {
+	case answered(err):
+		if m.unanswered {
+			shows = errReconnected
+		}
+		m.unanswered = false
+	case !errors.Is(err, pkstore.ErrRefused):
+		m.unanswered = true
 	}
-	for _, cut := range m.cuts {
-		cut()
+	if m.failures == silentAfter {
+		shows = errSilence
 	}
-	return before
+	return failures, shows
 }
 
+// answered says whether a renewal that ended with an error or none shows that the store serves this
+// entry: one that knows no such lease does.
+func answered(err error) bool { return err == nil || errors.Is(err, pkstore.ErrNoLease) }
+
 // entries returns how many daemons share at now what is bounded over all.
 func (d *Daemon) entries(now time.Time) int {
 	return d.members.entries(now, d.sharing.table.MembersTold(now))
@@ -260,16 +254,19 @@
 		kept = now
 		err := d.keepOnce(ctx, &registered)
 		pause = d.leasePause(now, err)
-		if err == nil || errors.Is(err, pkstore.ErrNoLease) {
-			// A store that knows no such lease answers, and may be asked for more.
+		if answered(err) {
 			d.store.renewed(time.Now())
 		}
 		if err != nil && ctx.Err() == nil {
 			d.log.Warn("the lease was not renewed", "error", err)
 		}
-		if failures := d.members.kept(err); err == nil && failures > 0 {
+		failures, shows := d.members.kept(err)
+		if err == nil && failures > 0 {
 			d.log.Info("the lease is renewed again", "failures", failures)
 		}
+		if shows != nil {
+			d.waits.end(shows)
+		}
 	})
 }
 
@@ -278,9 +275,13 @@
 func (d *Daemon) leasePause(now time.Time, err error) time.Duration {
 	m := &d.members
 	m.mu.Lock()
-	lost := m.id == 0
+	lost, failures := m.id == 0, m.failures
 	m.mu.Unlock()
+	refused := errors.Is(err, pkstore.ErrRefused)
 	switch {
+	case !lost && !answered(err) && !refused && failures == 0:
+		// Tried over a new connection at once: watches may wait on silent ones meanwhile.
+		return 0
 	case lost && err != nil && !errors.Is(err, pkstore.ErrNoLease):
 		return leaseEveryLost
 	case d.sharing.first.Load() || !d.membersLed(now):
