--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -141,7 +141,7 @@
 	case !errors.Is(err, pkstore.ErrRefused):
 		m.unanswered = true
 	}
-	if m.failures == silentAfter {
+	if m.failures == silentAfter && !answered(err) {
 		shows = errSilence
 	}
 	return failures, shows
