--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -25,6 +25,7 @@
 	"peridotknot.example/pkretry"
 	"peridotknot.example/pkstore"
 	"peridotknot.example/pktimer"
+	"peridotknot.example/pkwait"
 )
 
 // Ports is what a daemon needs of its platform.
@@ -68,9 +69,10 @@
 	crowding pklayers.Crowding
 	members  members
 	store    gate
-	waits    waits
-	era      eraClock
-	calls    calls
+	// watches are those under way at the store.
+	watches pkwait.Group
+	era     eraClock
+	calls   calls
 	// desks are the orders under way by pool; they belong to the loop that owns.
 	desks map[pkid.ServiceID]*pkowner.Desk
 	// ownerless is since when no daemon is known to own; it belongs to the loop that owns.
--- a/pkedge/follower.go
+++ b/pkedge/follower.go
@@ -36,6 +36,15 @@
 	membersPaceMost  = 1500 * time.Millisecond
 )
 
+var (
+	// errSilence ends watches while the store answers nothing at all.
+	errSilence = errors.New("the store is silent")
+	// errReconnected ends watches that began before calls got no answer, once new connections are
+	// answered again: connections that fall silent are not closed, and a watch on one of them looks
+	// like one that has nothing to tell.
+	errReconnected = errors.New("the store answers over new connections")
+)
+
 // follower is what a loop does with a prefix of the store.
 type follower struct {
 	name   string
@@ -173,7 +182,7 @@
 }
 
 func (d *Daemon) changes(ctx context.Context, f follower, at pkstore.Revision) (pkstore.Revision, error) {
-	ctx, ended := d.waits.begin(ctx)
+	ctx, ended := d.watches.Begin(ctx)
 	defer ended()
 	events, next, err := d.Feed.Changes(ctx, f.prefix, at)
 	d.asked(callWatch, f.name, err)
--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -265,7 +265,7 @@
 			d.log.Info("the lease is renewed again", "failures", failures)
 		}
 		if shows != nil {
-			d.waits.end(shows)
+			d.watches.End(shows)
 		}
 	})
 }
--- a/pkedge/waits_test.go
+++ b/pkedge/waits_test.go
@@ -1,7 +1,6 @@
 package pkedge
 
 import (
-	"context"
 	"errors"
 	"testing"
 
@@ -35,17 +34,3 @@
 		})
 	}
 }
-
-func TestAWatchEndsForTheReasonThatMakesItPointless(t *testing.T) {
-	var w waits
-	over, ended := w.begin(t.Context())
-	ended()
-	ctx, ended := w.begin(t.Context())
-	defer ended()
-	w.end(errReconnected)
-	assert.Equal(t, context.Cause(ctx), errReconnected)
-	assert.Equal(t, context.Cause(over), context.Canceled)
-	later, ended := w.begin(t.Context())
-	defer ended()
-	assert.NilError(t, later.Err())
-}
