pkconfig: the configuration in force and what others are told of it are one value

Cause: the table in force and the item for others were stored one after the other. Two sources at once, a watch and a peer, could leave the older item there for good; and the same version in a new era moved the table alone, so that the item named a place in the era before. Change: the table holds its item; nothing else does. Why it works: the book's lock orders both together.

--- a/pkconfig/table.go
+++ b/pkconfig/table.go
@@ -14,18 +14,18 @@
 // Table is a configuration made ready for look-ups; it does not change.
 type Table struct {
 	Config
-	// Revision is the store's revision of the configuration.
-	Revision pkstore.Revision
+	// Item is the configuration as the store has it, for entries that lack it.
+	Item     pkstore.Item
 	routes   map[string][]*Route
 	accounts map[string]*Account
 	services map[pkid.ServiceID]*Service
 }
 
-// NewTable returns the table of a configuration.
-func NewTable(c Config, rev pkstore.Revision) *Table {
+// NewTable returns the table of a configuration, which the store has in an item.
+func NewTable(c Config, item pkstore.Item) *Table {
 	t := &Table{
 		Config:   c,
-		Revision: rev,
+		Item:     item,
 		routes:   map[string][]*Route{},
 		accounts: map[string]*Account{},
 		services: map[pkid.ServiceID]*Service{},
@@ -87,20 +87,20 @@
 // an older version after a newer one, and a key that was taken away would serve
 // again. So can a store that has come back from an older copy, until the operators
 // have written again what it lost; what it names later in its order is none the newer.
-func (b *Book) Adopt(c Config, rev pkstore.Revision) bool {
+func (b *Book) Adopt(c Config, item pkstore.Item) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.now.Load()
+	now, rev := b.now.Load(), item.Revision
 	switch {
 	case now == nil:
-	case c.Version == now.Version && rev.Era() > now.Revision.Era():
+	case c.Version == now.Version && rev.Era() > now.Item.Revision.Era():
 		again := *now
-		again.Revision = rev
+		again.Item = item
 		b.now.Store(&again)
 		return false
-	case c.Version <= now.Version, rev.Era() == now.Revision.Era() && rev <= now.Revision:
+	case c.Version <= now.Version, rev.Era() == now.Item.Revision.Era() && rev <= now.Item.Revision:
 		return false
 	}
-	b.now.Store(NewTable(c, rev))
+	b.now.Store(NewTable(c, item))
 	return true
 }
--- a/pkconfig/table_test.go
+++ b/pkconfig/table_test.go
@@ -9,10 +9,13 @@
 	"peridotknot.example/pkstore"
 )
 
+// at returns an item of the store at a revision.
+func at(rev pkstore.Revision) pkstore.Item { return pkstore.Item{Revision: rev} }
+
 func TestTheLongestPrefixOfTheHostWins(t *testing.T) {
 	table := NewTable(Config{Routes: []Route{
 		{Name: "short", Host: "h", Prefix: "/a/"}, {Name: "long", Host: "h", Prefix: "/a/b/"}, {Name: "other", Host: "i", Prefix: "/"},
-	}}, 1)
+	}}, pkstore.Item{})
 	for path, want := range map[string]string{"/a/": "short", "/a/b/c": "long", "/a/bc": "short", "/a": "", "/": ""} {
 		r, found := table.Route("h", path)
 		assert.Equal(t, found, want != "", path)
@@ -29,7 +32,7 @@
 		var b Book
 		inForce := Version(0)
 		for _, v := range rapid.SliceOf(rapid.IntRange(1, 9)).Draw(t, "versions") {
-			adopted := b.Adopt(Config{Version: Version(v)}, pkstore.Revision(10*v))
+			adopted := b.Adopt(Config{Version: Version(v)}, at(pkstore.Revision(10*v)))
 			if adopted != (Version(v) > inForce) {
 				t.Fatalf("version %d beside %d: adopted %v", v, inForce, adopted)
 			}
@@ -69,7 +72,7 @@
 		var b Book
 		inForce := Version(0)
 		for _, one := range rapid.Permutation(told).Draw(t, "order") {
-			b.Adopt(Config{Version: one.version}, one.at)
+			b.Adopt(Config{Version: one.version}, at(one.at))
 			if b.Table().Version < inForce {
 				t.Fatalf("version %d after %d", b.Table().Version, inForce)
 			}
@@ -85,10 +88,10 @@
 // was told of a newer one before is right, whatever the store has given out since.
 func TestAFreshEntryTakesTheNewerVersionOfAnEarlierEra(t *testing.T) {
 	var b Book
-	assert.Assert(t, b.Adopt(Config{Version: 7}, pkstore.NewRevision(2, 5)))
-	assert.Assert(t, b.Adopt(Config{Version: 9}, pkstore.NewRevision(1, 8)))
+	assert.Assert(t, b.Adopt(Config{Version: 7}, at(pkstore.NewRevision(2, 5))))
+	assert.Assert(t, b.Adopt(Config{Version: 9}, at(pkstore.NewRevision(1, 8))))
 	assert.Equal(t, b.Table().Version, Version(9))
 	// The operators write it again: the same version, at the store's present place.
-	assert.Assert(t, !b.Adopt(Config{Version: 9}, pkstore.NewRevision(2, 6)))
-	assert.Equal(t, b.Table().Revision, pkstore.NewRevision(2, 6))
+	assert.Assert(t, !b.Adopt(Config{Version: 9}, at(pkstore.NewRevision(2, 6))))
+	assert.Equal(t, b.Table().Item.Revision, pkstore.NewRevision(2, 6))
 }
--- a/pkedge/configuration.go
+++ b/pkedge/configuration.go
@@ -53,10 +53,9 @@
 		return false
 	}
 	first := d.book.Table() == nil
-	if !d.book.Adopt(c, item.Revision) {
+	if !d.book.Adopt(c, item) {
 		return false
 	}
-	d.configItem.Store(&item)
 	d.log.Info("configuration in force", "version", c.Version, "revision", item.Revision.String(), "source", source,
 		"routes", len(c.Routes), "accounts", len(c.Accounts))
 	if first {
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -87,8 +87,6 @@
 	doubts chan doubt
 	// quarantine is which requests are kept from replicas.
 	quarantine quarantine
-	// configItem is the configuration in force as the store has it.
-	configItem atomic.Pointer[pkstore.Item]
 
 	// started is when the daemon began to run.
 	started time.Time
--- a/pkedge/share.go
+++ b/pkedge/share.go
@@ -214,8 +214,9 @@
 func (d *Daemon) help(now time.Time, m *pkshare.Message, to pkid.EntryID, role pkshare.Role) bool {
 	known := pkshare.Known{Self: d.settings.Entry, Config: m.Config, Version: m.Version, List: m.List, Held: m.Held, Hub: role != pkshare.Peer}
 	misses := d.sharing.table.Misses(now, to, known)
-	if misses.Config {
-		m.NewConfig = d.configItem.Load()
+	if table := d.book.Table(); misses.Config && table != nil {
+		item := table.Item
+		m.NewConfig = &item
 	}
 	if misses.List {
 		m.NewRecords, m.RecordsAfter = d.roster.Since(misses.After), &misses.After
@@ -285,7 +286,7 @@
 		m.Members = d.members.entries(now, 0)
 	}
 	if table := d.book.Table(); table != nil {
-		m.Config, m.Version = table.Revision, table.Version
+		m.Config, m.Version = table.Item.Revision, table.Version
 	}
 	s.mu.Lock()
 	s.sequence++
