pkedge: two sources may bring an entry's first configuration

Cause: adopt looked whether a configuration was in force, put one in force and then closed the channel that tells of the first; a watch and a peer at the same time both found none, and closed it twice. Change: the channel is closed once. Why it works: sync.Once orders the two.

--- a/pkedge/configuration.go
+++ b/pkedge/configuration.go
@@ -52,14 +52,11 @@
 		d.log.Error("a configuration is passed over", "revision", item.Revision.String(), "source", source, "error", err)
 		return false
 	}
-	first := d.book.Table() == nil
 	if !d.book.Adopt(c, item) {
 		return false
 	}
 	d.log.Info("configuration in force", "version", c.Version, "revision", item.Revision.String(), "source", source,
 		"routes", len(c.Routes), "accounts", len(c.Accounts))
-	if first {
-		close(d.configured)
-	}
+	d.firstConfig.Do(func() { close(d.configured) })
 	return true
 }
--- a/pkedge/configuration_test.go
+++ b/pkedge/configuration_test.go
@@ -43,8 +43,8 @@
 	return *m.NewConfig
 }
 
-// Guards against an entry that announces one version and tells another: others that lack the newer
-// one never get it from there.
+// Guards against an entry that announces one version and tells another, so that others that lack the
+// newer one never get it from there, and against one that ends when two sources bring its first one.
 func TestTheVersionThatIsToldIsTheOneAnnounced(t *testing.T) {
 	const versions, sources = 200, 4
 	d := configDaemon()
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -94,10 +94,12 @@
 	callers net.Listener
 	ready   net.Listener
 
-	configured chan struct{}
-	listed     atomic.Bool
-	stopping   atomic.Bool
-	active     atomic.Int64
+	// configured is closed once a configuration is in force.
+	configured  chan struct{}
+	firstConfig sync.Once
+	listed      atomic.Bool
+	stopping    atomic.Bool
+	active      atomic.Int64
 	// shortAt is when it was last logged what a pool lacks, in Unix nanoseconds.
 	shortAt atomic.Int64
 }
