pkedge: a watch misses a version only if the look before found it

Cause: in a storm of changes each look finds a version that is newer than what the watch, which gathers for 0.2 s, has told; 'missed at two looks in a row' took that for a watch that is not answered. The test's row {9, 11} fails with the old rule. Change: only what was found 0.7 s ago and is not told yet is missed.

--- a/pkedge/peek.go
+++ b/pkedge/peek.go
@@ -23,8 +23,8 @@
 	mu sync.Mutex
 	// told is the newest revision of the configuration that a list or a watch told.
 	told pkstore.Revision
-	// missed says that the store had a newer one when it was last looked at.
-	missed bool
+	// found is the one that the store had when it was last looked at.
+	found pkstore.Revision
 }
 
 // hear takes a revision that a list or a watch told.
@@ -34,14 +34,14 @@
 	u.told = max(u.told, at)
 }
 
-// misses takes the revision that the store has, and says whether the watch has missed one for two
-// looks in a row.
+// misses takes the revision that the store has, and says whether none as new as that of the look before
+// has been told yet.
 func (u *unheard) misses(at pkstore.Revision) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	before := u.missed
-	u.missed = at > u.told
-	return before && u.missed
+	missed := u.found > u.told
+	u.found = at
+	return missed
 }
 
 // peekConfig looks at the configuration beside the watch and begins all watches again where that misses
