--- /dev/null
+++ b/pkedge/era_bench_test.go
@@ -0,0 +1,55 @@
+package pkedge_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"peridotknot.example/pkedge"
+	"peridotknot.example/pkid"
+	"peridotknot.example/platform"
+	"peridotknot.example/platform/platformtest"
+)
+
+// benchEntries is how many entries a data centre of the benchmark's fleets has.
+const benchEntries = 65
+
+// BenchmarkReturnOfTheStore times how long a fleet takes to know a new era and to be among the members
+// again, and counts the calls to the store in the busiest tenth of a second of that.
+func BenchmarkReturnOfTheStore(b *testing.B) {
+	for _, entries := range []int{8, 67, 195} {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) {
+			w := platformtest.NewWorld()
+			b.Cleanup(w.Close)
+			w.Store.BeginEras()
+			w.Add(platformtest.App, "i-a", "a")
+			nodes := make([]*node, entries)
+			for i := range nodes {
+				nodes[i] = startWith(b, pkedge.Settings{
+					Entry: pkid.EntryID(fmt.Sprintf("n-%03d", i)), DataCenter: pkid.DataCenter(fmt.Sprint("d", i/benchEntries)), Store: w.Store.Addr(),
+					Listen: pkedge.Listen{Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: "127.0.0.1:0"},
+					Retry:  pkedge.Retry{WindowS: 10},
+				})
+			}
+			members := func() bool { return len(w.Store.Keys(platform.OwnPrefix+"entry/")) == entries }
+			eventually(b, "all members", members)
+			for era := 2; b.Loop(); era++ {
+				before := w.Store.Asked()
+				began := time.Now()
+				w.Store.Return(w.Store.Copy())
+				busiest := int64(0)
+				for last, known := before, 0; known < entries || !members(); {
+					time.Sleep(100 * time.Millisecond)
+					now := w.Store.Asked()
+					busiest, last = max(busiest, now-last), now
+					for known < entries && nodes[known].metric(b, "peridotknot_store_era") == fmt.Sprint(era) {
+						known++
+					}
+				}
+				b.ReportMetric(time.Since(began).Seconds(), "s/return")
+				b.ReportMetric(float64(w.Store.Asked()-before)/float64(entries), "calls/entry")
+				b.ReportMetric(float64(busiest), "calls/busiest-0.1s")
+			}
+		})
+	}
+}
