--- a/pkreplica/era_test.go
+++ b/pkreplica/era_test.go
@@ -1,9 +1,11 @@
 package pkreplica
 
 import (
+	"flag"
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -121,17 +123,18 @@
 
 func (m *eraModel) list() []Record {
 	var out []Record
-	for _, one := range m.items {
-		out = append(out, one)
+	for _, id := range slices.Sorted(maps.Keys(m.items)) {
+		out = append(out, m.items[id])
 	}
 	return out
 }
 
 func (m *eraModel) pick() (Record, bool) {
-	for _, one := range m.live {
-		return one, true
+	if len(m.live) == 0 {
+		return Record{}, false
 	}
-	return Record{}, false
+	ids := slices.Sorted(maps.Keys(m.live))
+	return m.live[ids[m.rand.IntN(len(ids))]], true
 }
 
 // step changes one thing and returns what a watch would tell of it.
@@ -184,11 +187,14 @@
 	}
 }
 
+// schedules is how many seeds TestTheListIsFollowedOverEras plays, 40 steps each.
+var schedules = flag.Uint64("schedules", 300, "schedules of a list that is followed over eras")
+
 // A list is followed over several returns of the store, with late answers of eras that have ended.
 // At no moment may a replica that was known to leave be used, or one that lives be left out, and
 // once all have written themselves again nothing else counts.
 func TestTheListIsFollowedOverEras(t *testing.T) {
-	for seed := range uint64(300) {
+	for seed := range *schedules {
 		m := &eraModel{rand: rand.New(rand.NewPCG(seed, 7)), era: 1, items: map[pkid.TargetID]Record{}, live: map[pkid.TargetID]Record{}}
 		now := time.Unix(1000, 0)
 		var r Roster
@@ -208,12 +214,13 @@
 			m.comeBack()
 			r.Replace(now, m.list(), pkstore.NewRevision(m.era, m.number))
 			m.check(t, &r, now, seed, false)
-			for id, one := range m.live {
+			for _, id := range slices.Sorted(maps.Keys(m.live)) {
+				one := m.live[id]
 				one.Beats++
 				m.live[id] = one
 				r.Apply(now, []Record{m.write(one)}, pkstore.NewRevision(m.era, m.number))
 			}
-			for id := range m.items {
+			for _, id := range slices.Sorted(maps.Keys(m.items)) {
 				if _, lives := m.live[id]; !lives {
 					r.Apply(now, []Record{m.write(Record{Info: Info{ID: id}, Deleted: true})}, pkstore.NewRevision(m.era, m.number))
 				}
