--- a/pkedge/follower.go
+++ b/pkedge/follower.go
@@ -18,9 +18,8 @@
 	ledPoll = 250 * time.Millisecond
 	// ledSoon is how long after its start an entry that is not among the first of its data centre
 	// waits for those to tell it what changes, once it has read a list. While a fleet starts the
-	// lists change all the time, and each change was a call of each entry: of 195 entries they
-	// made a seventh of all calls of a calm day. What an entry that has just started knows may be
-	// that old.
+	// lists change all the time, and each change would be a call of each entry. What an entry that
+	// has just started knows may be that old.
 	ledSoon = 3 * time.Second
 	// rolesKnown is how long after its start an entry knows whether others will tell it: it has
 	// read the members, and has brought its links up to date since.
@@ -71,8 +70,7 @@
 
 // follow lists a prefix and then reads its changes, until ctx ends. It lists again
 // after each break: a watch that takes up again while the store loses its history
-// waits without a word of what was written meanwhile, and a key that was revoked
-// then served for five seconds. The list costs one call.
+// waits without a word of what was written meanwhile, such as a key that was revoked.
 func (d *Daemon) follow(ctx context.Context, f follower) {
 	var p progress
 	for ctx.Err() == nil {
--- a/pkedge/gate.go
+++ b/pkedge/gate.go
@@ -20,9 +20,8 @@
 
 // gate lets one loop at a time call a store that is lost; the zero value is open.
 //
-// Each entry follows three prefixes. While the store was lost, each of the three asked again
-// on its own, and 78 entries made 4,700 failing calls, near half of all of their day. What
-// one loop finds holds for all: they wait for the one that asks.
+// Each entry follows three prefixes. Failing calls cost as much as others, and what one loop
+// finds holds for all: they wait for the one that asks.
 type gate struct {
 	mu sync.Mutex
 	// failures counts the calls since the store was lost that failed.
