--- a/pkedge/follow_test.go
+++ b/pkedge/follow_test.go
@@ -11,15 +11,22 @@
 	"peridotknot.example/platform/platformtest"
 )
 
-// The operator takes a key away and adds a route. Both must hold at once, and an
-// older configuration must not come back by another entry.
-func TestConfigurationIsFollowed(t *testing.T) {
-	t.Parallel()
+// served starts a world with a plain replica and an entry that serves it.
+func served(t *testing.T) (*platformtest.World, *node) {
+	t.Helper()
 	w := platformtest.NewWorld()
-	defer w.Close()
+	t.Cleanup(w.Close)
 	w.Add(platformtest.App, "i-a", "a")
 	n := start(t, w, "one")
 	eventually(t, "readiness", func() bool { return n.isReady(t) })
+	return w, n
+}
+
+// The operator takes a key away and adds a route. Both must hold at once, and an
+// older configuration must not come back by another entry.
+func TestConfigurationIsFollowed(t *testing.T) {
+	t.Parallel()
+	w, n := served(t)
 	assert.Equal(t, n.do(t, http.MethodGet, "/read/1", "1", platformtest.Key, 0).status, http.StatusOK)
 	assert.Equal(t, n.do(t, http.MethodGet, "/read/1", "2", "wrong", 0).status, http.StatusUnauthorized)
 	assert.Equal(t, n.do(t, http.MethodGet, "/none/1", "3", platformtest.Key, 0).status, http.StatusNotFound)
@@ -36,11 +43,7 @@
 // the gap. A watch that simply took up again would never hear of it.
 func TestWhatWasWrittenBesideAWatchIsSeen(t *testing.T) {
 	t.Parallel()
-	w := platformtest.NewWorld()
-	defer w.Close()
-	w.Add(platformtest.App, "i-a", "a")
-	n := start(t, w, "one")
-	eventually(t, "readiness", func() bool { return n.isReady(t) })
+	w, n := served(t)
 	w.Store.Deafen()
 	w.Configure(func(c map[string]any) {
 		c["tenants"] = []any{map[string]any{"name": platformtest.Account, "api_keys": []string{"key-2"}}}
@@ -112,11 +115,7 @@
 // answered though the store serves all else.
 func TestWatchesThatAreNotAnsweredAreBegunAgain(t *testing.T) {
 	t.Parallel()
-	w := platformtest.NewWorld()
-	defer w.Close()
-	w.Add(platformtest.App, "i-a", "a")
-	n := start(t, w, "one")
-	eventually(t, "readiness", func() bool { return n.isReady(t) })
+	w, n := served(t)
 	eventually(t, "watches", func() bool {
 		return w.Store.Watches(platform.ConfigKey) == 1 && w.Store.Watches(platform.ReplicaPrefix) == 1
 	})
