pklayers: a path that would come back to an engine keeps it

Seen by callers: 503 as if the pool were full, while every layer has engines with room. Cause: the search knows the cheapest way to each engine at each cut. Where that leaves an engine for a cheaper one and comes back to it, which engines refuse, the end counted as none; with the other engines of a layer full, all ends did, and the request was refused. Nothing of the sort was checked: the tests of paths ask whether what is found is sound. Change: an engine that is come back to keeps the layers between, which it holds, since what engines hold is a range; the cost is added up anew, and the cheapest of the ends counts.

--- a/pklayers/path.go
+++ b/pklayers/path.go
@@ -71,8 +71,7 @@
 	if p, found := s.cheapest(); found || !s.returned {
 		return p, found
 	}
-	// The cheapest ways came back to an engine that they had left. One that was passed over as
-	// like another may take its place.
+	// One that was passed over as like another may take the place of an engine that is come back to.
 	s = newSearch(span, engines, c, home)
 	s.run()
 	return s.cheapest()
--- /dev/null
+++ b/pklayers/return_test.go
@@ -0,0 +1,67 @@
+package pklayers
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"peridotknot.example/pkid"
+)
+
+// Guards against requests that are refused as if the pool were full, since the cheapest way leaves an
+// engine for another and comes back to it, where the engine alone would do.
+func TestAnEngineIsKeptWhereAWayWouldComeBackToIt(t *testing.T) {
+	p, found := Find(pkid.Range{End: 80}, []Engine{
+		{ID: "wide", Held: pkid.Range{End: 60}, Cost: 4 * time.Millisecond},
+		{ID: "fast", Held: pkid.Range{First: 20, End: 30}, Cost: time.Millisecond},
+		{ID: "last", Held: pkid.Range{First: 60, End: 80}, Cost: time.Millisecond},
+	}, Costs{Hop: time.Millisecond}, "")
+	assert.Assert(t, found)
+	assert.DeepEqual(t, p, Path{
+		Parts: []Part{{ID: "wide", Layers: pkid.Range{End: 60}}, {ID: "last", Layers: pkid.Range{First: 60, End: 80}}},
+		Cost:  261 * time.Millisecond,
+	})
+}
+
+// Guards against requests that are refused while every layer has an engine with room.
+func TestAPathIsFoundWhereEveryLayerIsHeld(t *testing.T) {
+	const layers = 20
+	rapid.Check(t, func(t *rapid.T) {
+		var engines []Engine
+		held := make([]bool, layers)
+		for i := range rapid.IntRange(1, 12).Draw(t, "engines") {
+			first := rapid.IntRange(0, layers-1).Draw(t, "first")
+			end := rapid.IntRange(first+1, layers).Draw(t, "end")
+			engines = append(engines, Engine{
+				ID: pkid.TargetID(rune('a' + i)), DataCenter: pkid.DataCenter(rapid.SampledFrom([]string{"x", "y"}).Draw(t, "data center")),
+				Held:  pkid.Range{First: pkid.Layer(first), End: pkid.Layer(end)},
+				Cost:  time.Duration(rapid.IntRange(1, 30).Draw(t, "cost")) * time.Millisecond,
+				Enter: time.Duration(rapid.IntRange(0, 30).Draw(t, "enter")) * time.Millisecond,
+			})
+			for l := first; l < end; l++ {
+				held[l] = true
+			}
+		}
+		whole := true
+		for _, one := range held {
+			whole = whole && one
+		}
+		c := Costs{Hop: time.Millisecond, Crossing: func(_, _ pkid.DataCenter) time.Duration { return 5 * time.Millisecond }}
+		p, found := Find(pkid.Range{End: layers}, engines, c, "x")
+		if found != whole {
+			t.Fatalf("found %v, every layer is held: %v", found, whole)
+		}
+		next, seen := pkid.Layer(0), map[pkid.TargetID]bool{}
+		for _, part := range p.Parts {
+			if part.Layers.First != next || seen[part.ID] {
+				t.Fatalf("%v", p.Parts)
+			}
+			next, seen[part.ID] = part.Layers.End, true
+		}
+		if found && next != layers {
+			t.Fatalf("%v", p.Parts)
+		}
+	})
+}
--- a/pklayers/search.go
+++ b/pklayers/search.go
@@ -34,7 +34,8 @@
 	names   []pkid.DataCenter
 	// crossings are costs between data centres that have been asked for; negative otherwise.
 	crossings []time.Duration
-	// returned says that the cheapest ways came back to an engine that they had left.
+	// returned says that a way which came back to an engine that it had left costs too much without
+	// that.
 	returned bool
 }
 
@@ -211,41 +212,67 @@
 	return c.Crossing(from, to)
 }
 
-// cheapest walks back from the cheapest end. A path that leaves an engine and comes
-// back to it is refused by engines, so it counts as none.
+// cheapest walks back from the cheapest ends.
 func (s *search) cheapest() (Path, bool) {
 	ends := slices.Clone(s.table[len(s.table)-1])
 	slices.SortStableFunc(ends, func(a, b step) int { return cmp.Compare(a.cost, b.cost) })
+	var best Path
 	for _, end := range ends {
 		if s.costs.Most > 0 && end.cost > s.costs.Most {
 			break
 		}
-		if parts, ok := s.walk(end.engine); ok {
-			return Path{Parts: parts, Cost: end.cost}, true
+		if len(best.Parts) > 0 && end.cost >= best.Cost {
+			break
+		}
+		p := s.walk(end)
+		if s.costs.Most > 0 && p.Cost > s.costs.Most {
+			s.returned = true
+			continue
+		}
+		if len(best.Parts) == 0 || p.Cost < best.Cost {
+			best = p
 		}
-		s.returned = true
 	}
-	return Path{}, false
+	return best, len(best.Parts) > 0
 }
 
-func (s *search) walk(end int32) ([]Part, bool) {
+// walk returns the path to an end. Engines refuse a path that leaves one and comes back to it; such
+// an engine holds all layers between, and keeps them.
+func (s *search) walk(end step) Path {
 	var parts []Part
 	var seen []int32
-	at := end
+	returned := false
+	at := end.engine
 	for i := len(s.table) - 1; i >= 0; i-- {
-		if n := len(parts); n > 0 && seen[n-1] == at {
-			parts[n-1].Layers.First = s.cuts[i]
+		if k := slices.Index(seen, at); k >= 0 {
+			returned = returned || k < len(seen)-1
+			parts, seen = parts[:k+1], seen[:k+1]
+			parts[k].Layers.First = s.cuts[i]
 		} else {
-			if slices.Contains(seen, at) {
-				return nil, false
-			}
 			seen = append(seen, at)
 			parts = append(parts, Part{ID: s.engines[at].ID, Layers: pkid.Range{First: s.cuts[i], End: s.cuts[i+1]}})
 		}
 		at = s.before(i, at)
 	}
 	slices.Reverse(parts)
-	return parts, true
+	if !returned {
+		return Path{Parts: parts, Cost: end.cost}
+	}
+	slices.Reverse(seen)
+	return Path{Parts: parts, Cost: s.cost(parts, seen)}
+}
+
+// cost returns what a token takes over parts, each at an engine.
+func (s *search) cost(parts []Part, engines []int32) time.Duration {
+	sum := s.costs.reach(s.home, s.engines[engines[0]].DataCenter)
+	for i, e := range engines {
+		one := &s.engines[e]
+		sum += one.Enter + time.Duration(parts[i].Layers.Len())*one.Cost
+		if i > 0 {
+			sum += s.costs.Hop + s.crossing(s.centers[engines[i-1]], s.centers[e])
+		}
+	}
+	return sum
 }
 
 // before returns the engine from which the cheapest step leads into an engine at a run.
