pkedge: a request is refused where its events would be late as far as is known

Cause: a token might cost 400 ms, twice the pause that callers accept where an event holds one token. Events hold two and three, so a pause of 1.2 s was bargained for; what an event holds was declared and not read. Change: a token of a new request may cost the pause that its caller accepts, by the tokens of an event. TestARequestIsRefusedWhereItsEventsWouldBeLate fails with the bound of before.

--- a/pkedge/choose.go
+++ b/pkedge/choose.go
@@ -26,11 +26,8 @@
 	unseenPrompts = 1.1
 	// hopCost is what one more engine on a path costs a token.
 	hopCost = 100 * time.Microsecond
-	// mostCost bounds the cost of a token for a new request: at twice a caller's usual
-	// bound on pauses its answer is late for certain, and what it takes of a full pipe
-	// makes others late too. Its caller is told when to come back instead. In a pool that
-	// had lost a tenth of its engines, 0.7 in 100 requests fail so, and 12 in 100 did.
-	mostCost = 400 * time.Millisecond
+	// pauseDefault is the longest pause between events where callers have not said which they accept.
+	pauseDefault = 200 * time.Millisecond
 )
 
 // choosePath returns the cheapest path with room for a request of some tokens that
@@ -41,13 +38,20 @@
 
 // wishOf returns what a whole path is wanted for, of a request that was sent so often before.
 func (d *Daemon) wishOf(s *pkconfig.Service, tokens float64, sends int) wish {
-	w := wish{span: s.Engine.All(), tokens: tokens, from: d.settings.DataCenter, share: fullShare, most: mostCost}
+	w := wish{span: s.Engine.All(), tokens: tokens, from: d.settings.DataCenter, share: fullShare, most: mostCost(pauseDefault, s.Engine)}
 	if sends > 0 {
 		w.share, w.most, w.hurry = 1, 0, true
 	}
 	return w
 }
 
+// mostCost returns the most that a token of a new request may cost, whose caller accepts a pause
+// between events: beyond it the answer is late as far as is known, and what it takes of full pipes
+// and engines makes others late too. The caller is told when to come back instead.
+func mostCost(pause time.Duration, m *pklayers.Model) time.Duration {
+	return pause / time.Duration(max(m.EventTokens, 1))
+}
+
 // wish is what a path is wanted for.
 type wish struct {
 	span   pkid.Range
--- a/pkedge/choose_test.go
+++ b/pkedge/choose_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"peridotknot.example/pkconfig"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pklayers"
 )
@@ -42,3 +43,22 @@
 		assert.Equal(t, crossed, row.crosses, "%+v: %s, %v a token", row, p, p.cost)
 	}
 }
+
+// Guards against new requests that are taken on though each of their events would be later than the caller
+// accepts, and that slow all others down, where an event holds several tokens.
+func TestARequestIsRefusedWhereItsEventsWouldBeLate(t *testing.T) {
+	const pause = 250 * time.Millisecond
+	slow := engine("slow", "a", 0, 80)
+	for _, row := range []struct {
+		tokens int
+		factor float64
+		want   bool
+	}{{1, 100, true}, {3, 100, false}, {3, 50, true}, {1, 300, false}, {0, 100, true}} {
+		d, s := poolDaemon(slow)
+		s.Engine.EventTokens = row.tokens
+		s.Engine.Kinds["l4"] = pklayers.Accelerator{MemoryMB: 180_000, StepFactor: row.factor, ReadFactor: 1}
+		c := &call{Daemon: d, route: &pkconfig.Route{PauseObjective: pause}}
+		_, found := c.chooseRoute(time.Now(), s)
+		assert.Equal(t, found, row.want, "%+v", row)
+	}
+}
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -153,7 +153,7 @@
 	if s.Engine == nil {
 		return route{}, errFull
 	}
-	w := c.wishOf(s, c.size(s.Engine), c.sends)
+	w := c.wish(s)
 	w.lastResort = true
 	if p, found := c.find(now, s, w); found {
 		return p, nil
@@ -165,7 +165,7 @@
 // chooseRoute returns a path over engines, or the one target of a plain service.
 func (c *call) chooseRoute(now time.Time, s *pkconfig.Service) (route, bool) {
 	if s.Engine != nil {
-		return c.choosePath(now, s, c.size(s.Engine), c.sends)
+		return c.find(now, s, c.wish(s))
 	}
 	t, found := c.roster.Choose(now, s.ID, c.tried)
 	if !found {
@@ -174,6 +174,15 @@
 	return route{parts: []pklayers.Part{{ID: t.ID}}, targets: []*pkreplica.Target{t}}, true
 }
 
+// wish returns what a path is wanted for.
+func (c *call) wish(s *pkconfig.Service) wish {
+	w := c.wishOf(s, c.size(s.Engine), c.sends)
+	if pause := c.route.PauseObjective; w.most > 0 && pause > 0 {
+		w.most = mostCost(pause, s.Engine)
+	}
+	return w
+}
+
 // size returns how many tokens a request will probably hold.
 func (c *call) size(m *pklayers.Model) float64 {
 	if m == nil {
--- a/pklayers/model.go
+++ b/pklayers/model.go
@@ -34,6 +34,8 @@
 	ReadPerSecond float64
 	// Chunk is how many prompt tokens are read at a time.
 	Chunk int
+	// EventTokens is how many tokens an event of a stream holds; zero counts as one.
+	EventTokens int
 	// LoadTime is how long all layers take to load.
 	LoadTime time.Duration
 	// PromptTokens and AnswerTokens are the usual sizes of a request.
