pkretry: entries take turns where their share of the slack is under one retry

Cause: the slack of the retry budget is split evenly over the entries. With more entries than 0.85 x slack / (1 - 0.85 x ratio), 1,065 at a slack of 1,040, each share is under one retry and rounds down to none, so the whole fleet may send nothing again while its budget is unspent. At 985 entries it is 0.9 and only the request itself lifts it over one.

Change: below one, an entry may retry while it has its turn, a part of twenty windows as large as its share less what a window covers beyond a moment. The place comes from the entry's name. Only from a slack of 600 on: below, the number of entries that have their turn differs by chance by more than the 15 in 100 that are held back.

Fleets whose share is over one are not changed.

--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -50,7 +50,7 @@
 }
 
 func (c *call) retryLimits() pkretry.Limits {
-	return c.retry.Load().limits(c.entryCount(c.began))
+	return c.retry.Load().limits(c.settings.Entry, c.entryCount(c.began))
 }
 
 // servePlain serves a call to a plain service.
--- a/pkedge/settings.go
+++ b/pkedge/settings.go
@@ -1,6 +1,8 @@
 package pkedge
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"time"
 
 	"peridotknot.example/pkid"
@@ -49,8 +51,10 @@
 	Slack   float64 `yaml:"slack"`
 }
 
-func (r Retry) limits(entries int) pkretry.Limits {
-	return pkretry.Limits{Ratio: r.Ratio, Slack: r.Slack, Window: seconds(r.WindowS), Entries: entries}
+func (r Retry) limits(self pkid.EntryID, entries int) pkretry.Limits {
+	digest := sha256.Sum256([]byte(self))
+	place := float64(binary.BigEndian.Uint32(digest[:])) / (1 << 32)
+	return pkretry.Limits{Ratio: r.Ratio, Slack: r.Slack, Window: seconds(r.WindowS), Entries: entries, Place: place}
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/pkretry/budget.go
+++ b/pkretry/budget.go
@@ -1,6 +1,7 @@
 package pkretry
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -15,6 +16,28 @@
 	Window time.Duration
 	// Entries is the number of entries that share the slack; 0 counts as 1.
 	Entries int
+	// Place is this entry's place, from 0 to 1, in the order in which entries take turns.
+	Place float64
+}
+
+// turnWindows is the number of windows in which each entry has its turn. A window then covers the
+// turns of a twentieth of the entries more than one moment does.
+const turnWindows = 20
+
+// minTurnSlack is the slack from which entries take turns. With less, the number of entries that
+// have their turn differs by chance by more than utilization leaves.
+const minTurnSlack = 600
+
+// hasTurn reports whether it is this entry's turn at now for a retry of which its share is less than
+// one. Without turns, the entries of a fleet with more entries than slack would allow none at all.
+func (l Limits) hasTurn(now time.Time, share float64) bool {
+	period := turnWindows * l.Window
+	if period <= 0 || l.Slack < minTurnSlack {
+		return false
+	}
+	passed := float64(now.UnixNano()%int64(period)) / float64(period)
+	_, place := math.Modf(l.Place + passed)
+	return place < share-1.0/turnWindows
 }
 
 const (
@@ -81,7 +104,11 @@
 			retries += b.buckets[i].retries
 		}
 	}
-	return retries+float64(n) <= utilization*(l.Ratio*requests+l.Slack/float64(max(l.Entries, 1)))
+	limit := utilization * (l.Ratio*requests + l.Slack/float64(max(l.Entries, 1)))
+	if limit < 1 && n == 1 {
+		return retries == 0 && l.hasTurn(now, limit)
+	}
+	return retries+float64(n) <= limit
 }
 
 // bucket returns the current bucket.
