pkpack: compression of bodies that go to many entries

pkhead packed manifests with gzip. The configuration of the users' platform is to be sent in the same way, so the code moves to a package of its own; texts of errors keep their beginning. The tests of pkhead hold it.

--- a/pkhead/publish_test.go
+++ b/pkhead/publish_test.go
@@ -11,6 +11,7 @@
 
 	"peridotknot.example/pkcontract"
 	"peridotknot.example/pkmanifest"
+	"peridotknot.example/pkpack"
 	"peridotknot.example/pkstore"
 )
 
@@ -174,10 +175,10 @@
 // A decompression bomb from a peer or the store must be rejected before it exhausts
 // the VM's memory.
 func TestUnpackBoundsSize(t *testing.T) {
-	packed, err := Pack(make([]byte, maxBody+1))
+	packed, err := Pack(make([]byte, pkpack.MaxBody+1))
 	assert.NilError(t, err)
 	_, err = Unpack(packed)
-	assert.ErrorIs(t, err, errTooLarge)
+	assert.ErrorIs(t, err, pkpack.ErrTooLarge)
 	_, err = Unpack([]byte("not packed"))
 	assert.ErrorContains(t, err, "unpack manifest")
 }
