platform: lists by serializable reads

Cause: a list of 3,002 replicas is a dozen pages, each a call to the store. A serializable read costs a tenth of a call and is not rate-limited.

Change: ListStale reads a list in that way. Its revision is that of the oldest page, since each page may be of another age, and a watch from there delivers what the list lacks. Nothing uses it yet.

--- a/pkstore/store.go
+++ b/pkstore/store.go
@@ -81,6 +81,9 @@
 	// LoadStale returns the item at key from a stale read, which may lag by a few seconds
 	// and costs less than Load; a missing key has Revision zero.
 	LoadStale(ctx context.Context, key string) (Item, error)
+	// ListStale is List from a stale read. Watching from the revision that it returns delivers the
+	// changes that the read lacks.
+	ListStale(ctx context.Context, prefix string) ([]Item, Revision, error)
 	// StaleRevision returns the store's revision from a stale read, at the same cost.
 	StaleRevision(ctx context.Context) (Revision, error)
 }
