pkedge: loads are summed while requests are in progress

Cause: each entry summed the loads of all replicas each 0.15 s, also without a request, with a map entry for every replica that it sends nothing to: the fleet spent entries x replicas.

Change: only replicas with requests of this entry enter the sum, the others add nothing to it; an entry without a request sums nothing and does so once when one comes.

--- a/pkedge/callerserver.go
+++ b/pkedge/callerserver.go
@@ -95,6 +95,7 @@
 	d.active.Add(1)
 	defer d.active.Add(-1)
 	c := &call{Daemon: d, w: w, r: r, began: time.Now(), table: d.configs.Table()}
+	d.refreshLoads(c.began)
 	h := w.Header()
 	// Keeps net/http from adding headers that the target did not send.
 	h["Date"] = nil
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -82,8 +82,11 @@
 	// it.
 	nextAcquire time.Time
 	budgets     budgets
-	gossip      gossip
-	streams     attemptSet
+	// loadsSummedAt is when the loads of the other entries were last summed.
+	loadsMu       sync.Mutex
+	loadsSummedAt time.Time
+	gossip        gossip
+	streams       attemptSet
 	// refusalCauses are engines, on whose behalf requests were refused, to check for liveness and
 	// draining.
 	refusalCauses chan refusalCause
--- a/pkedge/gossip.go
+++ b/pkedge/gossip.go
@@ -124,23 +124,43 @@
 	d.mergeCases(now, m.Cases, "peer "+string(m.From))
 }
 
-// updateLoads keeps the load by other entries of each target up to date.
+// updateLoads keeps the load by other entries of each target up to date while requests are in
+// progress. In a large fleet most entries have none most of the time.
 func (d *Daemon) updateLoads(ctx context.Context) {
-	for pause := loadSumInterval; pktimer.Sleep(ctx, pause); {
-		pause = loadSumInterval
-		if d.gossip.withHubs.Load() {
-			pause = loadSumIntervalWithHubs
+	for pktimer.Sleep(ctx, d.loadInterval()) {
+		if d.active.Load() > 0 {
+			d.refreshLoads(time.Now())
 		}
-		d.sumLoads(time.Now())
 	}
 }
 
+// loadInterval returns how often the loads of the other entries are summed.
+func (d *Daemon) loadInterval() time.Duration {
+	if d.gossip.withHubs.Load() {
+		return loadSumIntervalWithHubs
+	}
+	return loadSumInterval
+}
+
+// refreshLoads sums the load by other entries of each target at now, unless that was just done.
+func (d *Daemon) refreshLoads(now time.Time) {
+	d.loadsMu.Lock()
+	defer d.loadsMu.Unlock()
+	if now.Sub(d.loadsSummedAt) < d.loadInterval()/2 {
+		return
+	}
+	d.loadsSummedAt = now
+	d.sumLoads(now)
+}
+
 // sumLoads sums the load by other entries of each target at now.
 func (d *Daemon) sumLoads(now time.Time) {
 	all := d.roster.All()
-	own := make(map[pkid.TargetID]pkreplica.Load, len(all))
+	own := map[pkid.TargetID]pkreplica.Load{}
 	for _, t := range all {
-		own[t.ID] = t.OwnLoad()
+		if load := t.OwnLoad(); load.Requests > 0 {
+			own[t.ID] = load
+		}
 	}
 	loads := d.gossip.table.PeerLoads(now, d.entryCount(now), own)
 	for _, t := range all {
--- a/pkedge/gossip_test.go
+++ b/pkedge/gossip_test.go
@@ -88,3 +88,31 @@
 		})
 	}
 }
+
+// Guards against an idle entry that sums the loads of all engines several times a second, and
+// against one that chooses a path by old loads once a request comes.
+func TestLoadsAreSummedWhileRequestsAreInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, _ := poolDaemon(engine("first", "a", 0, 80))
+		one, _ := d.roster.Target("first")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go d.updateLoads(ctx)
+		report := func(sequence uint64, tokens float32) {
+			d.gossip.table.Apply(time.Now(), pkshare.Message{From: "peer", Sequence: sequence, Loads: []pkshare.Load{{Target: "first", Requests: 1, Tokens: tokens}}})
+		}
+		loaded := func() float64 { return one.ExpectedMemory(time.Now(), 2) }
+
+		report(1, 100)
+		time.Sleep(time.Second)
+		assert.Equal(t, loaded(), 0.0, "nothing is in progress")
+		d.refreshLoads(time.Now())
+		assert.Equal(t, loaded(), 100.0, "a request has come")
+
+		d.active.Add(1)
+		report(2, 300)
+		time.Sleep(2 * loadSumInterval)
+		synctest.Wait()
+		assert.Equal(t, loaded(), 300.0)
+	})
+}
--- a/pkedge/scale_bench_test.go
+++ b/pkedge/scale_bench_test.go
@@ -11,6 +11,7 @@
 	"peridotknot.example/pkid"
 	"peridotknot.example/pklayers"
 	"peridotknot.example/pkreplica"
+	"peridotknot.example/pkshare"
 )
 
 // scaleDaemon returns a daemon that knows the given number of engines and has requests at some.
@@ -66,3 +67,24 @@
 		})
 	}
 }
+
+// BenchmarkSumLoads measures summing the loads of the other entries, which a hub reports on a
+// quarter of the engines.
+func BenchmarkSumLoads(b *testing.B) {
+	for _, engines := range []int{98, 300, 1000, 3000} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			d, _ := scaleDaemon(engines)
+			now := time.Now()
+			sum := pkshare.Sum{Global: true, Entries: engines / 10}
+			for i, t := range d.roster.All() {
+				if i%4 == 0 {
+					sum.Loads = append(sum.Loads, pkshare.Load{Target: t.ID, Requests: 1, Tokens: 7000})
+				}
+			}
+			d.gossip.table.Apply(now, pkshare.Message{From: "hub", Addr: "hub", Sequence: 1, Following: true, Members: engines / 10, Sum: &sum})
+			for b.Loop() {
+				d.sumLoads(now)
+			}
+		})
+	}
+}
