--- a/pkedge/broadcast.go
+++ b/pkedge/broadcast.go
@@ -1,15 +1,18 @@
 package pkedge
 
 import (
+	"slices"
 	"time"
 
 	"peridotknot.example/pkid"
+	"peridotknot.example/pkpack"
 	"peridotknot.example/pkpeer"
 	"peridotknot.example/pkshare"
+	"peridotknot.example/pkstore"
 )
 
 // broadcast enqueues a message at all peer links if it has changed, or if a message between hubs is
-// due. State that a single receiver lacks is added to its message.
+// due. State that a receiver lacks is added to its message.
 func (d *Daemon) broadcast(now time.Time, m pkshare.Message, due, changed bool) {
 	s := &d.gossip
 	sums := d.sums(now, m, due)
@@ -20,32 +23,79 @@
 	for _, one := range s.table.Members(now) {
 		ids[one.Addr] = one.ID
 	}
-	encoded := map[messageForm][]byte{}
+	candidates, newCandidates := d.candidates(now)
+	encoded := map[messageForm]outgoing{}
 	for addr, l := range s.peerLinks {
 		newConn := l.newConn.Swap(false)
 		if newConn {
 			s.table.Reconnected(ids[addr])
 		}
-		form := messageForm{role: l.role, full: newConn || l.incomplete}
-		out := sums.message(m, form)
-		extended := d.addCatchUp(now, &out, ids[addr], l.role)
-		switch {
-		case extended:
-			l.enqueue(d.encode(out))
-		case changed || newConn || (due && l.role != pkshare.Peer):
-			if encoded[form] == nil {
-				encoded[form] = d.encode(out)
+		form := messageForm{role: l.role, full: newConn || l.incomplete, catchUp: d.catchUpFor(now, &m, ids[addr], l.role)}
+		sumDue := due && l.role != pkshare.Peer
+		if !changed && !newConn && !sumDue && !form.isCatchUp() {
+			continue
+		}
+		if _, found := encoded[form]; !found {
+			one := sums.message(m, form)
+			if form.full || newCandidates {
+				one.Candidates = candidates
 			}
-			l.enqueue(encoded[form])
+			encoded[form] = d.encodeForm(now, one, form)
 		}
+		l.enqueue(encoded[form])
+	}
+}
+
+// encodeForm returns an encoded message with what its form needs.
+func (d *Daemon) encodeForm(now time.Time, m pkshare.Message, form messageForm) outgoing {
+	if form.role != pkshare.Spoke {
+		m.Candidates = nil
+	}
+	d.fillCatchUp(now, &m, form.catchUp, form.role)
+	return outgoing{raw: d.encode(m), catchUp: form.isCatchUp()}
+}
+
+// candidates returns the entries of this data centre that are to be registered, if this entry is a
+// hub, and whether they have changed since the last call.
+func (d *Daemon) candidates(now time.Time) (candidates []pkshare.Member, changed bool) {
+	s := &d.gossip
+	if !s.sendsSums() {
+		return nil, false
 	}
+	candidates = s.table.Candidates(now, d.selfAt(now), d.members.list())
+	changed = !slices.Equal(candidates, s.sentCandidates)
+	s.sentCandidates = candidates
+	return candidates, changed
 }
 
-// messageForm selects the variant of a message for a peer link: by the peer's role, and with full
-// sums or only their changes.
+// messageForm selects the variant of a message for a peer link: by the peer's role, with full sums
+// or only their changes, and with what the peer lacks. Fleets that start at once lack the same.
 type messageForm struct {
-	role pkshare.Role
-	full bool
+	role    pkshare.Role
+	full    bool
+	catchUp pkshare.CatchUp
+}
+
+func (f messageForm) isCatchUp() bool { return f.catchUp != pkshare.CatchUp{} }
+
+// addConfig adds a configuration to a message. Hubs send it compressed, since each change goes to a
+// hundred entries; entries of earlier releases follow it themselves.
+func (d *Daemon) addConfig(m *pkshare.Message, item pkstore.Item, role pkshare.Role) {
+	s := &d.gossip
+	if role == pkshare.Peer {
+		m.NewConfig = &item
+		return
+	}
+	if s.packed.Revision != item.Revision {
+		packed, err := pkpack.Pack(item.Value)
+		if err != nil {
+			d.log.Error("configuration was not compressed", "revision", item.Revision.String(), "error", err)
+			return
+		}
+		s.packed = pkstore.Item{Key: item.Key, Value: packed, Revision: item.Revision}
+	}
+	one := s.packed
+	m.PackedConfig = &one
 }
 
 // hubSums are the sums of loads, by role, that are sent in place of an entry's own loads; empty
--- a/pkedge/configuration.go
+++ b/pkedge/configuration.go
@@ -27,14 +27,8 @@
 				}
 			}
 		},
-		// An entry served by a hub does not watch the list of replicas, so only this watch shows
-		// that the store is lost.
-		onLost: func() {
-			if d.gossip.table.ServedByHub(time.Now()) {
-				d.roster.MarkStoreUnavailable(time.Now())
-			}
-		},
-		onBack: d.onStoreBack,
+		relayed: func(now time.Time) bool { return d.configs.Table() != nil && d.isServed(now) },
+		onBack:  d.onStoreBack,
 	})
 }
 
@@ -61,5 +55,8 @@
 	d.log.Info("configuration in force", "version", c.Version, "revision", item.Revision.String(), "source", source,
 		"routes", len(c.Routes), "accounts", len(c.Accounts))
 	d.firstConfig.Do(func() { close(d.configured) })
+	if d.gossip.withHubs.Load() {
+		d.gossip.requestSend() // a hub passes it on to the entries that it serves
+	}
 	return true
 }
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"reflect"
@@ -23,6 +24,7 @@
 	"peridotknot.example/pkpace"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkretry"
+	"peridotknot.example/pkshare"
 	"peridotknot.example/pkstore"
 	"peridotknot.example/pktimer"
 	"peridotknot.example/pkwait"
@@ -68,7 +70,9 @@
 	// memoryPenalty is how the cost of an engine grows as its memory fills.
 	memoryPenalty pklayers.MemoryPenalty
 	members       members
-	store         breaker
+	// registration decides whether this daemon holds a lease; only maintainLease changes it.
+	registration pkshare.Registration
+	store        breaker
 	// watches are the watches of the store in progress.
 	watches    pkwait.Group
 	staleWatch staleWatchDetector
@@ -93,6 +97,8 @@
 	quarantine    quarantine
 
 	started time.Time
+	// hubsSeenAt is when this daemon first knew that the fleet uses hubs; nil before.
+	hubsSeenAt atomic.Pointer[time.Time]
 
 	callers net.Listener
 	ready   net.Listener
@@ -151,6 +157,7 @@
 // Run serves until ctx ends, stops gracefully, and returns once all its goroutines have ended.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.started = time.Now()
+	d.registration = pkshare.Registration{Self: d.self(), Started: d.started, Bootstrap: d.settings.Bootstrap, Jitter: rand.Float64()}
 	// The loops outlive ctx: requests in progress need them until the end.
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -164,7 +171,7 @@
 		peers := &http.Server{Handler: d.peersHandler(inner), ReadHeaderTimeout: readHeaderTimeout}
 		g.Add(func() error { return untilDone(inner, peers.Serve(d.gossip.listener)) }, func(error) { _ = peers.Close() })
 	}
-	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.pollConfig, d.maintainLease, d.reconcilePools, d.sendToPeers, d.updateLoads, d.rerouteStreams, d.monitorEngines, d.pollPaces, d.logStoreCalls, d.detectCrashes, d.saveQuarantined, d.checkRefusalCauses} {
+	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.pollConfig, d.maintainLease, d.reconcilePools, d.sendToPeers, d.updateLoads, d.rerouteStreams, d.monitorEngines, d.pollPaces, d.logStoreCalls, d.detectCrashes, d.saveQuarantined, d.checkRefusalCauses, d.saveSize} {
 		g.Add(func() error { loop(inner); return nil }, func(error) { cancel() })
 	}
 	return g.Run()
--- a/pkedge/follower.go
+++ b/pkedge/follower.go
@@ -14,6 +14,10 @@
 	// changeBatchDelay is the delay between a change and the next watch, within which further
 	// changes are collected, in fleets of up to batchBaseEntries.
 	changeBatchDelay = 200 * time.Millisecond
+	// startPollInterval is how often a starting entry checks whether it still waits for a hub, and
+	// hubSearchInterval how often it reads the members meanwhile.
+	startPollInterval = 10 * time.Millisecond
+	hubSearchInterval = 500 * time.Millisecond
 	// relayPollInterval is how often an entry served by a hub checks that it still is.
 	relayPollInterval = 250 * time.Millisecond
 	// relayStartTimeout is how long after its start an entry waits for a hub to serve it before it
@@ -54,6 +58,12 @@
 	onChange func(events []pkstore.Event, at pkstore.Revision)
 	// relayed reports whether another entry relays the changes; nil means never.
 	relayed func(now time.Time) bool
+	// mayBeStale is set if a list may be some seconds old: the watch that follows delivers what it
+	// lacks, and each page costs a tenth.
+	mayBeStale bool
+	// findsHubs is set if the prefix shows the hubs of the fleet. It is then listed while this entry
+	// waits for a hub.
+	findsHubs bool
 	// onLost and onBack are called when the store is lost and when it answers again; both may be
 	// nil.
 	onLost func()
@@ -67,6 +77,10 @@
 	// calls.
 	listed   bool
 	failures int
+	// compacted is set if the store no longer had the changes since the last list.
+	compacted bool
+	// listedAt is when the prefix was last listed.
+	listedAt time.Time
 }
 
 // follow lists a prefix and then watches its changes, until ctx ends. It lists again after each
@@ -75,12 +89,17 @@
 func (d *Daemon) follow(ctx context.Context, f follower) {
 	var p progress
 	for ctx.Err() == nil {
-		if relayed, soon := d.relayState(time.Now(), f); relayed || (soon && p.listed) {
+		now := time.Now()
+		if f.relayed != nil && f.relayed(now) {
 			// Relayed changes have no position in a watch: list again afterwards.
-			p.listed = p.listed && !relayed
+			p.listed = false
 			pktimer.Sleep(ctx, relayPollInterval)
 			continue
 		}
+		if d.awaitsRelay(now, f, &p) {
+			pktimer.Sleep(ctx, startPollInterval)
+			continue
+		}
 		began, watched := time.Now(), p.listed
 		err := d.advance(ctx, f, &p)
 		if ctx.Err() != nil {
@@ -100,7 +119,8 @@
 		return err
 	}
 	d.store.wait(ctx)
-	p.at, err = d.listPrefix(ctx, f)
+	p.listedAt = time.Now()
+	p.at, err = d.listPrefix(ctx, f, f.mayBeStale && p.failures == 0 && !p.compacted)
 	return err
 }
 
@@ -126,6 +146,7 @@
 		d.store.recordFailure(time.Now())
 	}
 	p.listed = err == nil
+	p.compacted = errors.Is(err, pkstore.ErrCompacted)
 }
 
 // recordWatchEnd logs and counts a watch that ended with an error.
@@ -153,12 +174,31 @@
 	}
 }
 
-// relayState reports whether another entry relays the changes of a prefix at now, or soon will.
-func (d *Daemon) relayState(now time.Time, f follower) (relayed, soon bool) {
-	if f.relayed == nil {
-		return false, false
+// awaitsRelay reports whether a starting entry makes no call for a follower at now, since a hub is
+// expected to relay the prefix.
+func (d *Daemon) awaitsRelay(now time.Time, f follower, p *progress) bool {
+	awaitsHub := d.awaitsHub(now)
+	switch {
+	case f.relayed == nil:
+		return false
+	case f.findsHubs && awaitsHub:
+		return p.listed && now.Sub(p.listedAt) < hubSearchInterval
+	case awaitsHub:
+		return true
+	default:
+		return p.listed && d.relayExpected(now)
 	}
-	return f.relayed(now), d.relayExpected(now)
+}
+
+// awaitsHub reports whether this entry has just started and waits at now for a hub.
+func (d *Daemon) awaitsHub(now time.Time) bool {
+	v := pkshare.StartView{View: d.registrationView(now), UsesHubs: d.gossip.withHubs.Load(), Designated: d.gossip.designated.Load()}
+	v.KnowsOthers = d.members.knowsOthers(d.settings.Entry)
+	v.MembersRead = v.MembersRead && d.gossip.rolesKnown.Load()
+	if at := d.hubsSeenAt.Load(); at != nil {
+		v.HubsSeenAt = *at
+	}
+	return d.registration.AwaitsHub(now, v)
 }
 
 // relayExpected reports whether this entry has just started and others may soon relay changes to
@@ -171,9 +211,13 @@
 	return age < relayStartTimeout && d.gossip.withHubs.Load() && !d.gossip.designated.Load()
 }
 
-func (d *Daemon) listPrefix(ctx context.Context, f follower) (pkstore.Revision, error) {
-	items, at, err := d.Store.List(ctx, f.prefix)
-	d.recordStoreCall(callList, f.name, err)
+func (d *Daemon) listPrefix(ctx context.Context, f follower, stale bool) (pkstore.Revision, error) {
+	call, list := callList, d.Store.List
+	if stale {
+		call, list = callStaleList, d.Feed.ListStale
+	}
+	items, at, err := list(ctx, f.prefix)
+	d.recordStoreCall(call, f.name, err)
 	if err != nil {
 		return 0, err
 	}
--- a/pkedge/gossip.go
+++ b/pkedge/gossip.go
@@ -14,15 +14,19 @@
 
 	"peridotknot.example/pkconn"
 	"peridotknot.example/pkid"
+	"peridotknot.example/pkpack"
 	"peridotknot.example/pkpeer"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkshare"
+	"peridotknot.example/pkstore"
 	"peridotknot.example/pktimer"
 )
 
 const (
 	// roundsPerPeerLinkUpdate is the number of rounds after which the links to peers are updated.
 	roundsPerPeerLinkUpdate = 3
+	// minLinkInterval is the shortest time between updates of the links.
+	minLinkInterval = 100 * time.Millisecond
 	// roundsPerSum is the number of rounds after which a message is due in fleets with hubs.
 	roundsPerSum = int(pkshare.HubInterval / pkshare.Interval)
 	// storeRecoveryAnnounceTime is how long this entry announces to peers that the store is
@@ -54,9 +58,23 @@
 	// designated is set if this entry is one of the designated entries of its data centre, which
 	// are its hubs if there are hubs.
 	designated atomic.Bool
+	// first is set if this entry is the first designated one, firstHub is that one.
+	first    atomic.Bool
+	firstHub atomic.Pointer[pkid.EntryID]
+	// rolesKnown is set once the roles were determined from the members in the store.
+	rolesKnown atomic.Bool
+	// sentCandidates are the candidates that the last messages held, packed is the configuration as
+	// it was last sent; only sendToPeers uses both.
+	sentCandidates []pkshare.Member
+	packed         pkstore.Item
+	// linked are the addresses that have peer links.
+	linked atomic.Pointer[map[string]bool]
+	// linksChanged is set if the peer links must be updated before the next round.
+	linksChanged atomic.Bool
 
-	// sendNow triggers a message before the next one is due.
+	// sendNow wakes the sender before its next round; urgent is set if a message must be sent then.
 	sendNow chan struct{}
+	urgent  atomic.Bool
 
 	mu       sync.Mutex
 	sequence uint64
@@ -107,9 +125,13 @@
 	if m.From == d.settings.Entry || !d.gossip.table.Apply(now, m) {
 		return
 	}
+	if d.gossip.isUnknown(m) {
+		d.gossip.updateLinks()
+	}
 	d.recordEra(now, max(m.Config, m.List), "peer "+string(m.From))
-	if m.NewConfig != nil {
-		d.adopt(*m.NewConfig, "peer "+string(m.From))
+	d.receiveConfig(m)
+	if m.Candidates != nil {
+		d.members.applyCandidates(m.DataCenter, m.Candidates)
 	}
 	if m.StoreRecoveredAgoMS > 0 {
 		d.roster.MarkPeerStoreAvailable(now.Add(-time.Duration(m.StoreRecoveredAgoMS) * time.Millisecond))
@@ -117,6 +139,9 @@
 	if m.RecordsAfter != nil {
 		d.replicasChanged(d.roster.ApplyDelta(now, m.NewRecords, *m.RecordsAfter, m.List), m.List, "peer "+string(m.From))
 	}
+	if m.RecordsAfter != nil && *m.RecordsAfter == 0 && (m.Following || m.Relaying) {
+		d.listed.Store(true)
+	}
 	for _, one := range m.Suspects {
 		d.receiveSuspicion(now, m.From, one)
 	}
@@ -124,6 +149,58 @@
 	d.mergeCases(now, m.Cases, "peer "+string(m.From))
 }
 
+// receiveConfig adopts the configuration in a message.
+func (d *Daemon) receiveConfig(m pkshare.Message) {
+	source := "peer " + string(m.From)
+	if m.NewConfig != nil {
+		d.adopt(*m.NewConfig, source)
+	}
+	if m.PackedConfig == nil {
+		return
+	}
+	item := *m.PackedConfig
+	var err error
+	if item.Value, err = pkpack.Unpack(item.Value); err != nil {
+		d.log.Error("invalid configuration ignored", "revision", item.Revision.String(), "source", source, "error", err)
+		return
+	}
+	d.adopt(item, source)
+}
+
+// requestSend triggers a message to the peers before the next one is due.
+func (s *gossip) requestSend() {
+	s.urgent.Store(true)
+	s.wake()
+}
+
+// updateLinks triggers an update of the peer links.
+func (s *gossip) updateLinks() {
+	s.linksChanged.Store(true)
+	s.wake()
+}
+
+func (s *gossip) wake() {
+	select {
+	case s.sendNow <- struct{}{}:
+	default: // woken already
+	}
+}
+
+// isUnknown reports whether a message comes from an entry that has no peer link yet.
+func (s *gossip) isUnknown(m pkshare.Message) bool {
+	linked := s.linked.Load()
+	return linked != nil && s.designated.Load() && m.Addr != "" && !(*linked)[m.Addr]
+}
+
+// setLinked records the addresses that have peer links.
+func (s *gossip) setLinked(wanted map[string]pkshare.Role) {
+	linked := make(map[string]bool, len(wanted))
+	for addr := range wanted {
+		linked[addr] = true
+	}
+	s.linked.Store(&linked)
+}
+
 // updateLoads keeps the load by other entries of each target up to date while requests are in
 // progress. In a large fleet most entries have none most of the time.
 func (d *Daemon) updateLoads(ctx context.Context) {
@@ -176,41 +253,87 @@
 	return pkshare.Interval
 }
 
+// peerSender is the state of the loop that sends messages to the other entries.
+type peerSender struct {
+	d *Daemon
+	// before is the last message that was sent, at sentAt.
+	before   pkshare.Message
+	sentAt   time.Time
+	linkedAt time.Time
+	rounds   int
+}
+
 // sendToPeers keeps the links to the other entries and sends them messages. Messages are built and
 // encoded once per round for all links, which saves processor time.
 func (d *Daemon) sendToPeers(ctx context.Context) {
-	s := &d.gossip
-	defer s.wg.Wait()
-	var before pkshare.Message
-	var last time.Time
-	round := 0
-	send := func(due bool) {
-		now := time.Now()
-		m := d.message(now)
-		due = due || !s.withHubs.Load() || len(m.Suspects) != len(before.Suspects)
-		changed := due && (hasChanges(before, m) || now.Sub(last) >= pkshare.HeartbeatInterval)
-		if changed {
-			before, last = m, now
-		}
-		d.broadcast(now, m, due, changed)
-	}
-	pktimer.EveryOrWake(ctx, pkshare.Interval, s.sendNow, func(ctx context.Context) {
-		if round%roundsPerPeerLinkUpdate == 0 {
-			d.updatePeerLinks(ctx, time.Now())
-		}
-		round++
-		send(round%roundsPerSum == 0)
-	}, func(ctx context.Context) {
+	defer d.gossip.wg.Wait()
+	s := peerSender{d: d}
+	pktimer.EveryOrWake(ctx, pkshare.Interval, d.gossip.sendNow, s.round, func(ctx context.Context) {
 		if pktimer.Sleep(ctx, sendBatchDelay) {
-			send(true)
+			s.wake(ctx)
 		}
 	})
 }
 
+// round does the periodic work.
+func (s *peerSender) round(ctx context.Context) {
+	if s.rounds%roundsPerPeerLinkUpdate == 0 || s.d.gossip.linksChanged.Load() {
+		s.updateLinks(ctx)
+	}
+	s.rounds++
+	s.send(s.rounds%roundsPerSum == 0)
+}
+
+// wake does what was requested before the next round. A hub reaches new entries in its next round,
+// since a thousand may start at once.
+func (s *peerSender) wake(ctx context.Context) {
+	if s.d.gossip.linksChanged.Load() {
+		s.updateLinks(ctx)
+	}
+	if s.d.gossip.urgent.Swap(false) || !s.d.gossip.designated.Load() {
+		s.send(true)
+	}
+}
+
+func (s *peerSender) updateLinks(ctx context.Context) {
+	now := time.Now()
+	if now.Sub(s.linkedAt) < minLinkInterval {
+		return
+	}
+	s.linkedAt = now
+	s.d.gossip.linksChanged.Store(false)
+	s.d.updatePeerLinks(ctx, now)
+}
+
+// send sends a message to the peers that it is due for.
+func (s *peerSender) send(due bool) {
+	gossip := &s.d.gossip
+	withHubs := gossip.withHubs.Load()
+	if !due && withHubs && !gossip.designated.Load() {
+		return // only hubs have more to send
+	}
+	now := time.Now()
+	m := s.d.message(now)
+	due = due || !withHubs || len(m.Suspects) != len(s.before.Suspects)
+	changed := due && (hasChanges(s.before, m) || now.Sub(s.sentAt) >= pkshare.HeartbeatInterval)
+	if changed {
+		s.before, s.sentAt = m, now
+	}
+	s.d.broadcast(now, m, due, changed)
+}
+
 // updatePeerLinks starts and ends links to match the peers known at now.
 func (d *Daemon) updatePeerLinks(ctx context.Context, now time.Time) {
 	s := &d.gossip
+	d.members.mu.Lock()
+	known := d.members.known
+	d.members.mu.Unlock()
 	wanted := d.roles(now)
+	if s.withHubs.Load() {
+		d.hubsSeenAt.CompareAndSwap(nil, &now)
+	}
+	s.rolesKnown.Store(known)
+	s.setLinked(wanted)
 	for addr, l := range s.peerLinks {
 		if _, still := wanted[addr]; !still {
 			l.cancel()
@@ -224,7 +347,7 @@
 			continue
 		}
 		inner, cancel := context.WithCancel(ctx)
-		l := &peerLink{cancel: cancel, role: role, out: make(chan []byte, 1)}
+		l := &peerLink{cancel: cancel, role: role, out: make(chan outgoing, 1)}
 		s.peerLinks[addr] = l
 		s.wg.Go(func() { d.runPeerLink(inner, addr, l) })
 	}
@@ -232,11 +355,26 @@
 
 // addCatchUp adds to a message the state that its receiver lacks, and reports whether there is any.
 func (d *Daemon) addCatchUp(now time.Time, m *pkshare.Message, to pkid.EntryID, role pkshare.Role) bool {
-	known := pkshare.LocalState{Self: d.settings.Entry, Config: m.Config, Version: m.Version, List: m.List, QuarantineChecksum: m.QuarantineChecksum, Hub: role != pkshare.Peer}
-	catchUp := d.gossip.table.CatchUpFor(now, to, known)
+	catchUp := d.catchUpFor(now, m, to, role)
+	d.fillCatchUp(now, m, catchUp, role)
+	return catchUp != pkshare.CatchUp{}
+}
+
+// catchUpFor returns what the receiver of a message lacks at now.
+func (d *Daemon) catchUpFor(now time.Time, m *pkshare.Message, to pkid.EntryID, role pkshare.Role) pkshare.CatchUp {
+	first := d.gossip.first.Load()
+	// The other hub of the data centre relies on the first one as well.
+	standby := first && role == pkshare.Peer && d.gossip.withHubs.Load()
+	return d.gossip.table.CatchUpFor(now, to, pkshare.LocalState{
+		Self: d.settings.Entry, Config: m.Config, Version: m.Version, List: m.List, QuarantineChecksum: m.QuarantineChecksum,
+		Hub: role != pkshare.Peer || standby, Spoke: role == pkshare.Spoke || standby, Standby: !first,
+	})
+}
+
+// fillCatchUp adds a catch-up to a message.
+func (d *Daemon) fillCatchUp(now time.Time, m *pkshare.Message, catchUp pkshare.CatchUp, role pkshare.Role) {
 	if table := d.configs.Table(); catchUp.Config && table != nil {
-		item := table.Item
-		m.NewConfig = &item
+		d.addConfig(m, table.Item, role)
 	}
 	if catchUp.List {
 		m.NewRecords, m.RecordsAfter = d.roster.Since(catchUp.After), &catchUp.After
@@ -244,15 +382,18 @@
 	if catchUp.Quarantine {
 		m.Cases = append(d.quarantine.table.QuarantinedCases(now), m.Cases...)
 	}
-	return catchUp.Config || catchUp.List || catchUp.Quarantine
 }
 
 // roles returns the role of each peer to send to by its address. Peers are the members in the store
 // and those known from messages, or the seeds of the settings while neither is known.
 func (d *Daemon) roles(now time.Time) map[string]pkshare.Role {
-	self := d.self()
+	self := d.selfAt(now)
 	byAddr := map[string]pkshare.Member{}
-	for _, one := range append(d.gossip.table.Members(now), d.members.list()...) {
+	for _, one := range d.gossip.table.Members(now) {
+		one.Unregistered = !d.members.wasRegistered(now, one.ID)
+		byAddr[one.Addr] = one
+	}
+	for _, one := range d.members.list() {
 		byAddr[one.Addr] = one
 	}
 	if len(byAddr) < 2 {
@@ -266,8 +407,11 @@
 	delete(byAddr, "")
 	d.gossip.withHubs.Store(pkshare.UsesHubs(len(byAddr)))
 	others := slices.Collect(maps.Values(byAddr))
-	d.gossip.designated.Store(d.gossip.table.IsDesignated(now, self, others))
-	return d.gossip.table.Roles(now, self, others)
+	roles := d.gossip.table.Roles(now, self, others)
+	d.gossip.designated.Store(roles.Designated)
+	d.gossip.first.Store(roles.First)
+	d.gossip.firstHub.Store(&roles.FirstHub)
+	return roles.ByAddr
 }
 
 // hasChanges reports whether message b must be sent after message a.
@@ -286,13 +430,33 @@
 	return false
 }
 
+// followsStore reports whether this entry follows the list of replicas in the store itself and
+// without a gap.
+func (d *Daemon) followsStore(now time.Time) bool {
+	return d.listed.Load() && !d.roster.StoreUnavailable() && !d.isServed(now)
+}
+
+// isServed reports whether another entry sends this one the configuration and the list of replicas
+// at now.
+func (d *Daemon) isServed(now time.Time) bool {
+	return d.gossip.table.ServedByHub(now) || d.isStandby(now)
+}
+
+// isStandby reports whether this entry is a hub but not the first of its data centre, and the first
+// one follows the store at now.
+func (d *Daemon) isStandby(now time.Time) bool {
+	s := &d.gossip
+	first := s.firstHub.Load()
+	return s.withHubs.Load() && s.designated.Load() && !s.first.Load() && first != nil && s.table.Follows(now, *first)
+}
+
 // message returns the message to all peers at now.
 func (d *Daemon) message(now time.Time) pkshare.Message {
 	s := &d.gossip
 	m := pkshare.Message{
 		From: d.settings.Entry, Addr: s.addr, Run: s.run, List: d.roster.At(),
 		DataCenter: d.settings.DataCenter, ProcessorShare: float32(d.settings.ProcessorShare),
-		Following: d.listed.Load() && !d.roster.StoreUnavailable(),
+		Following: d.followsStore(now),
 		Cases:     d.quarantine.table.RecentChanges(now), QuarantineChecksum: d.quarantine.table.Checksum(now),
 		Paces: d.paces.Observations(now),
 	}
@@ -303,14 +467,25 @@
 		m.Flows = append(m.Flows, pkshare.Flow{A: f.A, B: f.B, Tokens: float32(f.Tokens)})
 	}
 	if s.withHubs.Load() && s.table.HubMemberCount(now) == 0 {
-		m.Members = d.members.count(now, 0)
+		m.LocalEntries, m.Members = d.countEntries(now)
+		m.Relaying = !m.Following && d.listed.Load() && s.designated.Load() &&
+			(d.isStandby(now) || s.table.RemoteFollower(now, d.settings.DataCenter))
 	}
 	if table := d.configs.Table(); table != nil {
 		m.Config, m.Version = table.Item.Revision, table.Version
 	}
+	m.Sequence, m.Suspects = d.suspects(now)
+	m.Loads = d.ownLoads()
+	return m
+}
+
+// suspects returns the sequence number of the next message and the suspicions that it reports at
+// now.
+func (d *Daemon) suspects(now time.Time) (sequence uint64, suspects []pkshare.Suspect) {
+	s := &d.gossip
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.sequence++
-	m.Sequence = s.sequence
 	for id, one := range s.suspects {
 		left := one.until.Sub(now)
 		t, found := d.roster.Target(id)
@@ -318,20 +493,27 @@
 			delete(s.suspects, id)
 			continue
 		}
-		m.Suspects = append(m.Suspects, pkshare.Suspect{
+		suspects = append(suspects, pkshare.Suspect{
 			Target: id, RemainingMS: left.Milliseconds(), Gone: one.fault == faultGone, StaleRecord: one.fault == faultStaleRecord,
 			Born: one.startTime, RecordRevision: one.recordRevision,
 		})
 	}
-	s.mu.Unlock()
+	return s.sequence, suspects
+}
+
+// ownLoads returns the loads of this entry's requests on targets.
+func (d *Daemon) ownLoads() []pkshare.Load {
+	var out []pkshare.Load
 	for _, t := range d.roster.All() {
-		if own := t.OwnLoad(); own.Requests > 0 {
-			load := pkshare.Load{Target: t.ID, Requests: own.Requests, Tokens: float32(own.Tokens)}
-			if t.Restarted() {
-				load.Born = t.Born
-			}
-			m.Loads = append(m.Loads, load)
+		own := t.OwnLoad()
+		if own.Requests == 0 {
+			continue
 		}
+		load := pkshare.Load{Target: t.ID, Requests: own.Requests, Tokens: float32(own.Tokens)}
+		if t.Restarted() {
+			load.Born = t.Born
+		}
+		out = append(out, load)
 	}
-	return m
+	return out
 }
--- a/pkedge/lease.go
+++ b/pkedge/lease.go
@@ -77,7 +77,7 @@
 	var pause time.Duration
 	pktimer.Every(ctx, leaseCheckInterval, func(ctx context.Context) {
 		now := time.Now()
-		if d.stopping.Load() || now.Sub(last) < pause {
+		if d.stopping.Load() || now.Sub(last) < pause || !d.holdsOrWantsLease(ctx, now) {
 			return
 		}
 		last = now
@@ -209,6 +209,56 @@
 	return pkshare.Member{ID: s.Entry, Addr: d.gossip.addr, DataCenter: s.DataCenter, ProcessorShare: s.ProcessorShare}
 }
 
+// selfAt returns this daemon as a member at now, with its registration.
+func (d *Daemon) selfAt(now time.Time) pkshare.Member {
+	self := d.self()
+	m := &d.members
+	m.mu.Lock()
+	holds := m.leaseID != 0
+	m.mu.Unlock()
+	self.Unregistered = !holds && !m.wasRegistered(now, self.ID)
+	return self
+}
+
+// registrationView returns what this daemon knows at now of its data centre and its hubs.
+func (d *Daemon) registrationView(now time.Time) pkshare.View {
+	v := pkshare.View{Served: d.gossip.table.ServedByHub(now)}
+	m := &d.members
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v.MembersRead, v.Listed, v.Holds = m.known, m.listedBefore, m.leaseID != 0
+	v.Owner = m.owner == d.settings.Entry
+	v.Appointed = m.candidates == nil || pkshare.ContainsEntry(m.candidates, d.settings.Entry)
+	for id, one := range m.peers {
+		if id != d.settings.Entry && one.DataCenter == d.settings.DataCenter {
+			v.Registered = append(v.Registered, one)
+		}
+	}
+	return v
+}
+
+// holdsOrWantsLease reports whether this daemon is to be registered at now. A lease that is no
+// longer wanted is dropped and expires, which costs no call.
+func (d *Daemon) holdsOrWantsLease(ctx context.Context, now time.Time) bool {
+	v := d.registrationView(now)
+	wanted := d.registration.Wanted(now, v)
+	if wanted && !v.Holds && !v.Served && len(v.Registered) == 0 && d.settings.ProcessorShare > 0 {
+		d.refreshMembers(ctx)
+		now = time.Now()
+		v = d.registrationView(now)
+		wanted = d.registration.Wanted(now, v)
+	}
+	if v.Holds && !wanted {
+		m := &d.members
+		m.mu.Lock()
+		m.leaseID, m.ownRevision, m.failures, m.unanswered = 0, 0, 0, false
+		m.lease.Lost()
+		m.mu.Unlock()
+		d.log.Info("lease dropped, a hub serves this entry and needs no more candidates", "registered", len(v.Registered))
+	}
+	return wanted
+}
+
 // revokeLease revokes the lease, so that another daemon can become the owner at once.
 func (d *Daemon) revokeLease(ctx context.Context) {
 	m := &d.members
--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -17,23 +19,30 @@
 	// memberKeyPrefix and ownerKey are keys below the daemons' own prefix.
 	memberKeyPrefix = "entry/"
 	ownerKey        = "owner"
-	// memberRetention is how long a former member still counts for the retry budget, since its last
-	// retries are still within the window.
-	memberRetention = 10 * time.Second
+	// sizeKeyPrefix holds the number of entries of each data centre.
+	sizeKeyPrefix = "size/"
 )
 
-// members holds the entries of the fleet, the owner of the pools and this daemon's lease.
+// members holds the registered entries of the fleet, the owner of the pools and this daemon's lease.
 type members struct {
 	mu sync.Mutex
 	// leftAt holds when each former member left; zero for present members.
 	leftAt map[pkid.EntryID]time.Time
 	// peers are the members that accept messages.
 	peers map[pkid.EntryID]pkshare.Member
+	// candidates are the entries of this data centre that a hub expects to be registered; nil if no
+	// hub reported them.
+	candidates []pkshare.Member
+	// sizes are the numbers of entries of each data centre, as hubs saved them.
+	sizes map[pkid.DataCenter]int
+	// listedBefore is set if the first list held a key of this entry.
+	listedBefore bool
 	// owner is the daemon that owns the pools, as of ownerRevision.
 	owner         pkid.EntryID
 	ownerRevision pkstore.Revision
-	// known is set once the members were read.
-	known bool
+	// known is set once the members were read, listedAt is the revision of the last list.
+	known    bool
+	listedAt pkstore.Revision
 	// ownRevision is the revision of this daemon's own key when it was last read.
 	ownRevision pkstore.Revision
 	// reportedCount is the number of members last reported by a hub; zero once the list was read
@@ -60,11 +69,15 @@
 	}
 	listed := 0
 	for _, gone := range m.leftAt {
-		if gone.IsZero() || now.Sub(gone) < memberRetention {
+		if gone.IsZero() || now.Sub(gone) < pkshare.EntryRetention {
 			listed++
 		}
 	}
-	return max(m.reportedCount, listed, 1)
+	saved := 0
+	for _, n := range m.sizes {
+		saved += n
+	}
+	return max(m.reportedCount, listed, saved, 1)
 }
 
 // membersRelayed reports whether hubs relay the members at now, so that this entry need not follow
@@ -94,6 +107,13 @@
 	return d.members.count(now, d.gossip.table.HubMemberCount(now))
 }
 
+// countEntries returns the numbers of entries of this data centre and of the fleet, as a hub counts
+// them at now for those that it serves.
+func (d *Daemon) countEntries(now time.Time) (local, all int) {
+	local, all = d.gossip.table.EntryCounts(now, d.self(), d.members.list())
+	return local, max(all, d.members.count(now, 0))
+}
+
 // followMembers follows the list of daemons and the owner of the pools.
 func (d *Daemon) followMembers(ctx context.Context) {
 	m := &d.members
@@ -101,24 +121,9 @@
 		name:          "members",
 		prefix:        d.OwnPrefix,
 		maxBatchDelay: maxMembersBatchDelay,
-		onList: func(items []pkstore.Item, _ pkstore.Revision) {
-			now := time.Now()
-			d.loadSaved(now, items)
-			m.mu.Lock()
-			defer m.mu.Unlock()
-			m.owner, m.ownerRevision, m.ownRevision, m.known, m.reportedCount = "", 0, 0, true, 0
-			for id, gone := range m.leftAt {
-				if gone.IsZero() {
-					m.leftAt[id] = now
-					delete(m.peers, id)
-				}
-			}
-			for _, one := range items {
-				if one.Key == d.memberKey() {
-					m.ownRevision = one.Revision
-				}
-				m.apply(now, strings.TrimPrefix(one.Key, d.OwnPrefix), pkstore.Event{Item: one})
-			}
+		onList: func(items []pkstore.Item, at pkstore.Revision) {
+			d.loadSaved(time.Now(), items)
+			d.replaceMembers(time.Now(), items, at)
 		},
 		onChange: func(events []pkstore.Event, _ pkstore.Revision) {
 			now := time.Now()
@@ -129,10 +134,53 @@
 				m.apply(now, strings.TrimPrefix(ev.Item.Key, d.OwnPrefix), ev)
 			}
 		},
-		relayed: d.membersRelayed,
+		relayed:    d.membersRelayed,
+		findsHubs:  true,
+		mayBeStale: true,
 	})
 }
 
+// replaceMembers applies a list of the daemons' own keys at a revision, unless a later one was
+// applied: a stale read may be older than what is known.
+func (d *Daemon) replaceMembers(now time.Time, items []pkstore.Item, at pkstore.Revision) {
+	m := &d.members
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.known && at < m.listedAt {
+		return
+	}
+	first := !m.known
+	m.owner, m.ownerRevision, m.ownRevision, m.known, m.reportedCount = "", 0, 0, true, 0
+	m.listedAt = at
+	clear(m.peers)
+	clear(m.sizes)
+	for id, gone := range m.leftAt {
+		if gone.IsZero() {
+			m.leftAt[id] = now
+		}
+	}
+	for _, one := range items {
+		if one.Key == d.memberKey() {
+			m.ownRevision = one.Revision
+		}
+		m.apply(now, strings.TrimPrefix(one.Key, d.OwnPrefix), pkstore.Event{Item: one})
+	}
+	m.listedBefore = m.listedBefore || (first && m.ownRevision != 0)
+	d.gossip.updateLinks()
+}
+
+// refreshMembers lists the daemons' own keys before this daemon registers in a data centre that
+// seems to have no registered entry: what it has read may be seconds old.
+func (d *Daemon) refreshMembers(ctx context.Context) {
+	items, at, err := d.Store.List(ctx, d.OwnPrefix)
+	d.recordStoreCall(callList, askerLease, err)
+	if err != nil {
+		d.log.Warn("the members were not read before registration", "error", err)
+		return
+	}
+	d.replaceMembers(time.Now(), items, at)
+}
+
 // written returns the items written by events.
 func written(events []pkstore.Event) []pkstore.Item {
 	var out []pkstore.Item
@@ -155,6 +203,10 @@
 		}
 		return
 	}
+	if dc, found := strings.CutPrefix(key, sizeKeyPrefix); found {
+		m.applySize(pkid.DataCenter(dc), ev)
+		return
+	}
 	name, found := strings.CutPrefix(key, memberKeyPrefix)
 	if !found {
 		return
@@ -179,3 +231,57 @@
 
 // memberKey returns this daemon's own key.
 func (d *Daemon) memberKey() string { return d.OwnPrefix + memberKeyPrefix + string(d.settings.Entry) }
+
+// applySize applies a change of the saved number of entries of a data centre. One that cannot be
+// read is ignored.
+func (m *members) applySize(dc pkid.DataCenter, ev pkstore.Event) {
+	if m.sizes == nil {
+		m.sizes = map[pkid.DataCenter]int{}
+	}
+	n, err := strconv.Atoi(string(ev.Item.Value))
+	if ev.Deleted || err != nil {
+		delete(m.sizes, dc)
+		return
+	}
+	m.sizes[dc] = n
+}
+
+// applyCandidates replaces the members of a data centre by those that a hub reported.
+func (m *members) applyCandidates(dc pkid.DataCenter, candidates []pkshare.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.candidates = candidates
+	maps.DeleteFunc(m.peers, func(_ pkid.EntryID, one pkshare.Member) bool { return one.DataCenter == dc })
+	if m.peers == nil {
+		m.peers = map[pkid.EntryID]pkshare.Member{}
+	}
+	for _, one := range candidates {
+		if !one.Unregistered {
+			m.peers[one.ID] = one
+		}
+	}
+}
+
+// knowsOthers reports whether another entry than this one is registered.
+func (m *members) knowsOthers(self pkid.EntryID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id := range m.peers {
+		if id != self {
+			return true
+		}
+	}
+	return false
+}
+
+// wasRegistered reports whether an entry is registered at now, or was until recently: a store that
+// was unavailable drops the leases of all entries, which must not change the hubs.
+func (m *members) wasRegistered(now time.Time, id pkid.EntryID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, present := m.peers[id]; present {
+		return true
+	}
+	left, found := m.leftAt[id]
+	return found && (left.IsZero() || now.Sub(left) < pkshare.EntryRetention)
+}
--- a/pkedge/members_test.go
+++ b/pkedge/members_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"peridotknot.example/pkshare"
+	"peridotknot.example/pkstore"
 )
 
 // Guards against a retry budget that grows when the hubs that report the number of members are
@@ -38,3 +39,53 @@
 	d.receiveMessage(later, hub)
 	assert.Assert(t, !d.membersRelayed(later), "the owner follows the members itself")
 }
+
+// Guards against a stale read of the members that undoes a later one, after which an entry would
+// register a second time or dial hubs that are gone.
+func TestAnOlderListOfTheMembersIsIgnored(t *testing.T) {
+	d, _ := poolDaemon()
+	d.OwnPrefix, d.settings.Entry = "own/", "self"
+	key := func(id string) pkstore.Item {
+		return pkstore.Item{Key: "own/entry/" + id, Value: []byte(`{"id":"` + id + `","addr":"` + id + `","data_center":"a"}`), Revision: 7}
+	}
+	now := time.Now()
+	d.replaceMembers(now, []pkstore.Item{key("x"), {Key: "own/size/a", Value: []byte("200"), Revision: 8}}, 9)
+	d.replaceMembers(now, []pkstore.Item{key("x"), key("y")}, 8)
+	assert.Equal(t, len(d.members.list()), 1)
+	assert.Equal(t, d.entryCount(now), 200, "the saved number of entries")
+	d.replaceMembers(now, []pkstore.Item{key("x"), key("y")}, 10)
+	assert.Equal(t, len(d.members.list()), 2)
+}
+
+// Guards against entries that go to the store, or believe that it is followed, because of their
+// hub's state: one that relays from a hub of another data centre serves them, one that cannot does
+// not, and an entry that is served follows nothing itself.
+func TestAHubThatLostTheStoreRelays(t *testing.T) {
+	d, _ := poolDaemon()
+	d.settings.DataCenter = "a"
+	d.listed.Store(true)
+	now := time.Now()
+	hub := pkshare.Message{From: "hub", Addr: "hub", DataCenter: "a", Sequence: 1, Members: 40, Sum: &pkshare.Sum{Global: true}}
+	d.receiveMessage(now, hub)
+	assert.Assert(t, !d.gossip.table.ServedByHub(now))
+	assert.Assert(t, d.message(now).Following)
+	hub.Sequence, hub.Relaying = 2, true
+	d.receiveMessage(now, hub)
+	assert.Assert(t, d.gossip.table.ServedByHub(now))
+	assert.Assert(t, !d.message(now).Following, "it follows nothing itself")
+
+	d, _ = poolDaemon()
+	d.settings.DataCenter = "a"
+	d.listed.Store(true)
+	d.gossip.withHubs.Store(true)
+	d.gossip.designated.Store(true)
+	d.roster.MarkStoreUnavailable(now)
+	assert.Assert(t, !d.message(now).Relaying)
+	remote := pkshare.Message{From: "remote", Addr: "remote", DataCenter: "b", Sequence: 1, Relaying: true, Sum: &pkshare.Sum{}}
+	d.receiveMessage(now, remote)
+	assert.Assert(t, !d.message(now).Relaying, "two hubs without the store must not relay to each other")
+	remote.Sequence, remote.Following = 2, true
+	d.receiveMessage(now, remote)
+	assert.Assert(t, d.message(now).Relaying)
+	assert.Assert(t, !d.message(now.Add(time.Minute)).Relaying)
+}
--- a/pkedge/pace.go
+++ b/pkedge/pace.go
@@ -100,11 +100,3 @@
 		d.gossip.requestSend()
 	}
 }
-
-// requestSend triggers a message to the peers before the next one is due.
-func (s *gossip) requestSend() {
-	select {
-	case s.sendNow <- struct{}{}:
-	default: // a message is pending already
-	}
-}
--- a/pkedge/peerlink.go
+++ b/pkedge/peerlink.go
@@ -25,7 +25,7 @@
 	// role is the role of the peer towards this entry.
 	role pkshare.Role
 	// out holds the newest message that was not sent yet.
-	out chan []byte
+	out chan outgoing
 	// newConn is set by a new connection and cleared by the next broadcast, which sends a complete
 	// message over it.
 	newConn atomic.Bool
@@ -33,18 +33,29 @@
 	incomplete bool
 }
 
-// enqueue queues a message, and drops an earlier one that was not sent yet.
-func (l *peerLink) enqueue(raw []byte) {
-	if raw == nil {
+// outgoing is an encoded message.
+type outgoing struct {
+	raw []byte
+	// catchUp is set if it has state that the peer lacks.
+	catchUp bool
+}
+
+// enqueue queues a message. Of two that were not sent yet it keeps the newer one, or the one with
+// state that the peer lacks, which would be sent again much later.
+func (l *peerLink) enqueue(m outgoing) {
+	if m.raw == nil {
 		return
 	}
 	l.incomplete = false
 	select {
-	case <-l.out:
+	case old := <-l.out:
 		l.incomplete = true
+		if old.catchUp && !m.catchUp {
+			m = old
+		}
 	default:
 	}
-	l.out <- raw
+	l.out <- m
 }
 
 func (d *Daemon) runPeerLink(ctx context.Context, addr string, l *peerLink) {
@@ -81,12 +92,15 @@
 		lost()
 	})
 	l.newConn.Store(true)
+	if !d.gossip.designated.Load() {
+		d.gossip.wake() // a starting entry is served once its hubs have heard from it
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return errors.New("connection closed")
-		case raw := <-l.out:
-			if _, err := c.SendRaw(ctx, raw); err != nil {
+		case m := <-l.out:
+			if _, err := c.SendRaw(ctx, m.raw); err != nil {
 				return err
 			}
 		}
--- a/pkedge/replicas.go
+++ b/pkedge/replicas.go
@@ -26,9 +26,10 @@
 		onChange: func(events []pkstore.Event, at pkstore.Revision) {
 			d.replicasChanged(d.roster.Apply(time.Now(), d.records(events), at), at, "watch")
 		},
-		relayed: func(now time.Time) bool { return d.listed.Load() && d.gossip.table.ServedByHub(now) },
-		onLost:  func() { d.roster.MarkStoreUnavailable(time.Now()) },
-		onBack:  d.onStoreBack,
+		mayBeStale: true,
+		relayed:    func(now time.Time) bool { return d.listed.Load() && d.isServed(now) },
+		onLost:     func() { d.roster.MarkStoreUnavailable(time.Now()) },
+		onBack:     d.onStoreBack,
 	})
 }
 
--- a/pkedge/settings.go
+++ b/pkedge/settings.go
@@ -22,6 +22,9 @@
 	// ProcessorShare is the share of a processor that the VM has. In large fleets the entries with
 	// the largest share become hubs.
 	ProcessorShare float64 `yaml:"processor_share"`
+	// Bootstrap is set if all entries start for the first time. They then wait a moment for the
+	// entries with the largest processor share to serve them.
+	Bootstrap bool `yaml:"bootstrap"`
 	// MemoryMB is the memory limit in megabytes, beyond which the platform ends the process.
 	MemoryMB int   `yaml:"memory_mb"`
 	Stop     Stop  `yaml:"stop"`
--- a/pkedge/stalewatch.go
+++ b/pkedge/stalewatch.go
@@ -53,12 +53,12 @@
 }
 
 // pollConfig polls the configuration and restarts all watches if the one of the configuration has
-// missed a revision, since the others may be stale for the same reason. Only the designated entries
-// of each data centre poll, since they relay changes to the others.
+// missed a revision, since the others may be stale for the same reason. Only designated entries
+// that follow the configuration poll, since they relay changes to the others.
 func (d *Daemon) pollConfig(ctx context.Context) {
 	var seen pkstore.Revision
 	pktimer.Every(ctx, configPollInterval, func(ctx context.Context) {
-		if !d.gossip.designated.Load() || d.configs.Table() == nil || d.store.isOpen() {
+		if !d.gossip.designated.Load() || d.isServed(time.Now()) || d.configs.Table() == nil || d.store.isOpen() {
 			return
 		}
 		at, err := d.Feed.StaleRevision(ctx)
--- a/pkedge/storecalls.go
+++ b/pkedge/storecalls.go
@@ -17,12 +17,14 @@
 
 // Kinds of calls to the store.
 const (
-	callList   = "list"
-	callWatch  = "watch"
-	callGrant  = "grant"
-	callRenew  = "renew"
-	callWrite  = "write"
-	callRevoke = "revoke"
+	callList = "list"
+	// callStaleList is a list that may return data that is some seconds old.
+	callStaleList = "stale_list"
+	callWatch     = "watch"
+	callGrant     = "grant"
+	callRenew     = "renew"
+	callWrite     = "write"
+	callRevoke    = "revoke"
 	// callPeek is a read that may return data that is some seconds old.
 	callPeek = "peek"
 )
@@ -33,6 +35,7 @@
 	askerConfig = "config"
 	askerLease  = "lease"
 	askerOwner  = "owner"
+	askerSize   = "size"
 	// askerQuarantine saves quarantined requests for entries that start later.
 	askerQuarantine = "quarantine"
 )
--- a/pkshare/hub.go
+++ b/pkshare/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -29,6 +30,29 @@
 	DataCenter pkid.DataCenter `json:"data_center"`
 	// ProcessorShare is the share of a processor that its VM has.
 	ProcessorShare float64 `json:"processor_share"`
+	// Unregistered is set if the entry has no key in the store and is known only from its messages.
+	Unregistered bool `json:"unregistered,omitempty"`
+}
+
+// comparePreference orders members by how well they serve as hubs: those with the largest processor
+// share first, then those that are registered, then by ID.
+func comparePreference(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.share(), a.share()), compareBool(a.Unregistered, b.Unregistered), cmp.Compare(a.ID, b.ID))
+}
+
+// share returns the processor share at the precision of messages, which show it less exactly than
+// the store does.
+func (m Member) share() float32 { return float32(m.ProcessorShare) }
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
 }
 
 // Role is the role of another entry relative to this one, which decides what it is sent.
@@ -49,55 +73,88 @@
 // UsesHubs reports whether entries use hubs where there are that many others.
 func UsesHubs(others int) bool { return others >= hubThreshold }
 
-// IsDesignated reports whether this entry is one of the designated entries of its data centre at
-// now. They are its hubs where there are hubs.
-func (t *Table) IsDesignated(now time.Time, self Member, others []Member) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return slices.Contains(t.hubs(now, self, append(slices.Clone(others), self), self.DataCenter), self.ID)
+// Roles are the roles of an entry and of those that it sends to.
+type Roles struct {
+	// ByAddr holds the other entries that this one sends to, by address.
+	ByAddr map[string]Role
+	// Designated is set if this entry is one of the designated entries of its data centre, which
+	// are its hubs where there are hubs; First is set if it is the first of them.
+	Designated bool
+	First      bool
+	// FirstHub is the first designated entry.
+	FirstHub pkid.EntryID
 }
 
-// Roles returns the other entries that this one sends to at now, by address.
+// Roles returns the roles at now of this entry and of the others that it sends to.
 //
 // In a small fleet each entry sends to all others. In a large one it sends to the hubs of its data
 // centre. These add up the loads, send the sum to the hubs of other data centres, and send the sum
 // over all to their own entries.
-func (t *Table) Roles(now time.Time, self Member, others []Member) map[string]Role {
+func (t *Table) Roles(now time.Time, self Member, others []Member) Roles {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := map[string]Role{}
+	candidates := hubCandidates(append(slices.Clone(others), self))
+	local := t.hubs(now, self, candidates[self.DataCenter])
+	out := Roles{ByAddr: map[string]Role{}, Designated: slices.Contains(local, self.ID)}
+	if len(local) > 0 {
+		out.FirstHub = local[0]
+		out.First = local[0] == self.ID
+	}
 	if !UsesHubs(len(others)) {
 		for _, m := range others {
-			out[m.Addr] = Peer
+			out.ByAddr[m.Addr] = Peer
 		}
 		return out
 	}
-	all := append(slices.Clone(others), self)
-	local := t.hubs(now, self, all, self.DataCenter)
-	isHub := slices.Contains(local, self.ID)
+	remote := map[pkid.EntryID]bool{}
+	if out.Designated {
+		for dc := range candidates {
+			for _, id := range t.hubs(now, self, candidates[dc]) {
+				remote[id] = dc != self.DataCenter
+			}
+		}
+	}
 	for _, m := range others {
 		switch {
 		case m.DataCenter == self.DataCenter && slices.Contains(local, m.ID):
-			out[m.Addr] = Peer
-		case m.DataCenter == self.DataCenter && isHub:
-			out[m.Addr] = Spoke
-		case isHub && slices.Contains(t.hubs(now, self, all, m.DataCenter), m.ID):
-			out[m.Addr] = RemoteHub
+			out.ByAddr[m.Addr] = Peer
+		case m.DataCenter == self.DataCenter && out.Designated:
+			out.ByAddr[m.Addr] = Spoke
+		case remote[m.ID]:
+			out.ByAddr[m.Addr] = RemoteHub
 		}
 	}
 	return out
 }
 
-// hubs returns the hubs of a data centre by this entry's own observation: those with the largest
-// processor share, then the lowest ID, without silent ones. Each entry excludes a silent hub
-// independently, including the entry that becomes hub in its place.
-func (t *Table) hubs(now time.Time, self Member, all []Member, dc pkid.DataCenter) []pkid.EntryID {
-	local := slices.DeleteFunc(slices.Clone(all), func(m Member) bool { return m.DataCenter != dc })
-	slices.SortFunc(local, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(b.ProcessorShare, a.ProcessorShare), cmp.Compare(a.ID, b.ID))
-	})
+// hubCandidates returns the entries that can be hubs by data centre, the preferred ones first. These
+// are the registered ones, or all of a data centre that has none.
+func hubCandidates(all []Member) map[pkid.DataCenter][]Member {
+	out := map[pkid.DataCenter][]Member{}
+	for _, m := range all {
+		if !m.Unregistered {
+			out[m.DataCenter] = append(out[m.DataCenter], m)
+		}
+	}
+	unregistered := map[pkid.DataCenter][]Member{}
+	for _, m := range all {
+		if m.Unregistered && out[m.DataCenter] == nil {
+			unregistered[m.DataCenter] = append(unregistered[m.DataCenter], m)
+		}
+	}
+	maps.Copy(out, unregistered)
+	for _, members := range out {
+		slices.SortFunc(members, comparePreference)
+	}
+	return out
+}
+
+// hubs returns the hubs among the candidates of a data centre by this entry's own observation: the
+// preferred ones without silent ones. Each entry excludes a silent hub independently, including the
+// entry that becomes hub in its place.
+func (t *Table) hubs(now time.Time, self Member, candidates []Member) []pkid.EntryID {
 	var out []pkid.EntryID
-	for _, m := range local {
+	for _, m := range candidates {
 		if len(out) == hubsPerDataCenter {
 			break
 		}
--- a/pkshare/message.go
+++ b/pkshare/message.go
@@ -39,7 +39,7 @@
 	// StoreRecoveredAgoMS is how many milliseconds ago the sender could reach the store again; zero
 	// where that is not recent.
 	StoreRecoveredAgoMS int64 `cbor:"17,keyasint,omitempty"`
-	// Members is the number of entries in the store as read by a hub; zero if the sender only
+	// Members is the number of entries of the fleet as counted by a hub; zero if the sender only
 	// received it from a hub.
 	Members int `cbor:"18,keyasint,omitempty"`
 	// Cases are quarantine cases that the sender learned recently or that the receiver appears to
@@ -53,6 +53,18 @@
 	Version pkconfig.Version `cbor:"22,keyasint,omitempty"`
 	// Paces are engines that are, or recently were, slower than their kind.
 	Paces []pkpace.Observation `cbor:"21,keyasint,omitempty"`
+	// Relaying is set if the sender is a hub that cannot reach the store itself but receives what it
+	// lacks from a hub of another data centre that can.
+	Relaying bool `cbor:"23,keyasint,omitempty"`
+	// LocalEntries is the number of entries of the sender's data centre as counted by a hub; zero
+	// from other senders.
+	LocalEntries int `cbor:"24,keyasint,omitempty"`
+	// Candidates are the entries of the data centre that a hub expects to be registered in the
+	// store, among which hubs are chosen; empty if the receiver has them already.
+	Candidates []Member `cbor:"25,keyasint,omitempty"`
+	// PackedConfig is like NewConfig with a compressed value. Earlier builds skip it, and follow
+	// the configuration themselves.
+	PackedConfig *pkstore.Item `cbor:"26,keyasint,omitempty"`
 	// DataCenter and ProcessorShare are those of the sender.
 	DataCenter     pkid.DataCenter `cbor:"12,keyasint,omitempty"`
 	ProcessorShare float32         `cbor:"14,keyasint,omitempty"`
--- a/pkshare/table.go
+++ b/pkshare/table.go
@@ -28,6 +28,9 @@
 	// receive a change from the store within milliseconds. Hubs send the replica list without
 	// delay, since their entries do not watch it themselves.
 	catchUpDelay = 250 * time.Millisecond
+	// standbyDelay is the same at a hub that is not the first of its data centre: the first one's
+	// catch-up and the answer to it take two messages.
+	standbyDelay = HubInterval + 200*time.Millisecond
 	// catchUpRetry is the pause before an entry that still lags is sent the same state again.
 	catchUpRetry = time.Second
 	// catchUpSenders is how many entries send the same state to a lagging one.
@@ -65,8 +68,12 @@
 	// when it has done so without interruption.
 	following      bool
 	followingSince time.Time
-	// members is the number of entries that the peer read from the store.
-	members int
+	// relaying is set if the peer is a hub that receives the replica list from another one.
+	relaying bool
+	// members and localEntries are the numbers of entries of the fleet and of the peer's data
+	// centre, as the peer counted them.
+	members      int
+	localEntries int
 }
 
 // Table holds the last state of each other entry; the zero value is empty.
@@ -113,7 +120,8 @@
 	if m.Following && !p.following {
 		p.followingSince = now
 	}
-	p.following, p.members, p.quarantineChecksum = m.Following, m.Members, m.QuarantineChecksum
+	p.following, p.relaying, p.quarantineChecksum = m.Following, m.Relaying, m.QuarantineChecksum
+	p.members, p.localEntries = m.Members, m.LocalEntries
 	p.sum, p.dataCenter, p.processorShare = m.Sum, m.DataCenter, float64(m.ProcessorShare)
 	return true
 }
@@ -185,6 +193,25 @@
 	// Hub is set if this entry is a hub of the peer. It then sends a catch-up regardless of other
 	// entries.
 	Hub bool
+	// Spoke is set if the peer relies on this hub and follows nothing in the store itself.
+	Spoke bool
+	// Standby is set if another hub of the data centre comes first. This one then waits for the
+	// other before it sends the same.
+	Standby bool
+}
+
+// catchUpWaits returns how long a peer may lag before it is sent the configuration and the list.
+func (l LocalState) catchUpWaits() (config, list time.Duration) {
+	switch {
+	case l.Spoke && l.Standby:
+		return standbyDelay, standbyDelay
+	case l.Spoke:
+		return 0, 0
+	case l.Hub:
+		return catchUpDelay, 0
+	default:
+		return catchUpDelay, catchUpDelay
+	}
 }
 
 // CatchUp is what to send to a lagging peer: the configuration, the records of the replica list
@@ -206,17 +233,14 @@
 	if p == nil || now.Sub(p.lastReceivedAt) >= staleAfter {
 		return CatchUp{}
 	}
-	wait := catchUpDelay
-	if local.Hub {
-		wait = 0
-	}
+	configWait, listWait := local.catchUpWaits()
 	var out CatchUp
-	if sustained(now, &p.configBehindSince, p.hasOlderConfig(local), catchUpDelay) && now.Sub(p.configSentAt) >= catchUpRetry &&
+	if sustained(now, &p.configBehindSince, p.hasOlderConfig(local), configWait) && now.Sub(p.configSentAt) >= catchUpRetry &&
 		(local.Hub || t.sendsCatchUp(now, to, local.Self, func(p *peer) bool { return !p.hasOlderConfig(local) })) {
 		p.configSentAt = now
 		out.Config = true
 	}
-	if sustained(now, &p.listBehindSince, p.list < local.List, wait) && now.Sub(p.listSentAt) >= catchUpRetry &&
+	if sustained(now, &p.listBehindSince, p.list < local.List, listWait) && now.Sub(p.listSentAt) >= catchUpRetry &&
 		(local.Hub || t.sendsCatchUp(now, to, local.Self, func(p *peer) bool { return p.list >= local.List })) {
 		p.listSentAt = now
 		out.List, out.After = true, p.list
@@ -250,9 +274,9 @@
 	return false
 }
 
-// ServedByHub reports whether a hub sends this entry the replica list and the number of members, so
-// that it need not watch them in the store: each watching entry costs the store one call per
-// change.
+// ServedByHub reports whether a hub sends this entry the configuration, the replica list and the
+// number of members, so that it need not watch them in the store: each watching entry costs the
+// store one call per change.
 func (t *Table) ServedByHub(now time.Time) bool { return t.HubMemberCount(now) > 0 }
 
 // HubMemberCount returns the number of members that hubs report; zero where no hub serves this
@@ -262,7 +286,7 @@
 	defer t.mu.Unlock()
 	most := 0
 	for _, p := range t.peers {
-		if p.sum != nil && p.sum.Global && p.following && now.Sub(p.lastReceivedAt) < staleAfter {
+		if p.sum != nil && p.sum.Global && (p.following || p.relaying) && now.Sub(p.lastReceivedAt) < staleAfter {
 			most = max(most, p.members)
 		}
 	}
@@ -314,14 +338,15 @@
 	}
 }
 
-// Members returns the entries that accept messages and whose last message is not stale.
+// Members returns the entries that accept messages and whose last message is not stale. Only the
+// store shows which of them are registered.
 func (t *Table) Members(now time.Time) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Member
 	for id, p := range t.peers {
 		if now.Sub(p.lastReceivedAt) < staleAfter && p.addr != "" {
-			out = append(out, Member{ID: id, Addr: p.addr, DataCenter: p.dataCenter, ProcessorShare: p.processorShare})
+			out = append(out, Member{ID: id, Addr: p.addr, DataCenter: p.dataCenter, ProcessorShare: p.processorShare, Unregistered: true})
 		}
 	}
 	return out
