--- a/pkedge/broadcast.go
+++ b/pkedge/broadcast.go
@@ -69,7 +69,7 @@
 }
 
 // messageForm selects the variant of a message for a peer link: by the peer's role, with full sums
-// or only their changes, and with what the peer lacks. Fleets that start at once lack the same.
+// or only their changes, and with what the peer lacks, which is the same for entries that start together.
 type messageForm struct {
 	role    pkshare.Role
 	full    bool
--- a/pkshare/message.go
+++ b/pkshare/message.go
@@ -53,8 +53,8 @@
 	Version pkconfig.Version `cbor:"22,keyasint,omitempty"`
 	// Paces are engines that are, or recently were, slower than their kind.
 	Paces []pkpace.Observation `cbor:"21,keyasint,omitempty"`
-	// Relaying is set if the sender is a hub that cannot reach the store itself but receives what it
-	// lacks from a hub of another data centre that can.
+	// Relaying is set if the sender is a hub that does not follow the store itself but receives its
+	// changes from a hub that does.
 	Relaying bool `cbor:"23,keyasint,omitempty"`
 	// LocalEntries is the number of entries of the sender's data centre as counted by a hub; zero
 	// from other senders.
--- a/pkshare/table.go
+++ b/pkshare/table.go
@@ -68,7 +68,7 @@
 	// when it has done so without interruption.
 	following      bool
 	followingSince time.Time
-	// relaying is set if the peer is a hub that receives the replica list from another one.
+	// relaying is set if the peer is a hub that receives the store's changes from another one.
 	relaying bool
 	// members and localEntries are the numbers of entries of the fleet and of the peer's data
 	// centre, as the peer counted them.
