--- a/pkshare/registration.go
+++ b/pkshare/registration.go
@@ -9,12 +9,12 @@
 
 const (
 	// registeredPerDataCenter is the number of entries of a data centre that are registered in the
-	// store; hubs are chosen among them. Where more entries exist, each one knows at least
-	// hubThreshold others and uses hubs.
+	// store; hubs are chosen among them. Where more entries exist, each one finds at
+	// least hubThreshold others and uses hubs.
 	registeredPerDataCenter = hubThreshold + 1
 	// registerDelay is how long after its start an entry with a whole processor registers, and
-	// maxRegisterDelay bounds the delay of those with a share of one, before their jitter: large VMs come first, and the
-	// small ones find them.
+	// maxRegisterDelay bounds the delay of those with a share of one, before their jitter: large
+	// VMs come first, and the small ones find them.
 	registerDelay    = 250 * time.Millisecond
 	maxRegisterDelay = 2 * time.Second
 	// unservedDelay is how long an entry that is not needed waits for a hub before it registers,
@@ -25,9 +25,9 @@
 	dismissedDelay = 5 * time.Second
 	// StartTimeout is how long a starting entry waits for the members to be read.
 	StartTimeout = time.Second
-	// hubWait is how long a starting entry that knows hubs waits for them.
+	// hubWait is how long a starting entry that has found hubs waits for them.
 	hubWait = 1500 * time.Millisecond
-	// settleTime is how long after its registration an entry that knows no hubs waits for others.
+	// settleTime is how long after its registration an entry without hubs waits for others.
 	settleTime = 500 * time.Millisecond
 )
 
