pkedge, pkrate: limits that targets name are decoded, logged and counted

A gauge counts limited targets, a counter headers that cannot be used (signs, exponents, infinite, doubled, dates). Nothing decides by it yet.

--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -22,6 +22,7 @@
 	"peridotknot.example/pklayers"
 	"peridotknot.example/pkowner"
 	"peridotknot.example/pkpace"
+	"peridotknot.example/pkrate"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkretry"
 	"peridotknot.example/pkshare"
@@ -66,6 +67,7 @@
 	configs   pkconfig.Holder
 	roster    pkreplica.Roster
 	paces     pkpace.Table
+	limits    pkrate.Table
 	linkUsage pklayers.LinkUsage
 	// memoryPenalty is how the cost of an engine grows as its memory fills.
 	memoryPenalty pklayers.MemoryPenalty
--- a/pkedge/metrics.go
+++ b/pkedge/metrics.go
@@ -11,16 +11,18 @@
 // metrics are the metrics served at /metrics. Accounts, routes and targets are not used as labels,
 // to bound the number of series.
 type metrics struct {
-	registry      *prometheus.Registry
-	requests      *prometheus.CounterVec
-	failed        *prometheus.CounterVec
-	orders        *prometheus.CounterVec
-	unusable      *prometheus.CounterVec
-	storeCalls    *prometheus.CounterVec
-	watchEnds     *prometheus.CounterVec
-	repeated      prometheus.Counter
-	storeRestores prometheus.Counter
-	firstEvent    prometheus.Histogram
+	registry   *prometheus.Registry
+	requests   *prometheus.CounterVec
+	failed     *prometheus.CounterVec
+	orders     *prometheus.CounterVec
+	unusable   *prometheus.CounterVec
+	storeCalls *prometheus.CounterVec
+	watchEnds  *prometheus.CounterVec
+	// invalidHeaders counts unusable headers of targets' responses.
+	invalidHeaders *prometheus.CounterVec
+	repeated       prometheus.Counter
+	storeRestores  prometheus.Counter
+	firstEvent     prometheus.Histogram
 }
 
 func newMetrics(d *Daemon) *metrics {
@@ -28,15 +30,16 @@
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
 	}
 	m := &metrics{
-		registry:      prometheus.NewRegistry(),
-		requests:      counter("peridotknot_requests_total", "Requests by kind and outcome.", "kind", "outcome"),
-		failed:        counter("peridotknot_sends_failed_total", "Failed sends by verdict and reason.", "verdict", "reason"),
-		orders:        counter("peridotknot_orders_total", "Orders to engines by outcome.", "outcome"),
-		unusable:      counter("peridotknot_replica_entries_unusable_total", "Changed entries of the list that name no replica to use, by the field at fault.", "field"),
-		storeCalls:    counter("peridotknot_store_calls_total", "Calls to the store by kind, asker and outcome.", "call", "asker", "outcome"),
-		watchEnds:     counter("peridotknot_watches_ended_total", "Watches at the store that ended without an answer to go on from, by reason.", "watch", "reason"),
-		repeated:      prometheus.NewCounter(prometheus.CounterOpts{Name: "peridotknot_sends_repeated_total", Help: "Sends beyond the first of a request."}),
-		storeRestores: prometheus.NewCounter(prometheus.CounterOpts{Name: "peridotknot_store_returns_total", Help: "Returns of the store from an older copy of itself."}),
+		registry:       prometheus.NewRegistry(),
+		requests:       counter("peridotknot_requests_total", "Requests by kind and outcome.", "kind", "outcome"),
+		failed:         counter("peridotknot_sends_failed_total", "Failed sends by verdict and reason.", "verdict", "reason"),
+		orders:         counter("peridotknot_orders_total", "Orders to engines by outcome.", "outcome"),
+		unusable:       counter("peridotknot_replica_entries_unusable_total", "Changed entries of the list that name no replica to use, by the field at fault.", "field"),
+		storeCalls:     counter("peridotknot_store_calls_total", "Calls to the store by kind, asker and outcome.", "call", "asker", "outcome"),
+		watchEnds:      counter("peridotknot_watches_ended_total", "Watches at the store that ended without an answer to go on from, by reason.", "watch", "reason"),
+		invalidHeaders: counter("peridotknot_response_headers_invalid_total", "Headers of targets' responses that cannot be used, by what they hold.", "header"),
+		repeated:       prometheus.NewCounter(prometheus.CounterOpts{Name: "peridotknot_sends_repeated_total", Help: "Sends beyond the first of a request."}),
+		storeRestores:  prometheus.NewCounter(prometheus.CounterOpts{Name: "peridotknot_store_returns_total", Help: "Returns of the store from an older copy of itself."}),
 		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "peridotknot_first_event_seconds", Help: "Time from a request to its first event.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 1.6, 16),
@@ -45,7 +48,7 @@
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.requests, m.failed, m.orders, m.unusable, m.storeCalls, m.watchEnds, m.repeated, m.storeRestores, m.firstEvent,
+	m.registry.MustRegister(m.requests, m.failed, m.orders, m.unusable, m.storeCalls, m.watchEnds, m.invalidHeaders, m.repeated, m.storeRestores, m.firstEvent,
 		gauge("peridotknot_config_version", "Version of the configuration in force.", func() float64 {
 			if t := d.configs.Table(); t != nil {
 				return float64(t.Version)
@@ -58,6 +61,7 @@
 		gauge("peridotknot_members", "Entries that share what is bounded over all.", func() float64 { return float64(d.entryCount(time.Now())) }),
 		gauge("peridotknot_targets_avoided", "Targets that are passed over for failures.", func() float64 { return float64(d.avoided(time.Now())) }),
 		gauge("peridotknot_slow_engines", "Engines that are slower than their kind.", func() float64 { return float64(d.paces.Slow(time.Now())) }),
+		gauge("peridotknot_rate_limited_targets", "Targets that name a limit on the requests of all entries.", func() float64 { return float64(d.limits.Named()) }),
 		gauge("peridotknot_quarantined_requests", "Requests that are kept from replicas, since each that ran them ended.", func() float64 {
 			held, _ := d.quarantine.table.Counts(time.Now())
 			return float64(held)
--- a/pkforward/exchange.go
+++ b/pkforward/exchange.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"peridotknot.example/pkid"
 	"peridotknot.example/pklayers"
+	"peridotknot.example/pkrate"
 )
 
 // RequestMeta is the request metadata from a caller's headers.
@@ -56,8 +58,21 @@
 	FaultAddr string
 	// Load is the number of requests that the target reports; negative if not given.
 	Load int
+	// Limit is the request rate that the target accepts from all entries together.
+	Limit pkrate.Limit
+	// Invalid lists the headers of the response whose values cannot be used.
+	Invalid []ResponseHeader
 }
 
+// ResponseHeader is a header of a response, by what it holds.
+type ResponseHeader string
+
+// HeaderRateLimit holds the target's limit on requests.
+const HeaderRateLimit ResponseHeader = "rate_limit"
+
+// IsInvalid reports whether a header of the response cannot be used.
+func (m ResponseMeta) IsInvalid(h ResponseHeader) bool { return slices.Contains(m.Invalid, h) }
+
 // Dialect parses and writes the headers of a platform's wire format.
 type Dialect interface {
 	// ParseRequest parses the headers of a caller's request.
--- a/pkid/id.go
+++ b/pkid/id.go
@@ -68,6 +68,9 @@
 // Tokens is a number of tokens.
 type Tokens int
 
+// RequestRate is a number of requests per second.
+type RequestRate float64
+
 // Layer is the index of a layer of a model, starting at 0.
 type Layer int
 
