pkrate, pkedge: a target gets no more than the rate limit that it names

What callers' targets saw: arrivals at a target did not change when it named a limit of N requests a second (LIMIT; 142 in 4 s where 84 were allowed). Cause: nothing read the header. It is not enough to read it: the rate belongs to all entries, each entry learns of it from its own responses, and knows nothing of the others' requests of the last moments. An even share that is spent as it comes is none where the entries outnumber it, and saved up it is as many at once as there are entries. Change: pkrate divides a rate among entries. Each entry issues itself permits at an even share, at regular times from its place on; unused ones expire after a second. The limit is the one of the latest request, by the time at which it was sent, so that late responses neither end nor revive it; it ends with the start of its target. Plain calls pass by targets without a permit; paths do not enter a pool by such engines, but may pass through them, since what engines pass on is no request of an entry. Repeats and resumed streams need a permit too; health checks, reports and orders do not. Where all targets are at their limits, callers are refused at once, not run, with the time until some entry has a permit. An entry still has to be told by its own responses.

--- a/pkedge/choose.go
+++ b/pkedge/choose.go
@@ -88,6 +88,7 @@
 	m := s.Engine
 	live := d.liveEngines(now, s.ID, m)
 	entries := d.entryCount(now)
+	share, limited := d.share(now), d.limits.Named() > 0 && !q.inPath
 	engines := make([]pklayers.Engine, 0, len(live))
 	for _, t := range live {
 		cost, ok := layerCost(now, m, t, q, entries, d.memoryPenalty)
@@ -101,6 +102,7 @@
 		engines = append(engines, pklayers.Engine{
 			ID: t.ID, DataCenter: t.DataCenter, Kind: t.Kind, Held: t.Held, Cost: cost,
 			QueueDelay: batchWait(t.Held.Len(), cost) + time.Duration(float64(t.Backlog(now, entries))/q.amortTokens(m)),
+			NotFirst:   limited && d.limits.Wait(now, t.ID, t.Born, share) > 0,
 		})
 	}
 	costs := d.pathCosts(now, m, q)
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -58,6 +58,8 @@
 type Daemon struct {
 	Ports
 	settings Settings
+	// place is this entry's place in the order in which entries take turns.
+	place float64
 	// retry and seeds are the settings that can change while the daemon runs.
 	retry   atomic.Pointer[Retry]
 	seeds   atomic.Pointer[[]string]
@@ -118,7 +120,7 @@
 
 // New returns a daemon whose listeners are open. Requests are served once Run is called.
 func New(s Settings, p Ports, log hclog.Logger) (*Daemon, error) {
-	d := &Daemon{Ports: p, settings: s, log: log, configured: make(chan struct{}), memoryPenalty: pklayers.InversePenalty}
+	d := &Daemon{Ports: p, settings: s, place: placeOf(s.Entry), log: log, configured: make(chan struct{}), memoryPenalty: pklayers.InversePenalty}
 	d.retry.Store(&s.Retry)
 	d.seeds.Store(&s.Seeds)
 	d.streams.wake = make(chan struct{}, 1)
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -50,7 +50,7 @@
 }
 
 func (c *call) retryLimits() pkretry.Limits {
-	return c.retry.Load().limits(c.settings.Entry, c.entryCount(c.began))
+	return c.retry.Load().limits(c.share(c.began))
 }
 
 // servePlain serves a call to a plain service.
@@ -62,8 +62,12 @@
 			cause = held
 			break
 		}
-		t, found := c.roster.Choose(time.Now(), c.service, c.tried)
-		if !found || !c.maySend(verdict) {
+		t, err := c.waitForTarget(ctx)
+		if err != nil {
+			cause = errors.Join(cause, err)
+			break
+		}
+		if !c.maySend(verdict) {
 			break
 		}
 		c.sends++
--- a/pkedge/settings.go
+++ b/pkedge/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"peridotknot.example/pkid"
+	"peridotknot.example/pkrate"
 	"peridotknot.example/pkretry"
 	"peridotknot.example/pkyaml"
 )
@@ -54,10 +55,14 @@
 	Slack   float64 `yaml:"slack"`
 }
 
-func (r Retry) limits(self pkid.EntryID, entries int) pkretry.Limits {
+func (r Retry) limits(s pkrate.Share) pkretry.Limits {
+	return pkretry.Limits{Ratio: r.Ratio, Slack: r.Slack, Window: seconds(r.WindowS), Entries: s.Entries, Place: s.Place}
+}
+
+// placeOf returns the place of an entry, from 0 to 1, in the order in which entries take turns.
+func placeOf(self pkid.EntryID) float64 {
 	digest := sha256.Sum256([]byte(self))
-	place := float64(binary.BigEndian.Uint32(digest[:])) / (1 << 32)
-	return pkretry.Limits{Ratio: r.Ratio, Slack: r.Slack, Window: seconds(r.WindowS), Entries: entries, Place: place}
+	return float64(binary.BigEndian.Uint32(digest[:])) / (1 << 32)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -134,11 +134,16 @@
 		now := time.Now()
 		p, found := c.nextPath(now, s)
 		switch {
-		case found:
+		case found && c.takePermit(now, p.first()):
 			return p, nil
+		case found:
+			continue // another request took the last permit
 		case now.After(until):
 			return c.lastResortPath(now, s)
 		}
+		if err := c.entryLimit(now, s); err != nil && !c.headSent && now.Add(err.wait).After(until) {
+			return targetPath{}, err
+		}
 		select {
 		case <-ctx.Done():
 			return targetPath{}, ctx.Err()
@@ -155,7 +160,7 @@
 	}
 	q := c.requestQuery(s)
 	q.lastResort = true
-	if p, found := c.findPath(now, s, q); found {
+	if p, found := c.findPath(now, s, q); found && c.takePermit(now, p.first()) {
 		return p, nil
 	}
 	c.logShortage(now, c.req.Meta.ID, s, q)
@@ -167,7 +172,7 @@
 	if s.Engine != nil {
 		return c.findPath(now, s, c.requestQuery(s))
 	}
-	t, found := c.roster.Choose(now, s.ID, c.tried)
+	t, found := c.chooseTarget(now, s.ID)
 	if !found {
 		return targetPath{}, false
 	}
--- a/pkid/id.go
+++ b/pkid/id.go
@@ -82,3 +82,6 @@
 
 // Len returns the number of layers in r.
 func (r Range) Len() int { return int(r.End - r.First) }
+
+// Contains reports whether l is in r.
+func (r Range) Contains(l Layer) bool { return r.First <= l && l < r.End }
--- a/pklayers/path.go
+++ b/pklayers/path.go
@@ -16,6 +16,8 @@
 	Cost time.Duration
 	// QueueDelay is the time that a token waits before the engine processes it.
 	QueueDelay time.Duration
+	// NotFirst excludes the engine as the first of a path; others may pass requests on to it.
+	NotFirst bool
 }
 
 // Stage is an engine and the layers that it runs on a path.
@@ -119,9 +121,9 @@
 	for i = head; i >= 0; i = next[i] {
 		other := &kept[i]
 		switch {
-		case e.Cost >= other.Cost && e.QueueDelay >= other.QueueDelay:
+		case e.Cost >= other.Cost && e.QueueDelay >= other.QueueDelay && (e.NotFirst || !other.NotFirst):
 			return i, false
-		case e.Cost <= other.Cost && e.QueueDelay <= other.QueueDelay:
+		case e.Cost <= other.Cost && e.QueueDelay <= other.QueueDelay && (other.NotFirst || !e.NotFirst):
 			return i, true
 		}
 	}
--- a/pklayers/search.go
+++ b/pklayers/search.go
@@ -170,7 +170,7 @@
 	engine := &s.engines[e]
 	work := time.Duration(s.boundaries[i+1]-s.boundaries[i]) * engine.Cost
 	if i == 0 {
-		return state{engine: e, prev: -1, stages: 1, cost: engine.QueueDelay + work + s.costs.reach(s.home, engine.DataCenter)}, true
+		return state{engine: e, prev: -1, stages: 1, cost: engine.QueueDelay + work + s.costs.reach(s.home, engine.DataCenter)}, !engine.NotFirst
 	}
 	var out state
 	if stay := s.previous[e]; stay.stages > 0 && engine.Held.First <= s.boundaries[i-1] {
--- a/pkrate/table_test.go
+++ b/pkrate/table_test.go
@@ -1,6 +1,7 @@
 package pkrate
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -43,3 +44,22 @@
 	table.Record("a", 5, perSecond(1), start.Add(2*time.Second))
 	assert.Equal(t, table.Limit("a", 6), Limit{})
 }
+
+// Guards against a table that grows with each start of each target, and a count of limited targets
+// that drifts as they are dropped.
+func TestOldResponsesAreDropped(t *testing.T) {
+	var table Table
+	now := start
+	for i := range 20 * minPruned {
+		now = now.Add(time.Second)
+		table.Record(pkid.TargetID(fmt.Sprint(i)), 0, perSecond(1), now)
+	}
+	kept := int(retention / time.Second)
+	assert.Assert(t, len(table.byTarget) <= 2*kept, "%d targets", len(table.byTarget))
+	assert.Equal(t, table.Named(), len(table.byTarget))
+	later := now.Add(2 * retention)
+	for i := range 20 * minPruned {
+		table.Record(pkid.TargetID(fmt.Sprint(i)), 0, Limit{}, later.Add(time.Duration(i)))
+	}
+	assert.Equal(t, table.Named(), 0)
+}
--- a/pkreplica/roster.go
+++ b/pkreplica/roster.go
@@ -227,13 +227,13 @@
 	return t, found
 }
 
-// Choose returns the live target of a service with the shortest expected wait that is not in avoid.
-// If every remaining target is avoided for failures, it returns the one whose avoidance ends first,
-// since it may still answer.
-func (r *Roster) Choose(now time.Time, s pkid.ServiceID, avoid []pkid.TargetID) (*Target, bool) {
+// Choose returns the live target of a service with the shortest expected wait that may be used. If
+// every such target is avoided for failures, it returns the one whose avoidance ends first, since
+// it may still answer.
+func (r *Roster) Choose(now time.Time, s pkid.ServiceID, mayUse func(*Target) bool) (*Target, bool) {
 	var best, fallback *Target
 	for _, t := range r.Live(now, s) {
-		if slices.Contains(avoid, t.ID) {
+		if !mayUse(t) {
 			continue
 		}
 		if t.Avoided(now) {
--- a/pkreplica/roster_test.go
+++ b/pkreplica/roster_test.go
@@ -122,13 +122,14 @@
 	b.RecordSuccess(10 * time.Millisecond)
 	c.RecordSuccess(10 * time.Millisecond)
 	c.Begin(start, 0, 0, 0)
-	got, found := r.Choose(start, "s", nil)
+	all := func(*Target) bool { return true }
+	got, found := r.Choose(start, "s", all)
 	assert.Assert(t, found)
 	assert.Equal(t, got.ID, pkid.TargetID("b"))
 	b.RecordFailure(start)
-	got, _ = r.Choose(start, "s", nil)
+	got, _ = r.Choose(start, "s", all)
 	assert.Equal(t, got.ID, pkid.TargetID("c"))
-	got, _ = r.Choose(start, "s", []pkid.TargetID{"a", "c"})
+	got, _ = r.Choose(start, "s", func(t *Target) bool { return t.ID == "b" })
 	assert.Equal(t, got.ID, pkid.TargetID("b"), "a failed target is better than none")
 }
 
