pkrate, pkshare, pkedge: entries report the limits of targets to one another

Cause: an entry learned of a limit, and of its end, by requests of its own alone. Before a fleet of a thousand entries a target that takes one request a second would get one more of each of them, and after its need an entry would go on sparing it until its next permit, up to twenty minutes later. Change: messages hold the limits that the sender has observed, a hub's also those that reached it, with the age of the observation and the start of the target.

--- a/pkedge/gossip.go
+++ b/pkedge/gossip.go
@@ -16,6 +16,7 @@
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkpack"
 	"peridotknot.example/pkpeer"
+	"peridotknot.example/pkrate"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkshare"
 	"peridotknot.example/pkstore"
@@ -146,6 +147,7 @@
 		d.receiveSuspicion(now, m.From, one)
 	}
 	d.mergePaces(now, m.Paces)
+	d.mergeLimits(now, m.Limits, m.From)
 	d.mergeCases(now, m.Cases, "peer "+string(m.From))
 }
 
@@ -419,7 +421,7 @@
 	if a.Config != b.Config || a.Version != b.Version || a.List != b.List || a.QuarantineChecksum != b.QuarantineChecksum || len(a.Loads) != len(b.Loads) {
 		return true
 	}
-	if len(b.Suspects) > 0 || len(a.Cases) > 0 || len(b.Paces) > 0 {
+	if len(b.Suspects) > 0 || len(a.Cases) > 0 || len(b.Paces) > 0 || !pkrate.SameLimits(a.Limits, b.Limits) {
 		return true
 	}
 	for i := range a.Loads {
@@ -458,7 +460,8 @@
 		DataCenter: d.settings.DataCenter, ProcessorShare: float32(d.settings.ProcessorShare),
 		Following: d.followsStore(now),
 		Cases:     d.quarantine.table.RecentChanges(now), QuarantineChecksum: d.quarantine.table.Checksum(now),
-		Paces: d.paces.Observations(now),
+		Paces:  d.paces.Observations(now),
+		Limits: d.limits.Observations(now, s.withHubs.Load() && s.designated.Load()),
 	}
 	if back := now.Sub(d.roster.StoreRecoveredAt()); back < storeRecoveryAnnounceTime {
 		m.StoreRecoveredAgoMS = max(back.Milliseconds(), 1)
--- a/pkedge/limits.go
+++ b/pkedge/limits.go
@@ -33,6 +33,25 @@
 	before, changed := d.limits.Record(t.ID, t.Born, resp.Limit, sentAt)
 	if changed {
 		d.logLimit(t.ID, before, resp.Limit, "source", "response", "request_id", id, "age_ms", time.Since(sentAt).Milliseconds())
+		if pkrate.IsUrgent(before, resp.Limit) {
+			d.gossip.requestSend()
+		}
+	}
+}
+
+// mergeLimits merges the rate limits that another entry has observed, and forwards changes if there
+// are hubs.
+func (d *Daemon) mergeLimits(now time.Time, observations []pkrate.Observation, from pkid.EntryID) {
+	urgent := false
+	for _, o := range observations {
+		before, changed := d.limits.Merge(now, o)
+		if changed {
+			d.logLimit(o.Target, before, o.Limit(), "source", "peer "+string(from), "age_ms", o.AgeMS)
+			urgent = urgent || pkrate.IsUrgent(before, o.Limit())
+		}
+	}
+	if urgent && d.gossip.withHubs.Load() {
+		d.gossip.requestSend()
 	}
 }
 
--- a/pkedge/limits_test.go
+++ b/pkedge/limits_test.go
@@ -177,3 +177,26 @@
 		assert.Equal(t, n.metric(t, "peridotknot_rate_limited_targets"), "0")
 	}
 }
+
+// Guards against each entry asking a target in need once more to find out about its limit, or about
+// its end: the first to be told reports it to the others.
+func TestPeersLearnOfALimit(t *testing.T) {
+	t.Parallel()
+	w := platformtest.NewPlatform()
+	t.Cleanup(w.Close)
+	r := w.Add(platformtest.App, "i-a", "a")
+	nodes := startEntries(t, w, 2)
+	limited := func(want string) func() bool {
+		return func() bool { return nodes[1].metric(t, "peridotknot_rate_limited_targets") == want }
+	}
+	r.SetRateLimit("100")
+	tellLimit(t, nodes[0], r, readRequest(t))
+	eventually(t, "the limit at the other entry", limited("1"))
+	r.SetRateLimit("")
+	i := 0
+	eventually(t, "the end of the limit", func() bool {
+		i++
+		readRequest(t)(nodes[0], fmt.Sprintf("end-%d", i))
+		return limited("0")()
+	})
+}
--- a/pkrate/table.go
+++ b/pkrate/table.go
@@ -23,6 +23,8 @@
 	// born is the start of the target, if known.
 	born    pkid.StartTime
 	permits permits
+	// relayed is set if another entry has observed it.
+	relayed bool
 }
 
 const (
@@ -40,6 +42,8 @@
 	named int
 	// pruneAt is the number of targets at which those without a recent response are dropped.
 	pruneAt int
+	// announced holds the targets whose limit is sent to the other entries.
+	announced map[pkid.TargetID]bool
 }
 
 // Record stores the limit in the response to a request that was sent to a target at sentAt; born is
@@ -53,11 +57,23 @@
 	if known && (born < last.born || (born == last.born && sentAt.Before(last.sentAt))) {
 		return last.limit, false
 	}
-	t.byTarget[id] = record{limit: l, sentAt: sentAt, born: born, permits: last.permits}
-	t.named += count(l) - count(last.limit)
+	t.store(id, last, record{limit: l, sentAt: sentAt, born: born})
 	return last.limit, l != last.limit
 }
 
+// store replaces the last record of a target.
+func (t *Table) store(id pkid.TargetID, last, next record) {
+	next.permits = last.permits
+	t.byTarget[id] = next
+	t.named += count(next.limit) - count(last.limit)
+	if next.limit.Named || last.limit.Named {
+		if t.announced == nil {
+			t.announced = map[pkid.TargetID]bool{}
+		}
+		t.announced[id] = true
+	}
+}
+
 func count(l Limit) int {
 	if l.Named {
 		return 1
--- a/pkshare/message.go
+++ b/pkshare/message.go
@@ -5,6 +5,7 @@
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkpace"
 	"peridotknot.example/pkquarantine"
+	"peridotknot.example/pkrate"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkstore"
 )
@@ -53,6 +54,9 @@
 	Version pkconfig.Version `cbor:"22,keyasint,omitempty"`
 	// Paces are engines that are, or recently were, slower than their kind.
 	Paces []pkpace.Observation `cbor:"21,keyasint,omitempty"`
+	// Limits are the rate limits that targets name, as the sender or, from a hub, also others have
+	// observed them.
+	Limits []pkrate.Observation `cbor:"27,keyasint,omitempty"`
 	// Relaying is set if the sender is a hub that does not follow the store itself but receives its
 	// changes from a hub that does.
 	Relaying bool `cbor:"23,keyasint,omitempty"`
