pkadmit, pkretry: the burst of retries is shared among entries, by pkrate's arithmetic

Cause: the class of the limit, a quantity that belongs to all entries and is spent by each alone. Sought elsewhere: pkadmit's retry budget (the daemon of our own interface) gave each entry the whole burst of 200 retries for a pool, so that a target which ends under all entries was followed by 200 retries of each. pkretry shares its slack already, in arithmetic of its own. An account's max_in_flight is declared for one entry and stays so. Change: pkrate.Share, the entries and this one's place, is the one noun; pkretry's limits hold it, and pkadmit's burst is divided by the members that an entry knows.

--- a/pkadmit/gate_test.go
+++ b/pkadmit/gate_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"peridotknot.example/pkid"
+	"peridotknot.example/pkrate"
 )
 
 var start = time.Unix(1000, 0)
@@ -125,7 +126,7 @@
 }
 
 func TestBudgetBoundsRetries(t *testing.T) {
-	b := NewRetryBudget(0.1, 5)
+	b := NewRetryBudget(0.1, 5, pkrate.Share{})
 	spent := 0
 	for range 1000 {
 		b.Earn()
@@ -136,6 +137,40 @@
 	assert.Assert(t, spent >= 100 && spent <= 106, spent)
 }
 
+// Guards against a burst of retries that grows with the number of entries: when a target that all of
+// them use ends, each may retry its part only.
+func TestEntriesShareTheBurstOfRetries(t *testing.T) {
+	const ratio, burst, requests = 0.2, 200, 10
+	for _, entries := range []int{1, 10, 100, 1000} {
+		spent := 0
+		for range entries {
+			b := NewRetryBudget(ratio, burst, pkrate.Share{Entries: entries})
+			for b.Spend() {
+				spent++
+			}
+			for range requests {
+				b.Earn()
+			}
+			for b.Spend() {
+				spent++
+			}
+		}
+		assert.Assert(t, float64(spent) <= burst+ratio*float64(requests*entries), "%d retries of %d entries", spent, entries)
+		assert.Assert(t, float64(spent) >= ratio*float64(requests*entries)/2, "%d retries of %d entries", spent, entries)
+	}
+}
+
+// Guards against an entry that keeps a burst from the time when it was alone.
+func TestBurstShrinksWhenEntriesJoin(t *testing.T) {
+	b := NewRetryBudget(0.2, 200, pkrate.Share{Entries: 1})
+	b.SetShare(pkrate.Share{Entries: 100})
+	spent := 0
+	for b.Spend() {
+		spent++
+	}
+	assert.Equal(t, spent, 2)
+}
+
 func BenchmarkEnterLeave(b *testing.B) {
 	g := NewGate(DefaultOptions(), 1000)
 	for b.Loop() {
--- a/pkedge/settings.go
+++ b/pkedge/settings.go
@@ -56,7 +56,7 @@
 }
 
 func (r Retry) limits(s pkrate.Share) pkretry.Limits {
-	return pkretry.Limits{Ratio: r.Ratio, Slack: r.Slack, Window: seconds(r.WindowS), Entries: s.Entries, Place: s.Place}
+	return pkretry.Limits{Ratio: r.Ratio, Slack: r.Slack, Window: seconds(r.WindowS), Share: s}
 }
 
 // placeOf returns the place of an entry, from 0 to 1, in the order in which entries take turns.
--- a/pkentry/routes.go
+++ b/pkentry/routes.go
@@ -12,6 +12,7 @@
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkmanifest"
 	"peridotknot.example/pkorder"
+	"peridotknot.example/pkrate"
 	"peridotknot.example/pkroute"
 	"peridotknot.example/pktarget"
 	"peridotknot.example/pktimer"
@@ -166,7 +167,7 @@
 
 const (
 	// retryRatio is the number of retries that each request adds to the retry budget, and retryBurst
-	// the size of the budget.
+	// the size of the budgets of all entries together.
 	retryRatio   = 0.2
 	retryBurst   = 200
 	gateInterval = 20 * time.Millisecond
@@ -194,12 +195,15 @@
 	}
 	g := &gate{
 		Gate:   pkadmit.NewGate(pkadmit.DefaultOptions(), e.slots(id)),
-		budget: pkadmit.NewRetryBudget(retryRatio, retryBurst),
+		budget: pkadmit.NewRetryBudget(retryRatio, retryBurst, e.share()),
 	}
 	e.gates.byPool[id] = g
 	return g
 }
 
+// share returns this entry's part in what all entries share.
+func (e *Entry) share() pkrate.Share { return pkrate.Share{Entries: e.peers.table.Size()} }
+
 // maintainGates resizes the gates to the capacity of their pools and expires waiting requests that
 // can no longer meet their deadline.
 func (e *Entry) maintainGates(ctx context.Context) {
@@ -211,6 +215,7 @@
 		for id, g := range e.gates.byPool {
 			if round%resizeRounds == 0 {
 				g.SetLimit(now, e.slots(id))
+				g.budget.SetShare(e.share())
 			}
 			g.Expire(now)
 		}
--- a/pkmember/table.go
+++ b/pkmember/table.go
@@ -176,6 +176,14 @@
 	return out
 }
 
+// Size returns the number of known members, this entry included. Members that are silent count until
+// they are removed.
+func (t *Table) Size() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.members) + 1
+}
+
 // LiveMembers returns all live members, this entry included. A joining entry that receives them can
 // reach every member that it needs.
 func (t *Table) LiveMembers(now time.Time) []Member {
--- a/pkrate/share.go
+++ b/pkrate/share.go
@@ -30,10 +30,13 @@
 	Place float64
 }
 
+// Of returns this entry's even part of a total.
+func (s Share) Of(total float64) float64 { return total / float64(max(s.Entries, 1)) }
+
 // interval returns the time between two permits of this entry for requests at a rate that all
 // entries share.
 func (s Share) interval(r pkid.RequestRate) time.Duration {
-	interval := float64(time.Second) * float64(max(s.Entries, 1)) / (utilization * float64(max(r, minRate)))
+	interval := float64(time.Second) / s.Of(utilization*float64(max(r, minRate)))
 	return time.Duration(min(max(interval, 1), float64(maxInterval)))
 }
 
--- a/pkretry/budget.go
+++ b/pkretry/budget.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"peridotknot.example/pkrate"
 )
 
 // Limits are the configured limits on retries.
@@ -14,10 +16,8 @@
 	Slack float64
 	// Window is the length of the sliding window.
 	Window time.Duration
-	// Entries is the number of entries that share the slack; 0 counts as 1.
-	Entries int
-	// Place is this entry's place, from 0 to 1, in the order in which entries take turns.
-	Place float64
+	// Share is this entry's part in the slack.
+	Share pkrate.Share
 }
 
 // turnWindows is the number of windows in which each entry has its turn. A window then covers the
@@ -36,7 +36,7 @@
 		return false
 	}
 	passed := float64(now.UnixNano()%int64(period)) / float64(period)
-	_, place := math.Modf(l.Place + passed)
+	_, place := math.Modf(l.Share.Place + passed)
 	return place < share-1.0/turnWindows
 }
 
@@ -104,7 +104,7 @@
 			retries += b.buckets[i].retries
 		}
 	}
-	limit := utilization * (l.Ratio*requests + l.Slack/float64(max(l.Entries, 1)))
+	limit := utilization * (l.Ratio*requests + l.Share.Of(l.Slack))
 	if limit < 1 && n == 1 {
 		return retries == 0 && l.hasTurn(now, limit)
 	}
--- a/pkretry/budget_test.go
+++ b/pkretry/budget_test.go
@@ -6,11 +6,13 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"peridotknot.example/pkrate"
 )
 
 func TestRetriesStayWithinLimitOfEachWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limits := Limits{Ratio: 0.2, Slack: 40, Window: 10 * time.Second, Entries: rapid.IntRange(1, 8).Draw(t, "entries")}
+		limits := Limits{Ratio: 0.2, Slack: 40, Window: 10 * time.Second, Share: pkrate.Share{Entries: rapid.IntRange(1, 8).Draw(t, "entries")}}
 		var b Budget
 		now := time.Unix(1_000_000, 0)
 		var requests, retries []time.Time
@@ -36,7 +38,7 @@
 			// The bound uses the busiest of this window, the previous one and the one shifted by
 			// half a window.
 			most := max(in(requests, 0), in(requests, limits.Window/2), in(requests, limits.Window))
-			bound := limits.Ratio*most + limits.Slack/float64(limits.Entries)
+			bound := limits.Ratio*most + limits.Slack/float64(limits.Share.Entries)
 			if got := in(retries, 0); got > bound {
 				t.Fatalf("%v retries in a window, limit is %v", got, bound)
 			}
