pkedge, pkreplica: rest that targets ask for is decoded, logged and counted

Cause: the log of a refused send names a status and no time, so that a wish that nobody reads and one that is overridden look alike. Nothing decides by it yet.

--- a/pkedge/limits.go
+++ b/pkedge/limits.go
@@ -17,17 +17,32 @@
 	"peridotknot.example/pktimer"
 )
 
-// recordLimit records the rate limit that a target names in the response to a request sent at
-// sentAt. A response as misdirected comes from another replica.
-func (d *Daemon) recordLimit(t *pkreplica.Target, id pkid.RequestID, sentAt time.Time, resp *pkforward.Response) {
+// recordDemands records what a target asks for in the response to a request sent at sentAt. A
+// response as misdirected comes from another replica.
+func (d *Daemon) recordDemands(t *pkreplica.Target, id pkid.RequestID, sentAt time.Time, resp *pkforward.Response) {
 	if resp == nil || resp.Status == http.StatusMisdirectedRequest {
 		return
 	}
 	for _, h := range resp.Invalid {
 		d.metrics.invalidHeaders.WithLabelValues(string(h)).Inc()
+		d.log.Debug("invalid header in the response of a target ignored", "target", t.ID, "request_id", id, "header", string(h))
+	}
+	d.recordRest(time.Now(), t, id, resp)
+	d.recordLimit(t, id, sentAt, resp)
+}
+
+// recordRest records that a target wants no requests from this entry for a time from now.
+func (d *Daemon) recordRest(now time.Time, t *pkreplica.Target, id pkid.RequestID, resp *pkforward.Response) {
+	if resp.RetryAfter > 0 {
+		d.log.Info("target asks for rest", "target", t.ID, "for_ms", resp.RetryAfter.Milliseconds(), "request_id", id, "fault", resp.FaultAddr)
+		t.Rest(now.Add(resp.RetryAfter))
 	}
+}
+
+// recordLimit records the rate limit that a target names in the response to a request sent at
+// sentAt.
+func (d *Daemon) recordLimit(t *pkreplica.Target, id pkid.RequestID, sentAt time.Time, resp *pkforward.Response) {
 	if resp.IsInvalid(pkforward.HeaderRateLimit) {
-		d.log.Debug("invalid header in the response of a target ignored", "target", t.ID, "request_id", id, "header", string(pkforward.HeaderRateLimit))
 		return
 	}
 	before, changed := d.limits.Record(t.ID, t.Born, resp.Limit, sentAt)
--- a/pkedge/metrics.go
+++ b/pkedge/metrics.go
@@ -62,6 +62,7 @@
 		gauge("peridotknot_targets_avoided", "Targets that are passed over for failures.", func() float64 { return float64(d.avoided(time.Now())) }),
 		gauge("peridotknot_slow_engines", "Engines that are slower than their kind.", func() float64 { return float64(d.paces.Slow(time.Now())) }),
 		gauge("peridotknot_rate_limited_targets", "Targets that name a limit on the requests of all entries.", func() float64 { return float64(d.limits.Named()) }),
+		gauge("peridotknot_resting_targets", "Targets that have asked this entry for rest.", func() float64 { return float64(d.resting(time.Now())) }),
 		gauge("peridotknot_quarantined_requests", "Requests that are kept from replicas, since each that ran them ended.", func() float64 {
 			held, _ := d.quarantine.table.Counts(time.Now())
 			return float64(held)
@@ -86,6 +87,17 @@
 	return n
 }
 
+// resting returns the number of targets that want no requests from this entry at now.
+func (d *Daemon) resting(now time.Time) int {
+	n := 0
+	for _, t := range d.roster.All() {
+		if t.RestsFor(now) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- a/pkforward/exchange.go
+++ b/pkforward/exchange.go
@@ -60,6 +60,9 @@
 	Load int
 	// Limit is the request rate that the target accepts from all entries together.
 	Limit pkrate.Limit
+	// RetryAfter is how long the target wants no further request from this entry; zero if it does not
+	// say so.
+	RetryAfter time.Duration
 	// Invalid lists the headers of the response whose values cannot be used.
 	Invalid []ResponseHeader
 }
@@ -67,8 +70,13 @@
 // ResponseHeader is a header of a response, by what it holds.
 type ResponseHeader string
 
-// HeaderRateLimit holds the target's limit on requests.
-const HeaderRateLimit ResponseHeader = "rate_limit"
+// Headers by which a target says what it takes.
+const (
+	// HeaderRateLimit holds the target's limit on requests.
+	HeaderRateLimit ResponseHeader = "rate_limit"
+	// HeaderRetryAfter holds the time for which a target wants no request.
+	HeaderRetryAfter ResponseHeader = "retry_after"
+)
 
 // IsInvalid reports whether a header of the response cannot be used.
 func (m ResponseMeta) IsInvalid(h ResponseHeader) bool { return slices.Contains(m.Invalid, h) }
--- a/pkreplica/target.go
+++ b/pkreplica/target.go
@@ -40,6 +40,8 @@
 	latency    time.Duration
 	failures   int
 	avoidUntil time.Time
+	// restUntil is until when the target has asked this entry for no requests.
+	restUntil time.Time
 	// deletedAt is when the record was deleted; recordInvalid is set if it exists but is unusable.
 	deletedAt     time.Time
 	recordInvalid bool
@@ -186,6 +188,22 @@
 	}
 }
 
+// Rest records that the target has asked this entry for no requests until a time.
+func (t *Target) Rest(until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if until.After(t.restUntil) {
+		t.restUntil = until
+	}
+}
+
+// RestsFor returns how long from now the target wants no requests from this entry.
+func (t *Target) RestsFor(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(t.restUntil.Sub(now), 0)
+}
+
 // MarkStaleRecord avoids the target until a time, or until its record lists other layers, because
 // it does not hold the layers that its record lists.
 func (t *Target) MarkStaleRecord(until time.Time) {
