pkedge: a target that asks for rest gets no requests until its time is over

Change: the rest stands by itself, is kept with the start of the target that asks, and only its time ends it. Choice, paths (as first engine and behind), detours and last resorts pass the target by; polls of its pace and the check for draining wait. Its streams, its layers and its orders stay. An engine on whose behalf the first one refuses rests as well. Where all targets of a service, or all engines of a layer, rest or are at their limits, callers are refused at once, not run, outcome resting, with the time until the first takes requests.

--- a/pkedge/call.go
+++ b/pkedge/call.go
@@ -193,12 +193,12 @@
 		return errCallerLeft
 	}
 	late := ctx.Err() != nil
-	var limited *rateLimitError
+	var busy *busyError
 	switch {
 	case errors.Is(cause, errQuarantined):
 		return c.quarantineRejection(time.Now(), verdict)
-	case verdict == pkverdict.NotRun && errors.As(cause, &limited):
-		return &rejection{status: http.StatusServiceUnavailable, retryAfter: limited.retryAfter, reason: "rate_limited"}
+	case verdict == pkverdict.NotRun && errors.As(cause, &busy):
+		return &rejection{status: http.StatusServiceUnavailable, retryAfter: busy.retryAfter, reason: busy.reason}
 	case verdict == pkverdict.NotRun && late:
 		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterTimeout, reason: "deadline_not_run"}
 	case verdict == pkverdict.NotRun:
--- a/pkedge/choose.go
+++ b/pkedge/choose.go
@@ -77,7 +77,7 @@
 
 // allows reports whether the path may use a target at now.
 func (q pathQuery) allows(now time.Time, t *pkreplica.Target) bool {
-	if slices.Contains(q.exclude, t.ID) {
+	if slices.Contains(q.exclude, t.ID) || t.RestsFor(now) > 0 {
 		return false
 	}
 	return !t.Avoided(now) || (q.lastResort && !t.Excluded(now))
--- a/pkedge/limits.go
+++ b/pkedge/limits.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -17,25 +16,32 @@
 	"peridotknot.example/pktimer"
 )
 
-// recordDemands records what a target asks for in the response to a request sent at sentAt. A
-// response as misdirected comes from another replica.
-func (d *Daemon) recordDemands(t *pkreplica.Target, id pkid.RequestID, sentAt time.Time, resp *pkforward.Response) {
+// recordDemands records what targets ask for in the response to a request sent at sentAt. The first
+// target has answered, the others are the engines behind it. A response as misdirected comes from
+// another replica.
+func (d *Daemon) recordDemands(targets []*pkreplica.Target, id pkid.RequestID, sentAt time.Time, resp *pkforward.Response) {
 	if resp == nil || resp.Status == http.StatusMisdirectedRequest {
 		return
 	}
 	for _, h := range resp.Invalid {
 		d.metrics.invalidHeaders.WithLabelValues(string(h)).Inc()
-		d.log.Debug("invalid header in the response of a target ignored", "target", t.ID, "request_id", id, "header", string(h))
+		d.log.Debug("invalid header in the response of a target ignored", "target", targets[0].ID, "request_id", id, "header", string(h))
 	}
-	d.recordRest(time.Now(), t, id, resp)
-	d.recordLimit(t, id, sentAt, resp)
+	d.recordRest(time.Now(), targets, id, resp)
+	d.recordLimit(targets[0], id, sentAt, resp)
 }
 
-// recordRest records that a target wants no requests from this entry for a time from now.
-func (d *Daemon) recordRest(now time.Time, t *pkreplica.Target, id pkid.RequestID, resp *pkforward.Response) {
-	if resp.RetryAfter > 0 {
-		d.log.Info("target asks for rest", "target", t.ID, "for_ms", resp.RetryAfter.Milliseconds(), "request_id", id, "fault", resp.FaultAddr)
-		t.Rest(now.Add(resp.RetryAfter))
+// recordRest records that the target which refused a request wants none from this entry for a time
+// from now, and so does the engine on whose behalf it refused.
+func (d *Daemon) recordRest(now time.Time, targets []*pkreplica.Target, id pkid.RequestID, resp *pkforward.Response) {
+	if resp.RetryAfter <= 0 {
+		return
+	}
+	for i, t := range targets {
+		if i == 0 || t.Addr == resp.FaultAddr {
+			d.log.Info("target asks for rest", "target", t.ID, "for_ms", resp.RetryAfter.Milliseconds(), "request_id", id, "behind", i)
+			t.Rest(now.Add(resp.RetryAfter))
+		}
 	}
 }
 
@@ -81,70 +87,106 @@
 	return d.limits.Named() == 0 || d.limits.Take(now, t.ID, t.Born, d.share(now))
 }
 
-// rateLimitError is returned if each target that could serve a request is at its rate limit.
-type rateLimitError struct {
+// busyError is returned if each target that could serve a request is at its rate limit or has asked
+// for rest.
+type busyError struct {
+	// reason is the outcome of the request.
+	reason string
 	// wait is the time until this entry may send a request to one of them.
 	wait time.Duration
 	// retryAfter is the time after which the caller should come back, to this entry or another.
 	retryAfter time.Duration
 }
 
-// Error returns the wait.
-func (e *rateLimitError) Error() string {
-	return fmt.Sprintf("all targets are at their rate limits for %v", e.wait)
-}
+// Outcomes of requests that are refused for what targets ask for.
+const (
+	reasonRateLimited = "rate_limited"
+	reasonResting     = "resting"
+)
+
+// Error returns the reason and the wait.
+func (e *busyError) Error() string { return fmt.Sprintf("all targets are %s for %v", e.reason, e.wait) }
 
-// limitOf returns an error if all targets of a list are at their rate limits at now.
-func (d *Daemon) limitOf(now time.Time, targets []*pkreplica.Target) *rateLimitError {
-	if d.limits.Named() == 0 || len(targets) == 0 {
+// busyFor returns how long from now a target takes no request of this entry, or nil if it takes one.
+// Only requests that entries send count for its rate limit; those are sent to the first engine of a
+// path.
+func (d *Daemon) busyFor(now time.Time, t *pkreplica.Target, first bool, s pkrate.Share) *busyError {
+	if rest := t.RestsFor(now); rest > 0 {
+		return &busyError{reason: reasonResting, wait: rest, retryAfter: rest}
+	}
+	if !first || d.limits.Named() == 0 {
 		return nil
 	}
-	share := d.share(now)
-	out := &rateLimitError{wait: math.MaxInt64, retryAfter: math.MaxInt64}
-	for _, t := range targets {
-		wait := d.limits.Wait(now, t.ID, t.Born, share)
-		if wait == 0 {
-			return nil
+	wait := d.limits.Wait(now, t.ID, t.Born, s)
+	if wait == 0 {
+		return nil
+	}
+	return &busyError{reason: reasonRateLimited, wait: wait, retryAfter: d.limits.RetryAfter(now, t.ID, t.Born, s)}
+}
+
+// poolBusy returns an error if some layer of a pool has engines that could take a request at now, and
+// all of them are busy.
+func (c *call) poolBusy(now time.Time, s *pkconfig.Service) *busyError {
+	if s.Engine == nil {
+		return c.serviceBusy(now, s.ID)
+	}
+	q, share := c.requestQuery(s), c.share(now)
+	busy, free := make([]*busyError, s.Engine.Layers), make([]bool, s.Engine.Layers)
+	for _, t := range c.liveEngines(now, s.ID, s.Engine) {
+		if t.Avoided(now) {
+			continue
+		}
+		for l := t.Held.First; l < t.Held.End; l++ {
+			err := c.busyFor(now, t, l == q.layers.First, share)
+			free[l] = free[l] || err == nil
+			busy[l] = sooner(busy[l], err)
+		}
+	}
+	var out *busyError
+	for l, err := range busy {
+		if !free[l] && err != nil && (out == nil || err.wait > out.wait) {
+			out = err
 		}
-		out.wait = min(out.wait, wait)
-		out.retryAfter = min(out.retryAfter, d.limits.RetryAfter(now, t.ID, t.Born, share))
 	}
 	return out
 }
 
-// entryLimit returns an error if each engine by which a path can enter a pool is at its rate limit
-// at now.
-func (c *call) entryLimit(now time.Time, s *pkconfig.Service) *rateLimitError {
-	if s.Engine == nil {
-		return c.targetLimit(now, s.ID)
+// sooner returns the error that ends first; nil counts as none.
+func sooner(a, b *busyError) *busyError {
+	if a == nil || (b != nil && b.wait < a.wait) {
+		return b
 	}
-	q := c.requestQuery(s)
-	return c.limitOf(now, slices.DeleteFunc(c.liveEngines(now, s.ID, s.Engine), func(t *pkreplica.Target) bool {
-		return !t.Held.Contains(q.layers.First) || !q.allows(now, t)
-	}))
+	return a
 }
 
-// targetLimit returns an error if each target of a plain service that was not tried is at its rate
-// limit at now.
-func (c *call) targetLimit(now time.Time, s pkid.ServiceID) *rateLimitError {
-	return c.limitOf(now, slices.DeleteFunc(c.roster.Live(now, s), func(t *pkreplica.Target) bool {
-		return slices.Contains(c.tried, t.ID)
-	}))
+// serviceBusy returns an error if each target of a plain service is busy at now, or was tried and has
+// failed.
+func (c *call) serviceBusy(now time.Time, s pkid.ServiceID) *busyError {
+	var out *busyError
+	share := c.share(now)
+	for _, t := range c.roster.Live(now, s) {
+		err := c.busyFor(now, t, true, share)
+		if err == nil && !slices.Contains(c.tried, t.ID) {
+			return nil
+		}
+		out = sooner(out, err)
+	}
+	return out
 }
 
-// chooseTarget returns a target of a plain service that was not tried and is not at its rate limit.
+// chooseTarget returns a target of a plain service that was not tried and is not busy at now.
 func (c *call) chooseTarget(now time.Time, s pkid.ServiceID) (*pkreplica.Target, bool) {
-	limited, share := c.limits.Named() > 0, c.share(now)
+	share := c.share(now)
 	return c.roster.Choose(now, s, func(t *pkreplica.Target) bool {
-		return !slices.Contains(c.tried, t.ID) && (!limited || c.limits.Wait(now, t.ID, t.Born, share) == 0)
+		return !slices.Contains(c.tried, t.ID) && c.busyFor(now, t, true, share) == nil
 	})
 }
 
 // errNoTarget is returned if a service has no target left to try.
 var errNoTarget = errors.New("no target left to try")
 
-// waitForTarget returns a target of a plain service and takes a permit for it. If each is at its rate
-// limit, it waits up to capacityTimeout.
+// waitForTarget returns a target of a plain service and takes a permit for it. If each is busy, it
+// waits up to capacityTimeout.
 func (c *call) waitForTarget(ctx context.Context) (*pkreplica.Target, error) {
 	until := time.Now().Add(capacityTimeout)
 	for {
@@ -155,7 +197,7 @@
 			}
 			continue // another request took the last permit
 		}
-		err := c.targetLimit(now, c.service)
+		err := c.serviceBusy(now, c.service)
 		switch {
 		case err == nil:
 			return nil, errNoTarget
--- a/pkedge/pace.go
+++ b/pkedge/pace.go
@@ -50,6 +50,8 @@
 			switch {
 			case !known:
 				due[one] = now.Add(rand.N(pause))
+			case !now.Before(at) && t.RestsFor(now) > 0:
+				due[one] = now.Add(t.RestsFor(now))
 			case !now.Before(at):
 				due[one] = now.Add(pause)
 				wg.Go(func() { d.pollPace(ctx, t) })
--- a/pkedge/refusal.go
+++ b/pkedge/refusal.go
@@ -33,7 +33,7 @@
 // and the entries spend their retry budgets on finding it again after each backoff.
 func (d *Daemon) queueRefusalCause(now time.Time, a *attempt, t *pkreplica.Target, resp *pkforward.Response) {
 	refused := resp != nil && resp.Status == http.StatusServiceUnavailable
-	if !refused || t == a.currentPath().first() || t.Excluded(now) || !t.AllowProbe(now, livenessInterval) {
+	if !refused || t == a.currentPath().first() || t.Excluded(now) || t.RestsFor(now) > 0 || !t.AllowProbe(now, livenessInterval) {
 		return
 	}
 	select {
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -141,7 +141,7 @@
 		case now.After(until):
 			return c.lastResortPath(now, s)
 		}
-		if err := c.entryLimit(now, s); err != nil && !c.headSent && now.Add(err.wait).After(until) {
+		if err := c.poolBusy(now, s); err != nil && !c.headSent && now.Add(err.wait).After(until) {
 			return targetPath{}, err
 		}
 		select {
@@ -218,7 +218,7 @@
 	defer watch.stop()
 	send := pkforward.SendOptions{TimeBudget: c.deadline.Sub(a.began), Target: p.first().ID, Account: c.account, Path: p.hops, LastEventID: state.lastEventID}
 	resp, err := c.Sender.Do(ctx, p.first().Addr, &c.req, send)
-	c.recordDemands(p.first(), c.req.Meta.ID, a.began, resp)
+	c.recordDemands(p.targets, c.req.Meta.ID, a.began, resp)
 	if err != nil {
 		c.recordPathFailure(ctx, a, resp, err)
 		return err
