pkreplica: the end of an earlier call does not end an avoidance for another reason

A target that was found dead, or whose address another process has, was used again as soon as a call that had been sent before ended well, since both stood in the variable of the avoidance for failures. Change: they stand apart; a good end counts against them where its call was sent after. The avoidance for failures ends with each good end, as before: a failure may be of one request only. suspect takes the present time in place of its end.

--- a/pkedge/gossip_test.go
+++ b/pkedge/gossip_test.go
@@ -55,7 +55,7 @@
 	}{
 		{"by the entry that found it", 2, func(d *Daemon, now time.Time) {
 			one, _ := d.roster.Target("dead")
-			d.suspect(one, now.Add(suspectTTL), syscall.ECONNREFUSED)
+			d.suspect(now, one, syscall.ECONNREFUSED)
 		}},
 		{"by a hub that received a report of it", 14, func(d *Daemon, now time.Time) {
 			d.receiveMessage(now, pkshare.Message{From: "m-09", Addr: "m-09", DataCenter: "a", Sequence: 2, Suspects: []pkshare.Suspect{
--- a/pkedge/own.go
+++ b/pkedge/own.go
@@ -214,6 +214,6 @@
 // at the other entries, so that its streams are moved off it.
 func (d *Daemon) suspectRestarted(now time.Time, t *pkreplica.Target) {
 	s := suspicion{until: now.Add(suspectTTL), fault: faultGone, startTime: t.Born}
-	d.applySuspicion(t, s)
+	d.applySuspicion(now, t, s)
 	d.gossip.announceSuspicion(t.ID, s)
 }
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -193,7 +193,7 @@
 		t.RecordFailure(time.Now())
 		return nil, nil, &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: errAlteredAnswer}
 	}
-	t.RecordSuccess(took)
+	t.RecordSuccess(began, took)
 	return resp, body, nil
 }
 
@@ -208,7 +208,7 @@
 	case c.r.Context().Err() != nil:
 	case resp != nil && resp.Status == http.StatusMisdirectedRequest:
 		// Another replica has the address: the target is gone.
-		t.Avoid(now.Add(misdirectedTTL))
+		t.Avoid(now, now.Add(misdirectedTTL))
 	case resp != nil:
 		// The target is full.
 		t.RecordSlow(now.Sub(began) * 2)
@@ -227,9 +227,8 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return until
 	}
-	until = now.Add(suspectTTL)
-	d.suspect(t, until, err)
-	return until
+	d.suspect(now, t, err)
+	return now.Add(suspectTTL)
 }
 
 // misdirectedTTL is how long a target is avoided that answered a request as misdirected. Its record
--- a/pkedge/quarantine_test.go
+++ b/pkedge/quarantine_test.go
@@ -49,7 +49,7 @@
 // draining, answered or refused, if the caller left, or if the time was up.
 func TestOnlyACrashCountsAgainstARequest(t *testing.T) {
 	now := time.Now()
-	gone := func(d *Daemon) { d.target(t, "a").MarkGone(now.Add(suspectTTL)) }
+	gone := func(d *Daemon) { d.target(t, "a").MarkGone(now, now.Add(suspectTTL)) }
 	for _, row := range []struct {
 		name  string
 		err   error
@@ -61,7 +61,7 @@
 		{"lost and gone a second later", lostSend(io.EOF), gone, time.Second, 1},
 		{"lost and gone much later", lostSend(io.EOF), gone, crashWindow, 0},
 		{"lost and alive", lostSend(io.EOF), func(*Daemon) {}, 0, 0},
-		{"lost and silent", lostSend(io.EOF), func(d *Daemon) { d.target(t, "a").MarkDead(now.Add(suspectTTL)) }, 0, 0},
+		{"lost and silent", lostSend(io.EOF), func(d *Daemon) { d.target(t, "a").MarkDead(now, now.Add(suspectTTL)) }, 0, 0},
 		{"restarted", lostSend(io.EOF), func(d *Daemon) { d.roster.Restarted("a", 200) }, 0, 1},
 		{"refused", &pkverdict.Error{Verdict: pkverdict.NotRun, Reason: pkverdict.ReasonRefused, Err: io.EOF}, gone, 0, 0},
 		{"failure answered by the target", lostSend(errTargetFailure), gone, 0, 0},
@@ -103,13 +103,13 @@
 	}
 	d, a := setUp()
 	a.recordFailure(now, lostSend(io.EOF))
-	d.target(t, "a").MarkGone(now.Add(suspectTTL))
-	d.target(t, "b").MarkGone(now.Add(suspectTTL))
+	d.target(t, "a").MarkGone(now, now.Add(suspectTTL))
+	d.target(t, "b").MarkGone(now, now.Add(suspectTTL))
 	d.checkInterrupted(now)
 	assert.Equal(t, d.crashCount(now, poison), 1)
 
 	d, a = setUp()
-	d.target(t, "b").MarkGone(now.Add(suspectTTL))
+	d.target(t, "b").MarkGone(now, now.Add(suspectTTL))
 	a.began = now
 	d.reroute(t.Context(), a, d.target(t, "b"), reasonDead)
 	d.checkInterrupted(now)
@@ -121,7 +121,7 @@
 	for _, one := range d.checkInterrupted(now.Add(probeDelay)) {
 		d.quarantine.clearInterrupted(one, now.Add(probeDelay))
 	}
-	d.target(t, "a").MarkGone(now.Add(suspectTTL))
+	d.target(t, "a").MarkGone(now, now.Add(suspectTTL))
 	d.checkInterrupted(now)
 	assert.Equal(t, d.crashCount(now, poison), 1)
 
@@ -179,7 +179,7 @@
 	for _, one := range d.checkInterrupted(now) {
 		d.probe(t.Context(), one)
 	}
-	d.target(t, "a").MarkGone(now.Add(suspectTTL))
+	d.target(t, "a").MarkGone(now, now.Add(suspectTTL))
 	d.checkInterrupted(now.Add(time.Second))
 	assert.Equal(t, d.crashCount(now, poison), 0)
 }
@@ -238,7 +238,7 @@
 	for i := range pkquarantine.CrashLimit - 1 {
 		finder.quarantine.table.RecordCrash(now, poison, pkquarantine.StartID(1+i))
 	}
-	finder.target(t, "a").MarkGone(now.Add(suspectTTL))
+	finder.target(t, "a").MarkGone(now, now.Add(suspectTTL))
 	newCall(finder, poison).recordIfInterrupted(now, lostSend(io.EOF), finder.target(t, "a"))
 	finder.checkInterrupted(now)
 	receiver.mergeCases(now, finder.quarantine.table.RecentChanges(now), "peer")
@@ -286,7 +286,7 @@
 
 	var cause error
 	a.cancel = func(err error) { cause = err }
-	d.target(t, "b").MarkGone(now.Add(suspectTTL))
+	d.target(t, "b").MarkGone(now, now.Add(suspectTTL))
 	d.reroute(t.Context(), a, d.target(t, "b"), reasonDead)
 	assert.Assert(t, errors.Is(cause, errRerouted))
 	assert.Equal(t, a.currentPath().index("beside"), -1)
--- a/pkedge/reroute_test.go
+++ b/pkedge/reroute_test.go
@@ -169,7 +169,7 @@
 			a.cancel = func(err error) { cause = err }
 			for _, id := range c.dead {
 				one, _ := d.roster.Target(id)
-				one.MarkDead(time.Now().Add(suspectTTL))
+				one.MarkDead(time.Now(), time.Now().Add(suspectTTL))
 			}
 			second, _ := d.roster.Target("second")
 			d.reroute(t.Context(), a, second, reasonDead)
@@ -201,7 +201,7 @@
 		now := time.Now()
 		a.lastEventAt = now.Add(-20 * time.Millisecond)
 		second, _ := d.roster.Target("second")
-		d.suspect(second, now.Add(suspectTTL), c.err)
+		d.suspect(now, second, c.err)
 		_, reason := a.needsReroute(now)
 		assert.Equal(t, reason, c.want)
 	}
@@ -218,7 +218,7 @@
 	a.reroutes = maxReroutes
 	second, _ := d.roster.Target("second")
 	now := time.Now()
-	second.MarkGone(now.Add(suspectTTL))
+	second.MarkGone(now, now.Add(suspectTTL))
 	_, reason := a.needsReroute(now)
 	assert.Equal(t, reason, "", "keeps its path without a retry")
 
--- a/pkedge/suspect.go
+++ b/pkedge/suspect.go
@@ -89,7 +89,7 @@
 	controlErr := <-control
 	dead := pkstall.Dead(err, controlErr)
 	if now := time.Now(); dead {
-		d.suspect(t, now.Add(suspectTTL), err)
+		d.suspect(now, t, err)
 		d.rerouteAll(ctx, now, d.streams.list())
 	}
 	d.log.Info("engine checked for liveness", "target", t.ID, "dead", dead, "error", err, "control_error", controlErr)
@@ -103,7 +103,7 @@
 func (d *Daemon) checkControl(ctx context.Context, t *pkreplica.Target) error {
 	now := time.Now()
 	live := slices.DeleteFunc(d.roster.Live(now, t.Service), func(o *pkreplica.Target) bool {
-		return o.ID == t.ID || o.Avoided(now)
+		return o.ID == t.ID || o.Avoided(now) || o.RestsFor(now) > 0
 	})
 	if len(live) == 0 {
 		return errNoControl
@@ -112,14 +112,14 @@
 	return err
 }
 
-// suspect avoids a target after a failure and reports it to the other entries. A target that
-// refuses connections has no process, and all streams through it are lost.
-func (d *Daemon) suspect(t *pkreplica.Target, until time.Time, err error) {
-	s := suspicion{until: until, startTime: t.Born}
+// suspect avoids a target for suspectTTL after a failure at now and reports it to the other entries. A
+// target that refuses connections has no process, and all streams through it are lost.
+func (d *Daemon) suspect(now time.Time, t *pkreplica.Target, err error) {
+	s := suspicion{until: now.Add(suspectTTL), startTime: t.Born}
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		s.fault = faultGone
 	}
-	d.applySuspicion(t, s)
+	d.applySuspicion(now, t, s)
 	d.gossip.announceSuspicion(t.ID, s)
 }
 
@@ -132,20 +132,20 @@
 	if latest, found := d.roster.Target(t.ID); !found || latest != t {
 		return now // the record has changed since the target was chosen
 	}
-	d.applySuspicion(t, s)
+	d.applySuspicion(now, t, s)
 	d.gossip.announceSuspicion(t.ID, s)
 	return s.until
 }
 
-func (d *Daemon) applySuspicion(t *pkreplica.Target, s suspicion) {
+func (d *Daemon) applySuspicion(now time.Time, t *pkreplica.Target, s suspicion) {
 	switch s.fault {
 	case faultGone:
-		t.MarkGone(s.until)
+		t.MarkGone(now, s.until)
 		d.streams.wakeUp()
 	case faultStaleRecord:
-		t.MarkStaleRecord(s.until)
+		t.MarkStaleRecord(now, s.until)
 	case faultSilent:
-		t.MarkDead(s.until)
+		t.MarkDead(now, s.until)
 	}
 }
 
@@ -184,7 +184,7 @@
 			d.log.Info("target suspected on a report from a peer", "target", t.ID, "peer", from, "gone", report.Gone,
 				"misplaced", report.StaleRecord, "born", report.Born, "for_ms", report.RemainingMS)
 		}
-		d.applySuspicion(t, s)
+		d.applySuspicion(now, t, s)
 	}
 	if d.gossip.withHubs.Load() {
 		d.gossip.announceSuspicion(report.Target, s)
--- a/pkreplica/deletion.go
+++ b/pkreplica/deletion.go
@@ -44,7 +44,7 @@
 	t.deletedAt = time.Time{}
 	if heldChanged && t.staleRecord {
 		t.staleRecord = false
-		t.avoidUntil = time.Time{}
+		t.avoidUntil, t.backoffUntil = time.Time{}, time.Time{}
 	}
 }
 
@@ -138,5 +138,5 @@
 func (t *Target) avoidedUntil() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.avoidUntil
+	return t.avoidedUntilLocked()
 }
--- a/pkreplica/roster_test.go
+++ b/pkreplica/roster_test.go
@@ -118,9 +118,9 @@
 	a, _ := r.Target("a")
 	b, _ := r.Target("b")
 	c, _ := r.Target("c")
-	a.RecordSuccess(50 * time.Millisecond)
-	b.RecordSuccess(10 * time.Millisecond)
-	c.RecordSuccess(10 * time.Millisecond)
+	a.RecordSuccess(start, 50*time.Millisecond)
+	b.RecordSuccess(start, 10*time.Millisecond)
+	c.RecordSuccess(start, 10*time.Millisecond)
 	c.Begin(start, 0, 0, 0)
 	all := func(*Target) bool { return true }
 	got, found := r.Choose(start, "s", all)
@@ -133,6 +133,22 @@
 	assert.Equal(t, got.ID, pkid.TargetID("b"), "a failed target is better than none")
 }
 
+// Guards against a dead target that is used again because a call that was sent before has ended well.
+func TestEarlierSuccessDoesNotEndAnAvoidance(t *testing.T) {
+	var r Roster
+	r.Apply(start, []Record{record(1, "a")}, 1)
+	a, _ := r.Target("a")
+	found := start.Add(time.Second)
+	a.MarkDead(found, found.Add(time.Minute))
+	a.RecordSuccess(start, time.Second)
+	assert.Assert(t, a.Avoided(found))
+	a.RecordSuccess(found.Add(time.Millisecond), time.Millisecond)
+	assert.Assert(t, !a.Avoided(found.Add(2*time.Millisecond)))
+	a.RecordFailure(found)
+	a.RecordSuccess(start, time.Second)
+	assert.Assert(t, !a.Avoided(found), "a failure may be of one request only")
+}
+
 // A peer reports that the store returned, then a replica's record is deleted. Guards against
 // granting the grace period at an entry that never lost the store, which would keep sending
 // requests to the removed replica.
--- a/pkreplica/start_test.go
+++ b/pkreplica/start_test.go
@@ -32,7 +32,7 @@
 	r.Apply(start, []Record{old}, 1)
 	before, _ := r.Target("a")
 	before.Begin(start, 10, 0, time.Second)
-	before.MarkGone(start.Add(time.Hour))
+	before.MarkGone(start, start.Add(time.Hour))
 	assert.Equal(t, liveCount(&r, start), 0)
 
 	r.Apply(start, []Record{recordWithStart(2, "a", 200)}, 2)
@@ -153,7 +153,7 @@
 	rec.Info.Held = pkid.Range{End: 9}
 	r.Apply(start, []Record{rec}, 1)
 	target, _ := r.Target("a")
-	target.MarkStaleRecord(start.Add(time.Hour))
+	target.MarkStaleRecord(start, start.Add(time.Hour))
 	rec.Revision, rec.Info.Slots = 2, 9
 	r.Apply(start, []Record{rec}, 2)
 	target, _ = r.Target("a")
--- a/pkreplica/target.go
+++ b/pkreplica/target.go
@@ -39,7 +39,11 @@
 	reportedAt time.Time
 	latency    time.Duration
 	failures   int
+	// backoffUntil is until when the target is avoided for its failures.
+	backoffUntil time.Time
+	// avoidUntil is until when it is avoided for another reason, last given at avoidedAt.
 	avoidUntil time.Time
+	avoidedAt  time.Time
 	// restUntil is until when the target has asked this entry for no requests.
 	restUntil time.Time
 	// deletedAt is when the record was deleted; recordInvalid is set if it exists but is unusable.
@@ -146,12 +150,16 @@
 	t.reportedAt = now
 }
 
-// RecordSuccess records a successful call and its latency.
-func (t *Target) RecordSuccess(took time.Duration) {
+// RecordSuccess records a successful call that was sent at sentAt, and its latency. It ends an
+// avoidance for failures, and one for another reason that was given before the call was sent.
+func (t *Target) RecordSuccess(sentAt time.Time, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.failures = 0
-	t.avoidUntil = time.Time{}
+	t.backoffUntil = time.Time{}
+	if sentAt.After(t.avoidedAt) {
+		t.avoidUntil = time.Time{}
+	}
 	if t.latency == 0 {
 		t.latency = took
 	}
@@ -173,16 +181,17 @@
 	defer t.mu.Unlock()
 	backoff := min(initialBackoff<<min(t.failures, 8), maxBackoff)
 	t.failures++
-	if until := now.Add(backoff); until.After(t.avoidUntil) {
-		t.avoidUntil = until
+	if until := now.Add(backoff); until.After(t.backoffUntil) {
+		t.backoffUntil = until
 	}
-	return t.avoidUntil
+	return t.avoidedUntilLocked()
 }
 
-// Avoid excludes the target from selection until a time.
-func (t *Target) Avoid(until time.Time) {
+// Avoid excludes the target from selection from now until a time.
+func (t *Target) Avoid(now, until time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.avoidedAt = now
 	if until.After(t.avoidUntil) {
 		t.avoidUntil = until
 	}
@@ -204,10 +213,10 @@
 	return max(t.restUntil.Sub(now), 0)
 }
 
-// MarkStaleRecord avoids the target until a time, or until its record lists other layers, because
+// MarkStaleRecord avoids the target from now until a time, or until its record lists other layers, because
 // it does not hold the layers that its record lists.
-func (t *Target) MarkStaleRecord(until time.Time) {
-	t.Avoid(until)
+func (t *Target) MarkStaleRecord(now, until time.Time) {
+	t.Avoid(now, until)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.staleRecord = true
@@ -241,9 +250,9 @@
 	return t.answeredProbeAt
 }
 
-// MarkDead avoids the target until a time because it failed a liveness probe.
-func (t *Target) MarkDead(until time.Time) {
-	t.Avoid(until)
+// MarkDead avoids the target from now until a time because it failed a liveness probe.
+func (t *Target) MarkDead(now, until time.Time) {
+	t.Avoid(now, until)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if until.After(t.deadUntil) {
@@ -251,9 +260,9 @@
 	}
 }
 
-// MarkGone avoids the target until a time because its process has ended.
-func (t *Target) MarkGone(until time.Time) {
-	t.MarkDead(until)
+// MarkGone avoids the target from now until a time because its process has ended.
+func (t *Target) MarkGone(now, until time.Time) {
+	t.MarkDead(now, until)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if until.After(t.goneUntil) {
@@ -279,7 +288,15 @@
 func (t *Target) Avoided(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return now.Before(t.avoidUntil)
+	return now.Before(t.avoidedUntilLocked())
+}
+
+// avoidedUntilLocked returns until when the target is avoided; the caller holds the lock.
+func (t *Target) avoidedUntilLocked() time.Time {
+	if t.backoffUntil.After(t.avoidUntil) {
+		return t.backoffUntil
+	}
+	return t.avoidUntil
 }
 
 // Excluded reports whether the target is avoided at now for more than a transient failure: it is
