pkedge: the tests of limits wait for the pool and do not depend on which target is faster

Cause: TestFirstEngineGetsNoMoreThanTheLimitItNames failed once beside others and 10 of 24 times alone beside load, with a 503: outcome rate_limited at the first stream, 7 ms after the first path existed. The entry had not read yet that other engines hold the first layer, so that the only one that it knew was at its limit, and refused rightly. TestTargetGetsNoMoreThanTheLimitItNames waited in vain for a target to be used again that answered more slowly than the other one. Change: the first waits until all engines hold layers and the entry has read that; the limited engine is the one that a stream has just entered by. The second sends 20 requests at once, and lets the other target drain once the limit has ended: all requests must then be served by the first one. Bounds are as before.

--- a/pkedge/limits_test.go
+++ b/pkedge/limits_test.go
@@ -10,6 +10,7 @@
 
 	"peridotknot.example/pkedge"
 	"peridotknot.example/pkid"
+	"peridotknot.example/platform"
 	"peridotknot.example/platform/platformtest"
 )
 
@@ -48,6 +49,45 @@
 	})
 }
 
+// tellFirstEngine makes an engine say something in its responses, and sends streams until it is the
+// first engine of one.
+func tellFirstEngine(t *testing.T, n *node, engines map[string]*platformtest.Replica, say func(e *platformtest.Replica, on bool), send func(n *node, id string) reply) *platformtest.Replica {
+	t.Helper()
+	var told *platformtest.Replica
+	i := 0
+	eventually(t, "a path that begins at the engine", func() bool {
+		for _, e := range engines {
+			if first, _ := e.HeldLayers(); first > 0 {
+				continue
+			}
+			i++
+			before := e.Arrivals()
+			say(e, true)
+			assert.Equal(t, send(n, fmt.Sprintf("first-%d", i)).status, http.StatusOK)
+			if e.Arrivals() > before {
+				told = e
+				return true
+			}
+			say(e, false)
+		}
+		return false
+	})
+	return told
+}
+
+// waitForLayers waits until all engines of a pool hold layers and the node knows of it.
+func (n *node) waitForLayers(t *testing.T, w *platformtest.Platform, engines map[string]*platformtest.Replica) {
+	t.Helper()
+	eventually(t, "engines with layers", func() bool {
+		for _, e := range engines {
+			if first, end := e.HeldLayers(); first == end {
+				return false
+			}
+		}
+		return n.knowsRevision(t, w.Store.Revision(platform.ReplicaPrefix))
+	})
+}
+
 func readRequest(t *testing.T) func(n *node, id string) reply {
 	return func(n *node, id string) reply { return n.do(t, http.MethodGet, "/read/1", id, platformtest.Key, 0) }
 }
@@ -63,7 +103,7 @@
 			w := platformtest.NewPlatform()
 			t.Cleanup(w.Close)
 			limited := w.Add(platformtest.App, "i-a", "a")
-			w.Add(platformtest.App, "i-b", "a")
+			other := w.Add(platformtest.App, "i-b", "a")
 			nodes := startEntries(t, w, entries)
 			send := readRequest(t)
 			limited.SetRateLimit(fmt.Sprint(namedLimit))
@@ -71,23 +111,35 @@
 				tellLimit(t, n, limited, send)
 			}
 			began, before := time.Now(), limited.Arrivals()
-			for i := range 200 {
-				got := send(nodes[i%entries], fmt.Sprintf("read-%d", i))
+			const atOnce, each = 20, 10
+			replies := make(chan reply, atOnce*each)
+			for i := range atOnce {
+				go func() {
+					for k := range each {
+						replies <- send(nodes[i%entries], fmt.Sprintf("read-%d-%d", i, k))
+					}
+				}()
+			}
+			for range atOnce * each {
+				got := <-replies
 				assert.NilError(t, got.err)
 				assert.Equal(t, got.status, http.StatusOK)
 			}
 			got, allowed := limited.Arrivals()-before, allowedArrivals(time.Since(began))
 			assert.Assert(t, got <= allowed, "%d of 200 requests, %d allowed", got, allowed)
 			limited.SetRateLimit("")
+			other.Drain()
 			for _, n := range nodes {
 				i := 0
-				eventually(t, "a target that is used as before", func() bool {
-					before := limited.Arrivals()
+				eventually(t, "a target that serves all", func() bool {
+					served := 0
 					for range 10 {
 						i++
-						assert.Equal(t, send(n, fmt.Sprintf("after-%s-%d", n.CallersAddr(), i)).status, http.StatusOK)
+						if send(n, fmt.Sprintf("after-%s-%d", n.CallersAddr(), i)).status == http.StatusOK {
+							served++
+						}
 					}
-					return limited.Arrivals()-before >= 3
+					return served == 10
 				})
 			}
 		})
@@ -101,17 +153,16 @@
 	w, engines := newPool(t)
 	n := start(t, w, "one")
 	n.waitForStream(t)
+	n.waitForLayers(t, w, engines)
 	stream := func(n *node, id string) reply {
 		return n.do(t, http.MethodPost, "/talk/1", id, platformtest.Key, 1)
 	}
-	var limited *platformtest.Replica
-	for _, e := range engines {
-		if limited == nil || e.Arrivals() > limited.Arrivals() {
-			limited = e
+	limited := tellFirstEngine(t, n, engines, func(e *platformtest.Replica, on bool) {
+		e.SetRateLimit("")
+		if on {
+			e.SetRateLimit(fmt.Sprint(namedLimit))
 		}
-	}
-	limited.SetRateLimit(fmt.Sprint(namedLimit))
-	tellLimit(t, n, limited, stream)
+	}, stream)
 	began, before := time.Now(), limited.Arrivals()
 	for i := range 100 {
 		got := stream(n, fmt.Sprintf("talk-%d", i))
