pkedge: the test of paths beside resting engines waits for the pool

Cause: TestPathsPassByEnginesThatAskForRest failed where the entry had not read yet that a second engine holds the layer of the resting one: the refusal was right. Change: it waits until all engines hold layers and the entry has read that.

--- a/pkedge/rest_test.go
+++ b/pkedge/rest_test.go
@@ -94,7 +94,7 @@
 			w, engines := newPool(t)
 			n := start(t, w, "one")
 			n.waitForStream(t)
-			eventually(t, "engines that hold all layers", func() bool { return countHolders(engines, 0) > 1 && countHolders(engines, platformtest.Layers-1) > 1 })
+			n.waitForLayers(t, w, engines)
 			send := func(n *node, id string) reply {
 				return n.do(t, http.MethodPost, "/talk/1", id, platformtest.Key, 1)
 			}
@@ -127,17 +127,6 @@
 	}
 }
 
-// countHolders returns the number of engines that hold a layer.
-func countHolders(engines map[string]*platformtest.Replica, layer int) int {
-	n := 0
-	for _, e := range engines {
-		if first, end := e.HeldLayers(); first <= layer && layer < end {
-			n++
-		}
-	}
-	return n
-}
-
 // Guards against callers that wait for their deadline, or are told nothing of when to come back,
 // where each target has asked for rest.
 func TestCallersAreRefusedAtOnceWhereAllTargetsAskForRest(t *testing.T) {
