pkedge, pkreplica: a target that says it leaves gets no new requests

Cause: nothing read the header; only the record counted as a sign of leaving. Unlike an avoidance it does not end, is not passed over for lack of another target, and no heartbeat of the same start takes it back.

--- a/pkedge/limits.go
+++ b/pkedge/limits.go
@@ -27,10 +27,25 @@
 		d.metrics.invalidHeaders.WithLabelValues(string(h)).Inc()
 		d.log.Debug("invalid header in the response of a target ignored", "target", targets[0].ID, "request_id", id, "header", string(h))
 	}
-	d.recordRest(time.Now(), targets, id, resp)
+	now := time.Now()
+	if resp.Leaving {
+		d.recordLeaving(now, targets[0], id)
+	}
+	d.recordRest(now, targets, id, resp)
 	d.recordLimit(targets[0], id, sentAt, resp)
 }
 
+// recordLeaving records that a target says that it leaves, and reports it to the other entries. Its
+// record may still list it as ready.
+func (d *Daemon) recordLeaving(now time.Time, t *pkreplica.Target, id pkid.RequestID) {
+	if !t.MarkSaysLeaving(now) {
+		return
+	}
+	d.log.Info("target says that it leaves", "target", t.ID, "request_id", id, "record_leaving", t.Leaving)
+	d.suspectStaleRecord(now, t)
+	d.streams.wakeUp()
+}
+
 // recordRest records that the target which refused a request wants none from this entry for a time
 // from now, and so does the engine on whose behalf it refused.
 func (d *Daemon) recordRest(now time.Time, targets []*pkreplica.Target, id pkid.RequestID, resp *pkforward.Response) {
--- a/pkforward/exchange.go
+++ b/pkforward/exchange.go
@@ -63,6 +63,8 @@
 	// RetryAfter is how long the target wants no further request from this entry; zero if it does not
 	// say so.
 	RetryAfter time.Duration
+	// Leaving is set if the target says that it leaves.
+	Leaving bool
 	// Invalid lists the headers of the response whose values cannot be used.
 	Invalid []ResponseHeader
 }
@@ -76,6 +78,8 @@
 	HeaderRateLimit ResponseHeader = "rate_limit"
 	// HeaderRetryAfter holds the time for which a target wants no request.
 	HeaderRetryAfter ResponseHeader = "retry_after"
+	// HeaderLeaving is set by a target that leaves.
+	HeaderLeaving ResponseHeader = "leaving"
 )
 
 // IsInvalid reports whether a header of the response cannot be used.
--- a/pkreplica/deletion.go
+++ b/pkreplica/deletion.go
@@ -99,6 +99,13 @@
 	return r.unavailable
 }
 
+// Removed reports whether a target counts as removed from the list at now.
+func (r *Roster) Removed(now time.Time, t *Target) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.removed(now, t)
+}
+
 // removed reports whether a target counts as removed at now. A store that was unavailable drops the
 // records of live replicas; applying these deletions at once would empty a pool.
 func (r *Roster) removed(now time.Time, t *Target) bool {
--- a/pkreplica/target.go
+++ b/pkreplica/target.go
@@ -55,6 +55,8 @@
 	deadUntil       time.Time
 	goneUntil       time.Time
 	leavingAt       time.Time
+	// saysLeaving is set once a response of the target has said that it leaves.
+	saysLeaving bool
 	// ended is set if a later start is known under the same id, restarted if this start followed
 	// another, displaced if a later process has the address.
 	ended     bool
@@ -197,6 +199,24 @@
 	}
 }
 
+// MarkSaysLeaving records that a response received at now says that the target leaves, and reports
+// whether that is new. A target that leaves does not come back under this start.
+func (t *Target) MarkSaysLeaving(now time.Time) bool {
+	t.markLeaving(now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := t.saysLeaving
+	t.saysLeaving = true
+	return !before
+}
+
+// SaysLeaving reports whether a response of the target has said that it leaves.
+func (t *Target) SaysLeaving() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.saysLeaving
+}
+
 // Rest records that the target has asked this entry for no requests until a time.
 func (t *Target) Rest(until time.Time) {
 	t.mu.Lock()
