pkedge: targets are asked one by one only while some may be busy

Cause: a request that waits for capacity searches a path each 10 ms, and with the mends asked each engine of each layer whether it is at its rate limit or rests; a plain call counted the entries of the fleet for each choice. Most of the time no target is busy, and a full pool is the worst moment for it. Change: a counter of limited targets and the end of the last rest, both read without a lock on any target, decide whether to ask; the number of entries is taken from the search that has it already.

--- a/pkedge/choose.go
+++ b/pkedge/choose.go
@@ -8,6 +8,7 @@
 	"peridotknot.example/pkconfig"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pklayers"
+	"peridotknot.example/pkrate"
 	"peridotknot.example/pkreplica"
 )
 
@@ -88,7 +89,7 @@
 	m := s.Engine
 	live := d.liveEngines(now, s.ID, m)
 	entries := d.entryCount(now)
-	share, limited := d.share(now), d.limits.Named() > 0 && !q.inPath
+	share, limited := pkrate.Share{Entries: entries, Place: d.place}, d.limits.Named() > 0 && !q.inPath
 	engines := make([]pklayers.Engine, 0, len(live))
 	for _, t := range live {
 		cost, ok := layerCost(now, m, t, q, entries, d.memoryPenalty)
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -114,6 +114,8 @@
 	listed   atomic.Bool
 	stopping atomic.Bool
 	active   atomic.Int64
+	// lastRestEnd is when the last rest of a target ends, in nanoseconds since started.
+	lastRestEnd atomic.Int64
 	// lastShortageLog is when a lack of capacity was last logged, in Unix nanoseconds.
 	lastShortageLog atomic.Int64
 }
--- a/pkedge/limits.go
+++ b/pkedge/limits.go
@@ -58,6 +58,16 @@
 			t.Rest(now.Add(resp.RetryAfter))
 		}
 	}
+	end := int64(now.Add(resp.RetryAfter).Sub(d.started))
+	for last := d.lastRestEnd.Load(); end > last && !d.lastRestEnd.CompareAndSwap(last, end); last = d.lastRestEnd.Load() {
+		continue // another response has set it meanwhile
+	}
+}
+
+// anyBusy reports whether some target may be at its rate limit or rest at now. Most of the time none
+// is, and requests that wait need not ask each.
+func (d *Daemon) anyBusy(now time.Time) bool {
+	return d.limits.Named() > 0 || int64(now.Sub(d.started)) < d.lastRestEnd.Load()
 }
 
 // recordLimit records the rate limit that a target names in the response to a request sent at
@@ -145,6 +155,9 @@
 	if s.Engine == nil {
 		return c.serviceBusy(now, s.ID)
 	}
+	if !c.anyBusy(now) {
+		return nil
+	}
 	q, share := c.requestQuery(s), c.share(now)
 	busy, free := make([]*busyError, s.Engine.Layers), make([]bool, s.Engine.Layers)
 	for _, t := range c.liveEngines(now, s.ID, s.Engine) {
@@ -177,6 +190,9 @@
 // serviceBusy returns an error if each target of a plain service is busy at now, or was tried and has
 // failed.
 func (c *call) serviceBusy(now time.Time, s pkid.ServiceID) *busyError {
+	if !c.anyBusy(now) {
+		return nil
+	}
 	var out *busyError
 	share := c.share(now)
 	for _, t := range c.roster.Live(now, s) {
@@ -191,9 +207,13 @@
 
 // chooseTarget returns a target of a plain service that was not tried and is not busy at now.
 func (c *call) chooseTarget(now time.Time, s pkid.ServiceID) (*pkreplica.Target, bool) {
-	share := c.share(now)
+	var share pkrate.Share
+	anyBusy := c.anyBusy(now)
+	if anyBusy {
+		share = c.share(now)
+	}
 	return c.roster.Choose(now, s, func(t *pkreplica.Target) bool {
-		return !slices.Contains(c.tried, t.ID) && c.busyFor(now, t, true, share) == nil
+		return !slices.Contains(c.tried, t.ID) && (!anyBusy || c.busyFor(now, t, true, share) == nil)
 	})
 }
 
