pkedge: what targets ask for and which are busy, in two files

Cause: one file held both what responses of targets ask for and the choice among targets that may be busy. Beside it, an engine that rests and is avoided for the refusal that said so counted as neither for some 0.2 s, so that callers were refused as full, with 2.5 s in place of the time of the rest. Change: demands.go and busy.go; an engine that rests counts as resting.

--- a/pkedge/limits.go
+++ b/pkedge/busy.go
@@ -4,65 +4,35 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"slices"
 	"time"
 
 	"peridotknot.example/pkconfig"
-	"peridotknot.example/pkforward"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkrate"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pktimer"
 )
 
-// recordDemands records what targets ask for in the response to a request sent at sentAt. The first
-// target has answered, the others are the engines behind it. A response as misdirected comes from
-// another replica.
-func (d *Daemon) recordDemands(targets []*pkreplica.Target, id pkid.RequestID, sentAt time.Time, resp *pkforward.Response) {
-	if resp == nil || resp.Status == http.StatusMisdirectedRequest {
-		return
-	}
-	for _, h := range resp.Invalid {
-		d.metrics.invalidHeaders.WithLabelValues(string(h)).Inc()
-		d.log.Debug("invalid header in the response of a target ignored", "target", targets[0].ID, "request_id", id, "header", string(h))
-	}
-	now := time.Now()
-	if resp.Leaving {
-		d.recordLeaving(now, targets[0], id)
-	}
-	d.recordRest(now, targets, id, resp)
-	d.recordLimit(targets[0], id, sentAt, resp)
+// busyError is returned if each target that could serve a request is at its rate limit or has asked
+// for rest.
+type busyError struct {
+	// reason is the outcome of the request.
+	reason string
+	// wait is the time until this entry may send a request to one of them.
+	wait time.Duration
+	// retryAfter is the time after which the caller should come back, to this entry or another.
+	retryAfter time.Duration
 }
 
-// recordLeaving records that a target says that it leaves, and reports it to the other entries. Its
-// record may still list it as ready.
-func (d *Daemon) recordLeaving(now time.Time, t *pkreplica.Target, id pkid.RequestID) {
-	if !t.MarkSaysLeaving(now) {
-		return
-	}
-	d.log.Info("target says that it leaves", "target", t.ID, "request_id", id, "record_leaving", t.Leaving)
-	d.suspectStaleRecord(now, t)
-	d.streams.wakeUp()
-}
+// Outcomes of requests that are refused for what targets ask for.
+const (
+	reasonRateLimited = "rate_limited"
+	reasonResting     = "resting"
+)
 
-// recordRest records that the target which refused a request wants none from this entry for a time
-// from now, and so does the engine on whose behalf it refused.
-func (d *Daemon) recordRest(now time.Time, targets []*pkreplica.Target, id pkid.RequestID, resp *pkforward.Response) {
-	if resp.RetryAfter <= 0 {
-		return
-	}
-	for i, t := range targets {
-		if i == 0 || t.Addr == resp.FaultAddr {
-			d.log.Info("target asks for rest", "target", t.ID, "for_ms", resp.RetryAfter.Milliseconds(), "request_id", id, "behind", i)
-			t.Rest(now.Add(resp.RetryAfter))
-		}
-	}
-	end := int64(now.Add(resp.RetryAfter).Sub(d.started))
-	for last := d.lastRestEnd.Load(); end > last && !d.lastRestEnd.CompareAndSwap(last, end); last = d.lastRestEnd.Load() {
-		continue // another response has set it meanwhile
-	}
-}
+// Error returns the reason and the wait.
+func (e *busyError) Error() string { return fmt.Sprintf("all targets are %s for %v", e.reason, e.wait) }
 
 // anyBusy reports whether some target may be at its rate limit or rest at now. Most of the time none
 // is, and requests that wait need not ask each.
@@ -70,37 +40,6 @@
 	return d.limits.Named() > 0 || int64(now.Sub(d.started)) < d.lastRestEnd.Load()
 }
 
-// recordLimit records the rate limit that a target names in the response to a request sent at
-// sentAt.
-func (d *Daemon) recordLimit(t *pkreplica.Target, id pkid.RequestID, sentAt time.Time, resp *pkforward.Response) {
-	if resp.IsInvalid(pkforward.HeaderRateLimit) {
-		return
-	}
-	before, changed := d.limits.Record(t.ID, t.Born, resp.Limit, sentAt)
-	if changed {
-		d.logLimit(t.ID, before, resp.Limit, "source", "response", "request_id", id, "age_ms", time.Since(sentAt).Milliseconds())
-		if pkrate.IsUrgent(before, resp.Limit) {
-			d.gossip.requestSend()
-		}
-	}
-}
-
-// mergeLimits merges the rate limits that another entry has observed, and forwards changes if there
-// are hubs.
-func (d *Daemon) mergeLimits(now time.Time, observations []pkrate.Observation, from pkid.EntryID) {
-	urgent := false
-	for _, o := range observations {
-		before, changed := d.limits.Merge(now, o)
-		if changed {
-			d.logLimit(o.Target, before, o.Limit(), "source", "peer "+string(from), "age_ms", o.AgeMS)
-			urgent = urgent || pkrate.IsUrgent(before, o.Limit())
-		}
-	}
-	if urgent && d.gossip.withHubs.Load() {
-		d.gossip.requestSend()
-	}
-}
-
 // share returns this entry's part at now in what all entries share.
 func (d *Daemon) share(now time.Time) pkrate.Share {
 	return pkrate.Share{Entries: d.entryCount(now), Place: d.place}
@@ -112,26 +51,6 @@
 	return d.limits.Named() == 0 || d.limits.Take(now, t.ID, t.Born, d.share(now))
 }
 
-// busyError is returned if each target that could serve a request is at its rate limit or has asked
-// for rest.
-type busyError struct {
-	// reason is the outcome of the request.
-	reason string
-	// wait is the time until this entry may send a request to one of them.
-	wait time.Duration
-	// retryAfter is the time after which the caller should come back, to this entry or another.
-	retryAfter time.Duration
-}
-
-// Outcomes of requests that are refused for what targets ask for.
-const (
-	reasonRateLimited = "rate_limited"
-	reasonResting     = "resting"
-)
-
-// Error returns the reason and the wait.
-func (e *busyError) Error() string { return fmt.Sprintf("all targets are %s for %v", e.reason, e.wait) }
-
 // busyFor returns how long from now a target takes no request of this entry, or nil if it takes one.
 // Only requests that entries send count for its rate limit; those are sent to the first engine of a
 // path.
@@ -161,7 +80,7 @@
 	q, share := c.requestQuery(s), c.share(now)
 	busy, free := make([]*busyError, s.Engine.Layers), make([]bool, s.Engine.Layers)
 	for _, t := range c.liveEngines(now, s.ID, s.Engine) {
-		if t.Avoided(now) {
+		if t.Avoided(now) && t.RestsFor(now) == 0 {
 			continue
 		}
 		for l := t.Held.First; l < t.Held.End; l++ {
@@ -241,11 +160,3 @@
 		}
 	}
 }
-
-// logLimit logs a changed rate limit of a target.
-func (d *Daemon) logLimit(id pkid.TargetID, before, after pkrate.Limit, context ...any) {
-	d.log.Info("rate limit of a target has changed", append([]any{
-		"target", id, "limited", after.Named, "per_second", float64(after.Rate),
-		"limited_before", before.Named, "per_second_before", float64(before.Rate),
-	}, context...)...)
-}
