--- a/pkedge/fleet_test.go
+++ b/pkedge/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"testing"
 
@@ -10,6 +11,7 @@
 	"peridotknot.example/pkedge"
 	"peridotknot.example/pkid"
 	"peridotknot.example/platform"
+	"peridotknot.example/platform/platformtest"
 )
 
 // knowsRevision reports whether an entry knows the list of replicas up to a revision.
@@ -137,3 +139,42 @@
 	everyone(nodes[hubs:], "a configuration without the hubs")
 	oneFollower()
 }
+
+// Guards against entries of a large fleet that learn of the limit of a target, or of its end, by
+// requests of their own only: hubs must relay what one entry was told.
+func TestHubsRelayTheLimitOfATarget(t *testing.T) {
+	t.Parallel()
+	const entries = 15
+	w := platformtest.NewPlatform()
+	t.Cleanup(w.Close)
+	r := w.Add(platformtest.App, "i-a", "a")
+	var nodes []*node
+	for i := range entries {
+		nodes = append(nodes, startWith(t, pkedge.Settings{
+			Entry: pkid.EntryID(fmt.Sprintf("n-%02d", i)), DataCenter: "a", Store: w.Store.Addr(),
+			Listen: pkedge.Listen{Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: "127.0.0.1:0"},
+			Stop:   pkedge.Stop{GraceS: 1}, // there are no callers to wait for
+			Retry:  pkedge.Retry{WindowS: 10},
+		}))
+	}
+	for _, n := range nodes {
+		eventually(t, "readiness", func() bool { return n.isReady(t) })
+		eventually(t, "the number of members", func() bool { return n.memberCount(t) >= entries })
+	}
+	knows := func(n *node, limited string) bool { return n.metric(t, "peridotknot_rate_limited_targets") == limited }
+	told := nodes[entries-1]
+	r.SetRateLimit("1000")
+	tellLimit(t, told, r, readRequest(t))
+	for _, n := range nodes {
+		eventually(t, "the limit at all entries", func() bool { return knows(n, "1") })
+	}
+	assert.Equal(t, r.Arrivals(), 1)
+	r.SetRateLimit("")
+	i := 0
+	for _, n := range nodes {
+		eventually(t, "the end of the limit at all entries", func() bool {
+			i++
+			return readRequest(t)(told, fmt.Sprintf("end-%d", i)).status == http.StatusOK && knows(n, "0")
+		})
+	}
+}
