--- a/pkedge/demands.go
+++ b/pkedge/demands.go
@@ -29,10 +29,10 @@
 	d.recordLimit(targets[0], id, sentAt, resp)
 }
 
-// recordLeaving records that a target says that it leaves, and reports it to the other entries. Its
+// recordLeaving records that a target announces its leaving, and reports it to the other entries. Its
 // record may still list it as ready.
 func (d *Daemon) recordLeaving(now time.Time, t *pkreplica.Target, id pkid.RequestID) {
-	if !t.MarkSaysLeaving(now) {
+	if !t.MarkAnnouncedLeaving(now) {
 		return
 	}
 	d.log.Info("target says that it leaves", "target", t.ID, "request_id", id, "record_leaving", t.Leaving)
@@ -40,8 +40,8 @@
 	d.streams.wakeUp()
 }
 
-// recordRest records that the target which refused a request wants none from this entry for a time
-// from now, and so does the engine on whose behalf it refused.
+// recordRest records that the target which refused a request takes none of this entry for a time from
+// now, and neither does the engine on whose behalf it refused.
 func (d *Daemon) recordRest(now time.Time, targets []*pkreplica.Target, id pkid.RequestID, resp *pkforward.Response) {
 	if resp.RetryAfter <= 0 {
 		return
--- a/pkedge/fleet_test.go
+++ b/pkedge/fleet_test.go
@@ -30,13 +30,9 @@
 	return at
 }
 
-// Guards against entries of a large fleet that each follow the list of replicas at the store: only
-// the first hub of a data centre may, and must relay changes and the number of members, which the retry budget depends on.
-// When the hubs stop, the other entries must still learn of draining replicas.
-func TestHubsRelayTheListInALargeFleet(t *testing.T) {
-	t.Parallel()
-	const entries, hubs = 15, 2
-	w, engines := newPool(t)
+// startFleet starts entries of one data centre and waits until they are ready.
+func startFleet(t *testing.T, w *platformtest.Platform, entries int) []*node {
+	t.Helper()
 	var nodes []*node
 	for i := range entries {
 		nodes = append(nodes, startWith(t, pkedge.Settings{
@@ -49,6 +45,17 @@
 	for _, n := range nodes {
 		eventually(t, "readiness", func() bool { return n.isReady(t) })
 	}
+	return nodes
+}
+
+// Guards against entries of a large fleet that each follow the list of replicas at the store: only
+// the first hub of a data centre may, and must relay changes and the number of members, which the retry budget depends on.
+// When the hubs stop, the other entries must still learn of draining replicas.
+func TestHubsRelayTheListInALargeFleet(t *testing.T) {
+	t.Parallel()
+	const entries, hubs = 15, 2
+	w, engines := newPool(t)
+	nodes := startFleet(t, w, entries)
 	// A change ends the watches that are no longer needed.
 	eventually(t, "a watch of the list by the first hub only", func() bool {
 		n := w.Store.WatchCount(platform.ReplicaPrefix)
@@ -148,17 +155,8 @@
 	w := platformtest.NewPlatform()
 	t.Cleanup(w.Close)
 	r := w.Add(platformtest.App, "i-a", "a")
-	var nodes []*node
-	for i := range entries {
-		nodes = append(nodes, startWith(t, pkedge.Settings{
-			Entry: pkid.EntryID(fmt.Sprintf("n-%02d", i)), DataCenter: "a", Store: w.Store.Addr(),
-			Listen: pkedge.Listen{Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: "127.0.0.1:0"},
-			Stop:   pkedge.Stop{GraceS: 1}, // there are no callers to wait for
-			Retry:  pkedge.Retry{WindowS: 10},
-		}))
-	}
+	nodes := startFleet(t, w, entries)
 	for _, n := range nodes {
-		eventually(t, "readiness", func() bool { return n.isReady(t) })
 		eventually(t, "the number of members", func() bool { return n.memberCount(t) >= entries })
 	}
 	knows := func(n *node, limited string) bool { return n.metric(t, "peridotknot_rate_limited_targets") == limited }
--- a/pkedge/leaving_test.go
+++ b/pkedge/leaving_test.go
@@ -21,7 +21,7 @@
 	other := w.Add(platformtest.App, "i-b", "a")
 	nodes := startEntries(t, w, 2)
 	send := readRequest(t)
-	leaving.SayLeaving(true)
+	leaving.SetLeaving(true)
 	tellLimit(t, nodes[0], leaving, send)
 	eventually(t, "the report to the other entry", func() bool { return nodes[1].metric(t, "peridotknot_targets_avoided") == "1" })
 	before := leaving.Arrivals()
@@ -52,7 +52,7 @@
 		assert.Equal(t, got.body, events(length))
 		return got
 	}
-	leaving := tellFirstEngine(t, n, engines, (*platformtest.Replica).SayLeaving, stream)
+	leaving := tellFirstEngine(t, n, engines, (*platformtest.Replica).SetLeaving, stream)
 	before := leaving.Arrivals()
 	for i := range 20 {
 		stream(n, fmt.Sprintf("talk-%d", i))
@@ -70,7 +70,7 @@
 	n := start(t, w, "one")
 	eventually(t, "readiness", func() bool { return n.isReady(t) })
 	send := readRequest(t)
-	r.SayLeaving(true)
+	r.SetLeaving(true)
 	tellLimit(t, n, r, send)
 	assert.Equal(t, send(n, "left").status, http.StatusServiceUnavailable)
 	r.Restart()
--- a/pkedge/metrics.go
+++ b/pkedge/metrics.go
@@ -63,7 +63,7 @@
 		gauge("peridotknot_slow_engines", "Engines that are slower than their kind.", func() float64 { return float64(d.paces.Slow(time.Now())) }),
 		gauge("peridotknot_rate_limited_targets", "Targets that name a limit on the requests of all entries.", func() float64 { return float64(d.limits.Named()) }),
 		gauge("peridotknot_resting_targets", "Targets that have asked this entry for rest.", func() float64 { return float64(d.resting(time.Now())) }),
-		gauge("peridotknot_leaving_targets", "Targets of the list that have said to this entry that they leave.", func() float64 { return float64(d.sayLeaving(time.Now())) }),
+		gauge("peridotknot_leaving_targets", "Targets of the list that have said to this entry that they leave.", func() float64 { return float64(d.announcedLeaving(time.Now())) }),
 		gauge("peridotknot_quarantined_requests", "Requests that are kept from replicas, since each that ran them ended.", func() float64 {
 			held, _ := d.quarantine.table.Counts(time.Now())
 			return float64(held)
@@ -99,12 +99,12 @@
 	return n
 }
 
-// sayLeaving returns the number of targets that are still listed at now and have said that they
-// leave.
-func (d *Daemon) sayLeaving(now time.Time) int {
+// announcedLeaving returns the number of targets that are still listed at now and have announced their
+// leaving.
+func (d *Daemon) announcedLeaving(now time.Time) int {
 	n := 0
 	for _, t := range d.roster.All() {
-		if t.SaysLeaving() && !d.roster.Removed(now, t) {
+		if t.AnnouncedLeaving() && !d.roster.Removed(now, t) {
 			n++
 		}
 	}
--- a/pkforward/exchange.go
+++ b/pkforward/exchange.go
@@ -60,10 +60,9 @@
 	Load int
 	// Limit is the request rate that the target accepts from all entries together.
 	Limit pkrate.Limit
-	// RetryAfter is how long the target wants no further request from this entry; zero if it does not
-	// say so.
+	// RetryAfter is how long the target takes no further request of this entry; zero if not given.
 	RetryAfter time.Duration
-	// Leaving is set if the target says that it leaves.
+	// Leaving is set if the target announces its leaving.
 	Leaving bool
 	// Invalid lists the headers of the response whose values cannot be used.
 	Invalid []ResponseHeader
@@ -72,11 +71,11 @@
 // ResponseHeader is a header of a response, by what it holds.
 type ResponseHeader string
 
-// Headers by which a target says what it takes.
+// Headers by which a target limits what it takes.
 const (
 	// HeaderRateLimit holds the target's limit on requests.
 	HeaderRateLimit ResponseHeader = "rate_limit"
-	// HeaderRetryAfter holds the time for which a target wants no request.
+	// HeaderRetryAfter holds the time for which a target takes no request.
 	HeaderRetryAfter ResponseHeader = "retry_after"
 	// HeaderLeaving is set by a target that leaves.
 	HeaderLeaving ResponseHeader = "leaving"
--- a/pkrate/table.go
+++ b/pkrate/table.go
@@ -15,7 +15,7 @@
 	Rate  pkid.RequestRate
 }
 
-// record is what the latest response of a target says of its limit.
+// record is the limit in the latest response of a target.
 type record struct {
 	limit Limit
 	// sentAt is when the request of that response was sent.
--- a/pkreplica/roster.go
+++ b/pkreplica/roster.go
@@ -204,7 +204,7 @@
 	defer r.mu.RUnlock()
 	var out []*Target
 	for _, t := range r.byService[s] {
-		if !t.Leaving && !t.SaysLeaving() && !r.removed(now, t) {
+		if !t.Leaving && !t.AnnouncedLeaving() && !r.removed(now, t) {
 			out = append(out, t)
 		}
 	}
--- a/pkreplica/target.go
+++ b/pkreplica/target.go
@@ -58,8 +58,8 @@
 	deadUntil       time.Time
 	goneUntil       time.Time
 	leavingAt       time.Time
-	// saysLeaving is set once a response of the target has said that it leaves.
-	saysLeaving bool
+	// announcedLeaving is set once a response has announced the leaving of the target.
+	announcedLeaving bool
 	// ended is set if a later start is known under the same id, restarted if this start followed
 	// another, displaced if a later process has the address.
 	ended     bool
@@ -202,22 +202,22 @@
 	}
 }
 
-// MarkSaysLeaving records that a response received at now says that the target leaves, and reports
-// whether that is new. A target that leaves does not come back under this start.
-func (t *Target) MarkSaysLeaving(now time.Time) bool {
+// MarkAnnouncedLeaving records that a response received at now announces the leaving of the target, and
+// reports whether that is new. A target that leaves does not come back under this start.
+func (t *Target) MarkAnnouncedLeaving(now time.Time) bool {
 	t.markLeaving(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	before := t.saysLeaving
-	t.saysLeaving = true
+	before := t.announcedLeaving
+	t.announcedLeaving = true
 	return !before
 }
 
-// SaysLeaving reports whether a response of the target has said that it leaves.
-func (t *Target) SaysLeaving() bool {
+// AnnouncedLeaving reports whether a response has announced the leaving of the target.
+func (t *Target) AnnouncedLeaving() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.saysLeaving
+	return t.announcedLeaving
 }
 
 // Rest records that the target has asked this entry for no requests until a time.
@@ -229,7 +229,7 @@
 	}
 }
 
-// RestsFor returns how long from now the target wants no requests from this entry.
+// RestsFor returns how long from now the target takes no requests of this entry.
 func (t *Target) RestsFor(now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
