pkretry, pkedge: what a retry budget counts and allows is logged and measured

The line "retry budget is spent" named only the number of entries, so that a process that has spent its allowance could not be told from one that has just started. It now has the requests and retries of this process in the window, what is allowed and how long the process has run; two gauges show the same. No decision changes.

--- a/pkedge/callerserver.go
+++ b/pkedge/callerserver.go
@@ -131,7 +131,7 @@
 	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
-	c.budgets.of(c.service).RecordRequest(c.began, c.retryLimits())
+	c.budgets.of(c.service).RecordRequest(c.began, c.retryLimits(c.began))
 	s, found := c.table.Service(c.service)
 	if !found {
 		s = &pkconfig.Service{ID: c.service}
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -259,3 +259,17 @@
 	}
 	return b.all[s]
 }
+
+// usage returns the sums of what all budgets count and allow at now.
+func (b *budgets) usage(now time.Time, l pkretry.Limits) pkretry.Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var sum pkretry.Usage
+	for _, one := range b.all {
+		u := one.Usage(now, l)
+		sum.Requests += u.Requests
+		sum.Retries += u.Retries
+		sum.Allowed += u.Allowed
+	}
+	return sum
+}
--- a/pkedge/metrics.go
+++ b/pkedge/metrics.go
@@ -6,6 +6,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"peridotknot.example/pkretry"
 )
 
 // metrics are the metrics served at /metrics. Accounts, routes and targets are not used as labels,
@@ -59,6 +61,8 @@
 		gauge("peridotknot_store_era", "Era of the store that the list of replicas is known of; it rises when the store comes back from an older copy.", func() float64 { return float64(d.roster.At().Era()) }),
 		gauge("peridotknot_peers", "Other entries that are heard of.", func() float64 { return float64(d.gossip.table.LivePeerCount(time.Now())) }),
 		gauge("peridotknot_members", "Entries that share what is bounded over all.", func() float64 { return float64(d.entryCount(time.Now())) }),
+		gauge("peridotknot_retries_in_window", "Retries of all services that this process counts in the window of the retry budget.", func() float64 { return d.retryUsage().Retries }),
+		gauge("peridotknot_retries_allowed", "Retries that the retry budget allows this process in the window, over the services that have had requests.", func() float64 { return d.retryUsage().Allowed }),
 		gauge("peridotknot_targets_avoided", "Targets that are passed over for failures.", func() float64 { return float64(d.avoided(time.Now())) }),
 		gauge("peridotknot_slow_engines", "Engines that are slower than their kind.", func() float64 { return float64(d.paces.Slow(time.Now())) }),
 		gauge("peridotknot_rate_limited_targets", "Targets that name a limit on the requests of all entries.", func() float64 { return float64(d.limits.Named()) }),
@@ -77,6 +81,12 @@
 	return m
 }
 
+// retryUsage returns the present sums of the retry budgets.
+func (d *Daemon) retryUsage() pkretry.Usage {
+	now := time.Now()
+	return d.budgets.usage(now, d.retryLimits(now))
+}
+
 // avoided returns the number of targets that are avoided at now.
 func (d *Daemon) avoided(now time.Time) int {
 	n := 0
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -49,8 +49,9 @@
 	return r.Services[0].Service
 }
 
-func (c *call) retryLimits() pkretry.Limits {
-	return c.retry.Load().limits(c.share(c.began))
+// retryLimits returns the limits of the retry budgets at now.
+func (d *Daemon) retryLimits(now time.Time) pkretry.Limits {
+	return d.retry.Load().limits(d.share(now), d.started)
 }
 
 // servePlain serves a call to a plain service.
@@ -104,12 +105,19 @@
 		return false
 	}
 	if !c.chargeRetry() {
-		c.log.Warn("retry budget is spent", "request_id", c.req.Meta.ID, "service", c.service, "entries", c.entryCount(time.Now()))
+		c.logBudgetSpent(time.Now())
 		return false
 	}
 	return true
 }
 
+// logBudgetSpent logs that the retry budget allows the call no further send at now.
+func (c *call) logBudgetSpent(now time.Time) {
+	u := c.budgets.of(c.service).Usage(now, c.retryLimits(now))
+	c.log.Warn("retry budget is spent", "request_id", c.req.Meta.ID, "service", c.service, "entries", c.entryCount(now),
+		"requests", u.Requests, "retries", u.Retries, "allowed", u.Allowed, "uptime_ms", now.Sub(c.started).Milliseconds())
+}
+
 // mayRetry reports whether the verdict and the limit of attempts allow another send.
 func (c *call) mayRetry(verdict pkverdict.Verdict) bool {
 	return verdict.MayRetry(c.route.Retryable()) && c.runs < c.route.MaxAttempts
@@ -118,7 +126,8 @@
 // chargeRetry charges a send to the retry budget, unless that was done already, and reports whether
 // the budget allows it.
 func (c *call) chargeRetry() bool {
-	if !c.charged && !c.budgets.of(c.service).TryRetry(time.Now(), c.retryLimits()) {
+	now := time.Now()
+	if !c.charged && !c.budgets.of(c.service).TryRetry(now, c.retryLimits(now)) {
 		return false
 	}
 	c.charged = false
--- a/pkedge/reroute.go
+++ b/pkedge/reroute.go
@@ -166,7 +166,7 @@
 	if _, found := d.choosePath(now, a.service, a.tokens, 1); !found {
 		return false
 	}
-	budget, limits := d.budgets.of(a.call.service), d.retry.Load().limits(d.share(now))
+	budget, limits := d.budgets.of(a.call.service), d.retryLimits(now)
 	if reason == reasonLeaving && !budget.HasRetries(now, limits, drainRetryReserve) {
 		return false
 	}
--- a/pkedge/settings.go
+++ b/pkedge/settings.go
@@ -55,8 +55,9 @@
 	Slack   float64 `yaml:"slack"`
 }
 
-func (r Retry) limits(s pkrate.Share) pkretry.Limits {
-	return pkretry.Limits{Ratio: r.Ratio, Slack: r.Slack, Window: seconds(r.WindowS), Share: s}
+// limits returns the limits of an entry that has started at the given time.
+func (r Retry) limits(s pkrate.Share, started time.Time) pkretry.Limits {
+	return pkretry.Limits{Ratio: r.Ratio, Slack: r.Slack, Window: seconds(r.WindowS), Share: s, Started: started}
 }
 
 // placeOf returns the place of an entry, from 0 to 1, in the order in which entries take turns.
--- a/pkretry/budget.go
+++ b/pkretry/budget.go
@@ -18,6 +18,15 @@
 	Window time.Duration
 	// Share is this entry's part in the slack.
 	Share pkrate.Share
+	// Started is when this process began to count; zero if that is longer ago than a window.
+	Started time.Time
+}
+
+// Usage is what a budget counts in a window, and the number of retries that it allows there.
+type Usage struct {
+	Requests float64
+	Retries  float64
+	Allowed  float64
 }
 
 // turnWindows is the number of windows in which each entry has its turn. A window then covers the
@@ -93,23 +102,35 @@
 	return b.allows(now, l, retries)
 }
 
+// Usage returns what the budget counts in the window that ends at now.
+func (b *Budget) Usage(now time.Time, l Limits) Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.usage(now, l)
+}
+
 func (b *Budget) allows(now time.Time, l Limits, n int) bool {
+	u := b.usage(now, l)
+	if u.Allowed < 1 && n == 1 {
+		return u.Retries == 0 && l.hasTurn(now, u.Allowed)
+	}
+	return u.Retries+float64(n) <= u.Allowed
+}
+
+func (b *Budget) usage(now time.Time, l Limits) Usage {
 	current := b.bucket(now, l)
-	requests, retries := 0.0, 0.0
+	var u Usage
 	for i := range b.buckets {
 		age := current.number - b.buckets[i].number
 		if age < bucketCount {
-			requests += b.buckets[i].requests
+			u.Requests += b.buckets[i].requests
 		}
 		if age < keptBuckets {
-			retries += b.buckets[i].retries
+			u.Retries += b.buckets[i].retries
 		}
 	}
-	limit := utilization * (l.Ratio*requests + l.Share.Of(l.Slack))
-	if limit < 1 && n == 1 {
-		return retries == 0 && l.hasTurn(now, limit)
-	}
-	return retries+float64(n) <= limit
+	u.Allowed = utilization * (l.Ratio*u.Requests + l.Share.Of(l.Slack))
+	return u
 }
 
 // bucket returns the current bucket.
