pkadmit: the retry budget of our own interface starts empty

It now starts empty and fills with requests; what all processes spend stays within the burst and what requests earn.

TestRestartsDoNotRefillTheBurstOfRetries failed before and passes. Three tests of the bucket began with a full one: two now fill it first and assert the same, and TestBudgetBoundsRetries asserts 99 to 100 retries for 1,000 requests at a ratio of 0.1 where it allowed 100 to 106, the full burst at the start included.

--- a/pkadmit/budget.go
+++ b/pkadmit/budget.go
@@ -19,10 +19,11 @@
 	share pkrate.Share
 }
 
-// NewRetryBudget returns a full budget of one entry. Each request adds ratio retries, up to the
-// entry's part of the burst that all entries share.
+// NewRetryBudget returns an empty budget of one entry, since what an earlier process of the entry has
+// spent is not known. Each request adds ratio retries, up to the entry's part of the burst that all
+// entries share.
 func NewRetryBudget(ratio, burst float64, s pkrate.Share) *RetryBudget {
-	return &RetryBudget{ratio: ratio, burst: burst, share: s, tokens: s.Of(burst)}
+	return &RetryBudget{ratio: ratio, burst: burst, share: s}
 }
 
 // SetShare changes this entry's part in the burst.
--- a/pkadmit/gate_test.go
+++ b/pkadmit/gate_test.go
@@ -125,6 +125,13 @@
 	assert.Equal(t, inFlight+waiting, 0)
 }
 
+// fill earns as much as a budget can save up.
+func fill(b *RetryBudget, ratio, burst float64) {
+	for range int(burst/ratio) + 1 {
+		b.Earn()
+	}
+}
+
 func TestBudgetBoundsRetries(t *testing.T) {
 	b := NewRetryBudget(0.1, 5, pkrate.Share{})
 	spent := 0
@@ -134,7 +141,7 @@
 			spent++
 		}
 	}
-	assert.Assert(t, spent >= 100 && spent <= 106, spent)
+	assert.Assert(t, spent >= 99 && spent <= 100, spent)
 }
 
 // Guards against a burst of retries that grows with the number of entries: when a target that all of
@@ -145,6 +152,7 @@
 		spent := 0
 		for range entries {
 			b := NewRetryBudget(ratio, burst, pkrate.Share{Entries: entries})
+			fill(b, ratio, burst)
 			for b.Spend() {
 				spent++
 			}
@@ -163,6 +171,7 @@
 // Guards against an entry that keeps a burst from the time when it was alone.
 func TestBurstShrinksWhenEntriesJoin(t *testing.T) {
 	b := NewRetryBudget(0.2, 200, pkrate.Share{Entries: 1})
+	fill(b, 0.2, 200)
 	b.SetShare(pkrate.Share{Entries: 100})
 	spent := 0
 	for b.Spend() {
@@ -178,3 +187,25 @@
 		g.Leave(start, ticket, 10)
 	}
 }
+
+// Guards against a burst of retries that is whole again after each restart of an entry: the entries
+// together may make no more than the burst and what their requests earn.
+func TestRestartsDoNotRefillTheBurstOfRetries(t *testing.T) {
+	const ratio, burst, requests = 0.2, 200, 30
+	for _, entries := range []int{1, 10, 100, 1000} {
+		spent, earned := 0, 0.0
+		for range entries {
+			for process := range 5 {
+				b := NewRetryBudget(ratio, burst, pkrate.Share{Entries: entries})
+				for range requests + process {
+					b.Earn()
+					earned += ratio
+					for b.Spend() {
+						spent++
+					}
+				}
+			}
+		}
+		assert.Assert(t, float64(spent) <= burst+earned, "%d entries: %d retries, %v earned", entries, spent, earned)
+	}
+}
