--- a/pkrate/share_test.go
+++ b/pkrate/share_test.go
@@ -185,3 +185,30 @@
 		}
 	}
 }
+
+// Guards against a limit that is exceeded where most or all entries restart several times within one
+// window: what their earlier processes have sent still counts.
+func TestLimitHoldsWhileMostEntriesRestartAtOnce(t *testing.T) {
+	const every, rounds = 700 * time.Millisecond, 12
+	for _, entries := range []int{1, 10, 100, 1000} {
+		for _, rate := range []pkid.RequestRate{1, 12.4, 200} {
+			for _, part := range []float64{0.6, 1} {
+				t.Run(fmt.Sprint(entries, " entries, ", rate, " a second, ", part), func(t *testing.T) {
+					f := newFleet(entries, 5)
+					f.name(start, rate)
+					random := rand.New(rand.NewPCG(6, 7))
+					for now := start; now.Sub(start) < rounds*every; now = now.Add(step) {
+						for i := range f.tables {
+							if now.Sub(start)%every == 0 && random.Float64() < part {
+								f.tables[i] = Table{}
+								f.tables[i].Record("a", 0, perSecond(rate), now)
+							}
+							f.send(now, i, 100, entries)
+						}
+					}
+					f.assertWithinLimit(t, rate)
+				})
+			}
+		}
+	}
+}
--- a/pkretry/restart_test.go
+++ b/pkretry/restart_test.go
@@ -139,10 +139,10 @@
 // window in which their earlier process has spent it.
 func TestRestartedEntriesStayWithinTheBoundOfTheFleet(t *testing.T) {
 	for name, restart := range restarts {
-		for _, entries := range []int{1, 10, 100, 1000} {
+		for entries, slack := range map[int]float64{1: 200, 10: 220, 100: 400, 1000: 2200, 2000: 700} {
 			t.Run(fmt.Sprintf("%s, %d entries", name, entries), func(t *testing.T) {
 				t.Parallel()
-				f := &fleet{random: rand.New(rand.NewPCG(1, uint64(entries))), slack: 200 + 2*float64(entries), processes: make([]process, entries)}
+				f := &fleet{random: rand.New(rand.NewPCG(1, uint64(entries))), slack: slack, processes: make([]process, entries)}
 				began := time.Unix(1_000_000, 0)
 				most := 0.0
 				for passed := time.Duration(0); passed < fleetTime; passed += fleetStep {
