pkedge: what an entry itself sees of a target that a peer reports

The line "target suspected on a report from a peer" does not show whether this entry reaches the target. It now has the number of its own open connections to it and of its requests in progress there. No decision changes.

--- a/pkconn/registry.go
+++ b/pkconn/registry.go
@@ -50,6 +50,16 @@
 	}
 }
 
+// Open returns the number of open connections to addr, idle ones included.
+func (g *Registry) Open(addr string) int {
+	if g == nil {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.conns[addr])
+}
+
 func (g *Registry) idle(addr string) []net.Conn {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/pkconn/registry_test.go
+++ b/pkconn/registry_test.go
@@ -51,6 +51,7 @@
 	again, _ := get("/")
 	assert.Equal(t, first, again)
 	waitIdle(t, o.Registry, addr)
+	assert.Equal(t, o.Registry.Open(addr), 2)
 	o.Registry.CloseIdle("another:1")
 	o.Registry.CloseIdle(addr)
 	next, _ := get("/")
@@ -59,6 +60,7 @@
 	assert.Equal(t, <-answer, "ok")
 	var none *Registry
 	none.CloseIdle(addr)
+	assert.Equal(t, none.Open(addr), 0)
 }
 
 // waitIdle waits until a connection to addr is idle: it returns to the pool shortly after the
--- a/pkedge/suspect.go
+++ b/pkedge/suspect.go
@@ -182,7 +182,8 @@
 		}
 		if !t.IsDead(now) {
 			d.log.Info("target suspected on a report from a peer", "target", t.ID, "peer", from, "gone", report.Gone,
-				"misplaced", report.StaleRecord, "born", report.Born, "for_ms", report.RemainingMS)
+				"misplaced", report.StaleRecord, "born", report.Born, "for_ms", report.RemainingMS,
+				"open_connections", d.Conns.Open(t.Addr), "in_progress", t.OwnLoad().Requests)
 		}
 		d.applySuspicion(now, t, s)
 	}
