--- a/pkconn/conn.go
+++ b/pkconn/conn.go
@@ -52,6 +52,8 @@
 	MaxIdlePerHost int
 	// Registry tracks the open connections; it may be nil.
 	Registry *Registry
+	// Dial replaces the dialer where it is set; DialTimeout applies to it as well.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // DefaultOptions returns options for links within one region.
@@ -91,9 +93,18 @@
 	return sockErr
 }
 
+func (o Options) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	if o.Dial == nil {
+		return o.dialer().DialContext(ctx, network, addr)
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.DialTimeout)
+	defer cancel()
+	return o.Dial(ctx, network, addr)
+}
+
 // DialContext connects to addr and returns a Conn.
 func (o Options) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
-	raw, err := o.dialer().DialContext(ctx, network, addr)
+	raw, err := o.dial(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/pkedge/node_test.go
+++ b/pkedge/node_test.go
@@ -34,10 +34,13 @@
 	client *http.Client
 }
 
-func ports(store string) (pkedge.Ports, func() error) {
+func ports(store string, links *platformtest.Links) (pkedge.Ports, func() error) {
 	o := pkconn.DefaultOptions()
 	s := platform.NewStore(store, o)
 	o.Registry = new(pkconn.Registry)
+	if links != nil {
+		o.Dial = links.DialContext
+	}
 	engines, sender := platform.NewEngines(o), pkforward.NewSender(platform.Headers{}, o)
 	p := pkedge.Ports{
 		Store:         s,
@@ -84,7 +87,13 @@
 
 func startWith(t testing.TB, s pkedge.Settings) *node {
 	t.Helper()
-	p, closePorts := ports(s.Store)
+	return startLinked(t, s, nil)
+}
+
+// startLinked starts a node that reaches the replicas over links of its own.
+func startLinked(t testing.TB, s pkedge.Settings, links *platformtest.Links) *node {
+	t.Helper()
+	p, closePorts := ports(s.Store, links)
 	d, err := pkedge.New(s, p, hclog.NewNullLogger())
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
