pkedge, pkreach: what one entry cannot reach is not dead for all

Callers of all entries were refused for want of room while the links of two of eight entries were cut: the entries in order served as little as the others.

Cause: an entry took a refused connection for the end of the target's process and reported it, and the others applied the report unseen, against their own open connections, reports and streams. The class: a fault of the observer's link, taken for a fault of the observed and believed without evidence of one's own.

Change: an entry that meets a failure connects to a sample of the service's other targets first (pkreach). If it reaches almost none it is cut off: it reports nothing, counts no crash and marks nothing dead. A report of a peer is confirmed by a probe of one's own, which takes a round trip for a process that has ended; after a wrong report those of that peer are ignored for four seconds, so that one probe is spent on an entry that reports thousands. Reports of stale records stay as they are: they are the target's own answer.

Tests: those of reports now confirm them with engines that refuse, and assert the same as before.

--- /dev/null
+++ b/pkedge/confirm_test.go
@@ -0,0 +1,106 @@
+package pkedge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotknot.example/pkid"
+	"peridotknot.example/pkowner"
+	"peridotknot.example/pkshare"
+)
+
+// cutEngines refuse all connections but those to the reachable addresses, and count the probes.
+type cutEngines struct {
+	pkowner.Engines
+	reachable map[string]bool
+	probes    atomic.Int64
+}
+
+func (e *cutEngines) Connect(_ context.Context, addr string) error {
+	e.probes.Add(1)
+	if e.reachable[addr] {
+		return nil
+	}
+	return fmt.Errorf("connect: %w", syscall.ECONNREFUSED)
+}
+
+func (e *cutEngines) Report(ctx context.Context, addr string) (pkowner.Report, error) {
+	return pkowner.Report{AcceptedOrders: 1}, e.Connect(ctx, addr)
+}
+
+// twelveEngines returns a daemon with a pool of twelve engines of which the given ones are reachable.
+func twelveEngines(t *testing.T, reachable ...string) (*Daemon, *cutEngines) {
+	t.Helper()
+	d, _ := poolDaemon(
+		engine("a", "x", 0, 80), engine("b", "x", 0, 80), engine("c", "x", 0, 80), engine("d", "x", 0, 80), engine("e", "x", 0, 80), engine("f", "x", 0, 80),
+		engine("g", "x", 0, 80), engine("h", "x", 0, 80), engine("i", "x", 0, 80), engine("j", "x", 0, 80), engine("k", "x", 0, 80), engine("l", "x", 0, 80),
+	)
+	d.gossip.sendNow = make(chan struct{}, 1)
+	engines := &cutEngines{reachable: map[string]bool{}}
+	for _, addr := range reachable {
+		engines.reachable[addr] = true
+	}
+	d.Engines = engines
+	return d, engines
+}
+
+var allButA = []string{"b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"}
+
+// Guards against an entry whose links are cut that reports all targets as dead to the others, and
+// that counts its interrupted requests as crashes of their targets.
+func TestEntryThatIsCutOffReportsNothing(t *testing.T) {
+	for name, reachable := range map[string][]string{"all links": nil, "all links but one": {"l"}} {
+		t.Run(name, func(t *testing.T) {
+			d, _ := twelveEngines(t, reachable...)
+			now := time.Now()
+			for _, id := range []pkid.TargetID{"a", "b", "c"} {
+				one := d.target(t, id)
+				newCall(d, 1).recordIfInterrupted(now, lostSend(io.EOF), one)
+				d.suspect(one, syscall.ECONNREFUSED)
+				d.suspected.add(pendingSuspicion{target: d.target(t, "d"), fault: faultGone, from: "peer"})
+			}
+			d.confirmPending(t)
+			d.checkInterrupted(time.Now())
+			assert.Equal(t, len(d.message(time.Now()).Suspects), 0)
+			assert.Equal(t, d.crashCount(now, 1), 0)
+			assert.Assert(t, !d.target(t, "a").IsDead(time.Now()))
+			assert.DeepEqual(t, d.links.CutOffServices(), []pkid.ServiceID{"models"})
+		})
+	}
+}
+
+// Guards against a dead target that only the entry knows which found it: the others must avoid it as
+// soon as they hear of it and find the same.
+func TestDeadTargetReportedByAPeerIsAvoided(t *testing.T) {
+	d, _ := twelveEngines(t, allButA...)
+	d.receiveSuspicion(time.Now(), "peer", pkshare.Suspect{Target: "a", RemainingMS: 4000, Gone: true})
+	d.confirmPending(t)
+	assert.Assert(t, d.target(t, "a").IsGone(time.Now()))
+}
+
+// Guards against believing a peer that this entry has just found wrong, and against probing each
+// target that such a peer reports: it may report thousands.
+func TestReportsOfAPeerThatWasWrongAreIgnored(t *testing.T) {
+	d, engines := twelveEngines(t, append(allButA, "a")...)
+	for round := range 20 {
+		for _, one := range d.roster.All() {
+			d.receiveSuspicion(time.Now(), "peer", pkshare.Suspect{Target: one.ID, RemainingMS: 4000, Gone: round%2 == 0})
+		}
+		d.confirmPending(t)
+	}
+	for _, one := range d.roster.All() {
+		assert.Assert(t, !one.Avoided(time.Now()))
+	}
+	assert.Equal(t, engines.probes.Load(), int64(1))
+	engines.reachable["a"] = false
+	d.receiveSuspicion(time.Now(), "another", pkshare.Suspect{Target: "a", RemainingMS: 4000, Gone: true})
+	d.confirmPending(t)
+	assert.Assert(t, d.target(t, "a").IsGone(time.Now()), "another peer is believed")
+}
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/oklog/run"
+	"golang.org/x/sync/singleflight"
 
 	"peridotknot.example/pkconfig"
 	"peridotknot.example/pkconn"
@@ -23,6 +24,7 @@
 	"peridotknot.example/pkowner"
 	"peridotknot.example/pkpace"
 	"peridotknot.example/pkrate"
+	"peridotknot.example/pkreach"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkretry"
 	"peridotknot.example/pkshare"
@@ -98,6 +100,10 @@
 	// refusalCauses are engines, on whose behalf requests were refused, to check for liveness and
 	// draining.
 	refusalCauses chan refusalCause
+	// links are this entry's links to the targets, linkChecks the checks of them in progress.
+	links      pkreach.Links
+	linkChecks singleflight.Group
+	suspected  suspectQueue
 	quarantine    quarantine
 
 	started time.Time
@@ -127,6 +133,7 @@
 	d.seeds.Store(&s.Seeds)
 	d.streams.wake = make(chan struct{}, 1)
 	d.refusalCauses = make(chan refusalCause, maxRefusalCauses)
+	d.suspected.pending = make(chan pendingSuspicion, maxPendingSuspicions)
 	d.metrics = newMetrics(d)
 	var err error
 	if d.callers, err = net.Listen("tcp", s.Listen.Callers); err != nil {
@@ -177,7 +184,7 @@
 		peers := &http.Server{Handler: d.peersHandler(inner), ReadHeaderTimeout: readHeaderTimeout}
 		g.Add(func() error { return untilDone(inner, peers.Serve(d.gossip.listener)) }, func(error) { _ = peers.Close() })
 	}
-	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.pollConfig, d.maintainLease, d.reconcilePools, d.sendToPeers, d.updateLoads, d.rerouteStreams, d.monitorEngines, d.pollPaces, d.logStoreCalls, d.detectCrashes, d.saveQuarantined, d.checkRefusalCauses, d.saveSize} {
+	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.pollConfig, d.maintainLease, d.reconcilePools, d.sendToPeers, d.updateLoads, d.rerouteStreams, d.monitorEngines, d.pollPaces, d.logStoreCalls, d.detectCrashes, d.saveQuarantined, d.checkRefusalCauses, d.confirmSuspicions, d.watchLinks, d.saveSize} {
 		g.Add(func() error { loop(inner); return nil }, func(error) { cancel() })
 	}
 	return g.Run()
--- a/pkedge/gossip_test.go
+++ b/pkedge/gossip_test.go
@@ -53,9 +53,9 @@
 		others int
 		learn  func(d *Daemon, now time.Time)
 	}{
-		{"by the entry that found it", 2, func(d *Daemon, now time.Time) {
+		{"by the entry that found it", 2, func(d *Daemon, _ time.Time) {
 			one, _ := d.roster.Target("dead")
-			d.suspect(now, one, syscall.ECONNREFUSED)
+			d.suspect(one, syscall.ECONNREFUSED)
 		}},
 		{"by a hub that received a report of it", 14, func(d *Daemon, now time.Time) {
 			d.receiveMessage(now, pkshare.Message{From: "m-09", Addr: "m-09", DataCenter: "a", Sequence: 2, Suspects: []pkshare.Suspect{
@@ -69,7 +69,9 @@
 				d := fleetDaemon("a-hub", c.others)
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
+				d.Engines = connectingEngines{reportErr: syscall.ECONNREFUSED}
 				go d.sendToPeers(ctx)
+				go d.confirmSuspicions(ctx)
 				synctest.Wait()
 				l := d.gossip.peerLinks["m-01"]
 				receivedSuspects(t, l)
--- a/pkedge/monitor.go
+++ b/pkedge/monitor.go
@@ -82,7 +82,7 @@
 		now := time.Now()
 		pause := minReconnectInterval - now.Sub(began)
 		if ctx.Err() == nil && errors.Is(err, syscall.ECONNREFUSED) {
-			d.suspect(now, t, err)
+			d.suspect(t, err)
 			d.log.Info("engine refuses connections, avoided as crashed", "target", t.ID, "error", err)
 			pause = suspectTTL / 2
 		}
--- a/pkedge/monitor_test.go
+++ b/pkedge/monitor_test.go
@@ -48,6 +48,7 @@
 			defer close(ended)
 			d.monitorEngine(ctx, one)
 		}()
+		go d.confirmSuspicions(ctx)
 		time.Sleep(uptime - time.Nanosecond)
 		synctest.Wait()
 		assert.Assert(t, !one.IsGone(time.Now()) && !one.Avoided(time.Now()))
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -229,15 +229,13 @@
 	}
 }
 
-// avoidFailed avoids a target after a failure and returns until when. A target that refuses
-// connections has no process and is reported to the other entries.
+// avoidFailed avoids a target after a failure and returns until when. One that refuses connections is
+// suspected.
 func (d *Daemon) avoidFailed(now time.Time, t *pkreplica.Target, err error) time.Time {
-	until := t.RecordFailure(now)
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return until
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		d.suspect(t, err)
 	}
-	d.suspect(now, t, err)
-	return now.Add(suspectTTL)
+	return t.RecordFailure(now)
 }
 
 // misdirectedTTL is how long a target is avoided that answered a request as misdirected. Its record
--- a/pkedge/quarantine.go
+++ b/pkedge/quarantine.go
@@ -176,7 +176,7 @@
 	err := d.Engines.AwaitClose(ctx, t.Addr)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		d.suspect(time.Now(), t, err)
+		d.suspect(t, err)
 	case err == nil:
 		d.quarantine.clearInterrupted(t, start)
 	}
--- a/pkedge/quarantine_test.go
+++ b/pkedge/quarantine_test.go
@@ -164,6 +164,7 @@
 	probes := d.checkInterrupted(now.Add(probeDelay))
 	assert.Equal(t, len(probes), 1)
 	d.probe(t.Context(), probes[0])
+	d.confirmPending(t)
 	d.checkInterrupted(now.Add(probeDelay))
 	assert.Equal(t, d.crashCount(now, 1), 1)
 	assert.Equal(t, d.crashCount(now, 8), 1)
--- a/pkedge/refusal_test.go
+++ b/pkedge/refusal_test.go
@@ -30,6 +30,8 @@
 	return e.draining, e.healthErr
 }
 
+func (e *healthEngines) Connect(context.Context, string) error { return nil }
+
 func (e *healthEngines) Report(ctx context.Context, addr string) (pkowner.Report, error) {
 	if addr != e.silent {
 		return pkowner.Report{AcceptedOrders: 1}, nil
@@ -119,7 +121,9 @@
 			}
 			assert.Assert(t, d.target(t, "b").Avoided(time.Now().Add(longest)))
 			other, _ := poolDaemon(engine("a", "x", 0, 40), engine("b", "x", 40, 80))
+			other.Engines = d.Engines
 			other.receiveSuspicion(time.Now(), "one", d.message(time.Now()).Suspects[0])
+			other.confirmPending(t)
 			assert.Assert(t, other.target(t, "b").Excluded(time.Now()))
 			d.applyRecord(time.Now(), 2, engine("b", "x", 40, 60))
 			assert.Assert(t, !d.target(t, "b").Excluded(time.Now()), "its record has changed")
--- a/pkedge/reroute_test.go
+++ b/pkedge/reroute_test.go
@@ -30,10 +30,23 @@
 	return pkowner.Report{}, context.Cause(ctx)
 }
 
+// connectingEngines accept all connections, and answer reports with an error if one is set.
+type connectingEngines struct {
+	pkowner.Engines
+	reportErr error
+}
+
+func (connectingEngines) Connect(context.Context, string) error { return nil }
+
+func (e connectingEngines) Report(context.Context, string) (pkowner.Report, error) {
+	return pkowner.Report{}, e.reportErr
+}
+
 // poolDaemon returns a daemon that knows the engines of one model and runs no loops.
 func poolDaemon(infos ...pkreplica.Info) (*Daemon, *pkconfig.Service) {
 	d := &Daemon{log: hclog.NewNullLogger(), memoryPenalty: pklayers.InversePenalty}
 	d.gossip.suspects = map[pkid.TargetID]suspicion{}
+	d.suspected.pending = make(chan pendingSuspicion, maxPendingSuspicions)
 	var records []pkreplica.Record
 	for _, info := range infos {
 		info.Service = "models"
@@ -48,6 +61,16 @@
 	}}
 }
 
+// confirmPending confirms all queued suspicions.
+func (d *Daemon) confirmPending(t *testing.T) {
+	t.Helper()
+	for len(d.suspected.pending) > 0 {
+		p := <-d.suspected.pending
+		d.confirm(t.Context(), p)
+		d.suspected.done(p.target)
+	}
+}
+
 func engine(id pkid.TargetID, dc pkid.DataCenter, first, end pkid.Layer) pkreplica.Info {
 	return pkreplica.Info{ID: id, DataCenter: dc, Kind: "l4", Held: pkid.Range{First: first, End: end}}
 }
@@ -201,7 +224,8 @@
 		now := time.Now()
 		a.lastEventAt = now.Add(-20 * time.Millisecond)
 		second, _ := d.roster.Target("second")
-		d.suspect(now, second, c.err)
+		d.Engines = connectingEngines{}
+		assert.Assert(t, d.confirm(t.Context(), pendingSuspicion{target: second, fault: faultOf(c.err)}))
 		_, reason := a.needsReroute(now)
 		assert.Equal(t, reason, c.want)
 	}
--- a/pkedge/restart_test.go
+++ b/pkedge/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"testing"
 	"time"
 
@@ -106,11 +107,14 @@
 func TestSuspicionOfAnEarlierStartIsDropped(t *testing.T) {
 	now := time.Now()
 	d, _ := poolDaemon(withStartTime(engine("a", "x", 0, 80), 200))
+	d.Engines = connectingEngines{reportErr: syscall.ECONNREFUSED}
 	report := pkshare.Suspect{Target: "a", RemainingMS: 4000, Gone: true, Born: 100}
 	d.receiveSuspicion(now, "other", report)
+	d.confirmPending(t)
 	assert.Assert(t, !d.target(t, "a").Avoided(now))
 	report.Born = 200
 	d.receiveSuspicion(now, "other", report)
+	d.confirmPending(t)
 	assert.Assert(t, d.target(t, "a").IsGone(now))
 	d.applyRecord(now, 2, withStartTime(engine("a", "x", 0, 80), 300))
 	assert.Assert(t, !d.target(t, "a").Avoided(now))
--- a/pkedge/suspect.go
+++ b/pkedge/suspect.go
@@ -88,9 +88,9 @@
 	}
 	controlErr := <-control
 	dead := pkstall.Dead(err, controlErr)
-	if now := time.Now(); dead {
-		d.suspect(now, t, err)
-		d.rerouteAll(ctx, now, d.streams.list())
+	dead = dead && d.confirm(ctx, pendingSuspicion{target: t, fault: faultOf(err)})
+	if dead {
+		d.rerouteAll(ctx, time.Now(), d.streams.list())
 	}
 	d.log.Info("engine checked for liveness", "target", t.ID, "dead", dead, "error", err, "control_error", controlErr)
 	return dead
@@ -112,15 +112,18 @@
 	return err
 }
 
-// suspect avoids a target for suspectTTL after a failure at now and reports it to the other entries. A
+// suspect queues a target that failed, to be confirmed and then reported to the other entries. A
 // target that refuses connections has no process, and all streams through it are lost.
-func (d *Daemon) suspect(now time.Time, t *pkreplica.Target, err error) {
-	s := suspicion{until: now.Add(suspectTTL), startTime: t.Born}
+func (d *Daemon) suspect(t *pkreplica.Target, err error) {
+	d.suspected.add(pendingSuspicion{target: t, fault: faultOf(err)})
+}
+
+// faultOf returns the fault of a target that failed with an error.
+func faultOf(err error) fault {
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		s.fault = faultGone
+		return faultGone
 	}
-	d.applySuspicion(now, t, s)
-	d.gossip.announceSuspicion(t.ID, s)
+	return faultSilent
 }
 
 // suspectStaleRecord avoids a target that does not serve what its record lists, and reports it to
@@ -176,20 +179,32 @@
 	if d.roster.Restarted(report.Target, report.Born) {
 		d.streams.wakeUp()
 	}
-	if t, found := d.roster.Target(report.Target); found {
-		if d.outdated(t, s) {
-			return
+	t, found := d.roster.Target(report.Target)
+	switch {
+	case found && d.outdated(t, s):
+	case s.fault != faultStaleRecord:
+		if found {
+			d.suspected.add(pendingSuspicion{target: t, fault: s.fault, from: from})
+		}
+	default:
+		if found {
+			d.logReported(now, t, from, report)
+			d.applySuspicion(now, t, s)
 		}
-		if !t.IsDead(now) {
-			d.log.Info("target suspected on a report from a peer", "target", t.ID, "peer", from, "gone", report.Gone,
-				"misplaced", report.StaleRecord, "born", report.Born, "for_ms", report.RemainingMS,
-				"open_connections", d.Conns.Open(t.Addr), "in_progress", t.OwnLoad().Requests)
+		if d.gossip.withHubs.Load() {
+			d.gossip.announceSuspicion(report.Target, s)
 		}
-		d.applySuspicion(now, t, s)
 	}
-	if d.gossip.withHubs.Load() {
-		d.gossip.announceSuspicion(report.Target, s)
+}
+
+// logReported logs a suspicion that a peer has reported, unless the target is known to be dead.
+func (d *Daemon) logReported(now time.Time, t *pkreplica.Target, from pkid.EntryID, report pkshare.Suspect) {
+	if t.IsDead(now) {
+		return
 	}
+	d.log.Info("target suspected on a report from a peer", "target", t.ID, "peer", from, "gone", report.Gone,
+		"misplaced", report.StaleRecord, "born", report.Born, "for_ms", report.RemainingMS,
+		"open_connections", d.Conns.Open(t.Addr), "in_progress", t.OwnLoad().Requests)
 }
 
 // outdated reports whether newer information about a target supersedes a suspicion.
--- a/pkedge/watchdog.go
+++ b/pkedge/watchdog.go
@@ -83,7 +83,7 @@
 	}
 	if err != nil {
 		if c.r.Context().Err() == nil {
-			c.suspect(now, first, err)
+			c.suspect(first, err)
 			c.log.Info("engine suspected after a failed report", "target", first.ID, "request_id", c.req.Meta.ID, "error", err)
 		}
 		return true
@@ -98,7 +98,7 @@
 			if !t.IsDead(now) {
 				c.log.Info("stalled engine suspected", "target", t.ID, "request_id", one.ID)
 			}
-			c.suspect(now, t, nil)
+			c.suspect(t, nil)
 		}
 	}
 	return found
--- a/pkowner/engine.go
+++ b/pkowner/engine.go
@@ -77,6 +77,8 @@
 	// AwaitClose keeps a connection to the engine at addr open until the engine closes it, as when
 	// its process ends. The error is that of connecting.
 	AwaitClose(ctx context.Context, addr string) error
+	// Connect connects to the target at addr and disconnects at once.
+	Connect(ctx context.Context, addr string) error
 	// Leaving reports whether the health check of the engine at addr fails because the engine is
 	// leaving or failing, not because it is at capacity.
 	Leaving(ctx context.Context, addr, healthPath string) (bool, error)
