--- a/pkedge/cut_test.go
+++ b/pkedge/cut_test.go
@@ -34,7 +34,9 @@
 	}
 	for _, n := range nodes {
 		n.waitForStream(t)
-		eventually(t, "all entries", func() bool { return n.memberCount(t) == entries && n.metric(t, "peridotknot_peers") == fmt.Sprint(entries-1) })
+		eventually(t, "all entries", func() bool {
+			return n.memberCount(t) == entries && n.metric(t, "peridotknot_peers") == fmt.Sprint(entries-1)
+		})
 	}
 	return nodes, links
 }
@@ -84,3 +86,54 @@
 		})
 	}
 }
+
+// cutOffNodes starts a pool and two plain replicas behind entries, cuts the links of some of the
+// entries and waits until the first of these serves streams again.
+func cutOffNodes(t *testing.T, cut platformtest.Cut, entries, cutOff int) ([]*node, *platformtest.Platform) {
+	t.Helper()
+	w, _ := newPool(t)
+	w.Add(platformtest.App, "app-0", "a")
+	w.Add(platformtest.App, "app-1", "a")
+	nodes, links := startCuttable(t, w, entries)
+	for i := range nodes {
+		eventually(t, "a plain replica", func() bool {
+			return nodes[i].do(t, http.MethodGet, "/read/1", fmt.Sprintf("first-%d", i), platformtest.Key, 0).status == http.StatusOK
+		})
+	}
+	for _, l := range links[:cutOff] {
+		l.Cut(cut)
+	}
+	i := 0
+	eventually(t, "a stream through the entry that is cut off", func() bool {
+		i++
+		sent, served := nodes[0].serveFor(t, fmt.Sprintf("again-%d", i), 100*time.Millisecond)
+		return served == sent
+	})
+	return nodes, w
+}
+
+// Guards against refusing the callers of an entry whose links are cut while the others reach the
+// targets: streams and calls must be served, calls that may not be repeated included, each once.
+func TestCallersOfAnEntryThatIsCutOffAreServed(t *testing.T) {
+	for name, cut := range cuts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			nodes, w := cutOffNodes(t, cut, 3, 1)
+			sent, served := nodes[0].serveFor(t, "cut", time.Second)
+			assert.Assert(t, sent > 10 && served == sent, "%d of %d served", served, sent)
+			for i := range 20 {
+				for kind, method := range map[string]string{"read": http.MethodGet, "book": http.MethodPost} {
+					id := fmt.Sprintf("%s-%d", kind, i)
+					got := nodes[0].do(t, method, "/"+kind+"/1", id, platformtest.Key, 0)
+					assert.NilError(t, got.err)
+					assert.Equal(t, got.status, http.StatusOK)
+					assert.Equal(t, got.body, platformtest.ResponseBody(id))
+					assert.Equal(t, got.header.Get(platformtest.SealHeader), "s")
+					runs := w.Runs(id)
+					assert.Equal(t, len(runs), 1)
+					assert.Equal(t, runs[0].Account, platformtest.Account)
+				}
+			}
+		})
+	}
+}
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -104,7 +104,7 @@
 	links      pkreach.Links
 	linkChecks singleflight.Group
 	suspected  suspectQueue
-	quarantine    quarantine
+	quarantine quarantine
 
 	started time.Time
 	// hubsSeenAt is when this daemon first knew that the fleet uses hubs; nil before.
