pkedge, pkrelay: entries that are cut off from the targets pass requests on

Cause: an entry had one way to a target, its own links, and no notion that these could be at fault.

Change: an entry that is cut off from a service passes each request for it on to another entry, one hop and no more, over the listener for peers (pkrelay). The request goes on unchanged, with the time that is left, the configuration by which it was taken on, its runs so far and the last event that its caller has received; the other entry admits, charges permits and serves it as one of its own, and the entry that took it counts it for the retry budget, once. Events are forwarded as they come; the caller's leaving, a lost entry and a lost target end in the verdicts that they have without a relay, and a stream goes on at another entry after its last event. Entries say in their messages that they take relayed requests and from which services they are cut off, so that older builds get none; the entry is chosen among those with the fewest requests of this one in progress, by chance. After a failed send the links are checked before the next, so that the relay begins with the request that meets the cut; silent streams are moved. A stopping entry waits for the requests that others have passed on to it. A cut that was found for one service has the links of all checked.

The check of the links also exchanges a report or a health check, since a link may accept connections and reset them.

--- a/pkedge/attempt.go
+++ b/pkedge/attempt.go
@@ -173,6 +173,10 @@
 		return nil, ""
 	}
 	silent := a.stallInputLocked().Silent(now)
+	if silent && a.call.links.CutOff(a.service.ID) {
+		a.rerouting = true
+		return a.path.first(), reasonCutOff
+	}
 	for i, t := range a.path.targets {
 		latest, found := a.call.roster.Target(t.ID)
 		switch {
--- a/pkedge/call.go
+++ b/pkedge/call.go
@@ -14,6 +14,7 @@
 	"peridotknot.example/pkforward"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkquarantine"
+	"peridotknot.example/pkrelay"
 	"peridotknot.example/pkverdict"
 )
 
@@ -37,6 +38,10 @@
 	runs  int
 	// delivered counts the failed sends that may have reached a target.
 	delivered int
+	// relayed is the request as another entry has passed it on; nil if it came from its caller.
+	relayed *pkrelay.Request
+	// relays counts the entries that the request was passed on to.
+	relays int
 	// tried lists the targets that are not tried again.
 	tried []pkid.TargetID
 	// charged is set if the next send was charged to the retry budget already.
@@ -88,9 +93,12 @@
 		name, kind = c.route.Name, c.route.Kind.String()
 	}
 	c.metrics.requests.WithLabelValues(kind, outcome).Inc()
+	if c.relayed != nil {
+		c.metrics.relayed.WithLabelValues("received", outcome).Inc()
+	}
 	c.log.Info("request", "request_id", c.req.Meta.ID, "digest", c.digest.String(), "route", name, "kind", kind, "account", c.account,
 		"outcome", outcome, "sends", c.sends, "runs", c.runs, "ms", took.Milliseconds(), "config", c.version(), "path", c.path, "first_ms", c.firstEvent.Milliseconds(), "events", c.events, "pause_ms", c.longestGap.Milliseconds(),
-		"mended", c.reroutes, "error", err)
+		"mended", c.reroutes, "relays", c.relays, "relayed_by", c.relayedBy(), "error", err)
 	switch {
 	case err == nil:
 	case c.headSent || rej == nil:
@@ -102,6 +110,22 @@
 	}
 }
 
+// relayedBy returns the entry that has passed the request on; empty if it came from its caller.
+func (c *call) relayedBy() pkid.EntryID {
+	if c.relayed == nil {
+		return ""
+	}
+	return c.relayed.From
+}
+
+// resumeAfter returns the last event that the caller of a relayed stream has received.
+func (c *call) resumeAfter() string {
+	if c.relayed == nil {
+		return ""
+	}
+	return c.relayed.LastEventID
+}
+
 func (c *call) version() pkconfig.Version {
 	if c.table == nil {
 		return 0
@@ -117,6 +141,9 @@
 	if c.req.Meta.ID != "" {
 		c.Dialect.SetRequestID(h, c.req.Meta.ID)
 	}
+	if c.relayed != nil {
+		c.setRelayVerdict(rej)
+	}
 	h["Content-Length"] = []string{"0"}
 	c.w.WriteHeader(rej.status)
 }
--- a/pkedge/callerserver.go
+++ b/pkedge/callerserver.go
@@ -117,7 +117,11 @@
 		return err
 	}
 	c.deadline = c.began.Add(defaultTimeout)
-	for _, limit := range []time.Duration{c.route.Timeout, c.req.Meta.TimeBudget} {
+	limits := []time.Duration{c.route.Timeout, c.req.Meta.TimeBudget}
+	if c.relayed != nil {
+		limits = append(limits, c.relayed.Remaining())
+	}
+	for _, limit := range limits {
 		if limit > 0 && c.began.Add(limit).Before(c.deadline) {
 			c.deadline = c.began.Add(limit)
 		}
@@ -131,7 +135,9 @@
 	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
-	c.budgets.of(c.service).RecordRequest(c.began, c.retryLimits(c.began))
+	if c.relayed == nil { // the entry that passed it on has counted it
+		c.budgets.of(c.service).RecordRequest(c.began, c.retryLimits(c.began))
+	}
 	s, found := c.table.Service(c.service)
 	if !found {
 		s = &pkconfig.Service{ID: c.service}
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -25,6 +25,7 @@
 	"peridotknot.example/pkpace"
 	"peridotknot.example/pkrate"
 	"peridotknot.example/pkreach"
+	"peridotknot.example/pkrelay"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkretry"
 	"peridotknot.example/pkshare"
@@ -103,8 +104,13 @@
 	// links are this entry's links to the targets, linkChecks the checks of them in progress.
 	links      pkreach.Links
 	linkChecks singleflight.Group
-	suspected  suspectQueue
-	quarantine quarantine
+	// relayPeers spreads the requests that this entry passes on, relayedActive counts those that
+	// others have passed on to it and that are in progress.
+	relayPeers    pkrelay.Peers
+	relayClient   *pkrelay.Client
+	relayedActive atomic.Int64
+	suspected     suspectQueue
+	quarantine    quarantine
 
 	started time.Time
 	// hubsSeenAt is when this daemon first knew that the fleet uses hubs; nil before.
@@ -135,6 +141,7 @@
 	d.refusalCauses = make(chan refusalCause, maxRefusalCauses)
 	d.suspected.pending = make(chan pendingSuspicion, maxPendingSuspicions)
 	d.metrics = newMetrics(d)
+	d.relayClient = pkrelay.NewClient(pkconn.DefaultOptions())
 	var err error
 	if d.callers, err = net.Listen("tcp", s.Listen.Callers); err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
@@ -174,6 +181,7 @@
 	// The loops outlive ctx: requests in progress need them until the end.
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	defer func() { _ = d.relayClient.Close() }() // idle connections only
 	server := newCallerServer(d)
 	readiness := &http.Server{Handler: d.readinessHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	var g run.Group
@@ -208,6 +216,8 @@
 	drainListenTime = 3 * time.Second
 	// stopMargin is the part of the grace period left for the process to exit by itself.
 	stopMargin = 700 * time.Millisecond
+	// relayedPollInterval is how often a stopping daemon looks for relayed requests in progress.
+	relayedPollInterval = 20 * time.Millisecond
 )
 
 // waitAndStop waits for the end of ctx and stops gracefully. The daemon reports that it is not
@@ -226,6 +236,9 @@
 	drainCtx, cancel := context.WithTimeout(ctx, grace-time.Since(began))
 	defer cancel()
 	err := s.shutdown(drainCtx)
+	for d.relayedActive.Load() > 0 && pktimer.Sleep(drainCtx, relayedPollInterval) {
+		continue // the entries that have passed these requests on wait for them
+	}
 	d.log.Info("stopped", "active", d.active.Load(), "after", time.Since(began).String())
 	if errors.Is(err, context.DeadlineExceeded) {
 		return nil
--- a/pkedge/gossip.go
+++ b/pkedge/gossip.go
@@ -17,6 +17,7 @@
 	"peridotknot.example/pkpack"
 	"peridotknot.example/pkpeer"
 	"peridotknot.example/pkrate"
+	"peridotknot.example/pkrelay"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkshare"
 	"peridotknot.example/pkstore"
@@ -118,6 +119,7 @@
 			d.receiveMessage(time.Now(), m)
 		}
 	})
+	mux.HandleFunc("POST "+pkrelay.Path, d.serveRelayed)
 	return mux
 }
 
@@ -418,6 +420,9 @@
 
 // hasChanges reports whether message b must be sent after message a.
 func hasChanges(a, b pkshare.Message) bool {
+	if a.Relays != b.Relays || !slices.Equal(a.CutOff, b.CutOff) {
+		return true
+	}
 	if a.Config != b.Config || a.Version != b.Version || a.List != b.List || a.QuarantineChecksum != b.QuarantineChecksum || len(a.Loads) != len(b.Loads) {
 		return true
 	}
@@ -459,7 +464,8 @@
 		From: d.settings.Entry, Addr: s.addr, Run: s.run, List: d.roster.At(),
 		DataCenter: d.settings.DataCenter, ProcessorShare: float32(d.settings.ProcessorShare),
 		Following: d.followsStore(now),
-		Cases:     d.quarantine.table.RecentChanges(now), QuarantineChecksum: d.quarantine.table.Checksum(now),
+		Relays:    s.addr != "" && !d.stopping.Load(), CutOff: d.links.CutOffServices(),
+		Cases: d.quarantine.table.RecentChanges(now), QuarantineChecksum: d.quarantine.table.Checksum(now),
 		Paces:  d.paces.Observations(now),
 		Limits: d.limits.Observations(now, s.withHubs.Load() && s.designated.Load()),
 	}
--- a/pkedge/lease.go
+++ b/pkedge/lease.go
@@ -206,7 +206,7 @@
 // self returns this daemon as a member.
 func (d *Daemon) self() pkshare.Member {
 	s := &d.settings
-	return pkshare.Member{ID: s.Entry, Addr: d.gossip.addr, DataCenter: s.DataCenter, ProcessorShare: s.ProcessorShare}
+	return pkshare.Member{ID: s.Entry, Addr: d.gossip.addr, DataCenter: s.DataCenter, ProcessorShare: s.ProcessorShare, Relays: d.gossip.addr != ""}
 }
 
 // selfAt returns this daemon as a member at now, with its registration.
--- a/pkedge/links.go
+++ b/pkedge/links.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"math/rand/v2"
 	"slices"
+	"syscall"
 	"time"
 
 	"peridotknot.example/pkid"
@@ -43,7 +46,7 @@
 	defer cancel()
 	results := make(chan error, len(targets))
 	for _, t := range targets {
-		go func() { results <- d.Engines.Connect(checkCtx, t.Addr) }()
+		go func() { results <- d.probeLink(checkCtx, t) }()
 	}
 	var sample pkreach.Sample
 	for missing := len(targets); missing > 0 && !sample.Settled(missing); missing-- {
@@ -64,6 +67,39 @@
 	}
 }
 
+// probeLink returns an error if a target cannot be reached. A link may accept a connection and reset it
+// once it is used; a target that is connected and does not answer in time is only busy.
+func (d *Daemon) probeLink(ctx context.Context, t *pkreplica.Target) error {
+	if err := d.Engines.Connect(ctx, t.Addr); err != nil {
+		return err
+	}
+	var err error
+	if t.Held.Len() > 0 {
+		_, err = d.Engines.Report(ctx, t.Addr)
+	} else {
+		_, err = d.Engines.Leaving(ctx, t.Addr, d.healthPath(t.Service))
+	}
+	if isConnError(err) {
+		return err
+	}
+	return nil
+}
+
+// isConnError reports whether an exchange failed for its connection, which was reset or ended.
+func isConnError(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+// healthPath returns the path of the health checks of a service.
+func (d *Daemon) healthPath(s pkid.ServiceID) string {
+	if table := d.configs.Table(); table != nil {
+		if service, found := table.Service(s); found {
+			return service.HealthPath
+		}
+	}
+	return "/"
+}
+
 // linkSample returns random targets of a service to connect to at now.
 func (d *Daemon) linkSample(now time.Time, s pkid.ServiceID, suspect pkid.TargetID) []*pkreplica.Target {
 	all := slices.DeleteFunc(d.roster.Live(now, s), func(t *pkreplica.Target) bool { return t.ID == suspect || t.IsDead(now) })
@@ -71,11 +107,18 @@
 	return all[:min(len(all), pkreach.SampleSize)]
 }
 
-// watchLinks checks the links of services that this entry is cut off from until they are back.
+// watchLinks checks the links to the targets of all services while this entry is cut off from those of
+// any: a cut is likely to cover all, and calls that may not be repeated must not be what shows it.
 func (d *Daemon) watchLinks(ctx context.Context) {
 	pktimer.Every(ctx, linkScanInterval, func(ctx context.Context) {
-		for _, s := range d.links.Due(time.Now()) {
-			d.cutOff(ctx, s, "")
+		table := d.configs.Table()
+		if table == nil || len(d.links.CutOffServices()) == 0 {
+			return
+		}
+		for i := range table.Services {
+			if s := table.Services[i].ID; !d.links.CheckedWithin(time.Now(), s, pkreach.RecheckInterval) {
+				d.cutOff(ctx, s, "")
+			}
 		}
 	})
 }
--- a/pkedge/metrics.go
+++ b/pkedge/metrics.go
@@ -22,9 +22,11 @@
 	watchEnds  *prometheus.CounterVec
 	// invalidHeaders counts unusable headers of targets' responses.
 	invalidHeaders *prometheus.CounterVec
-	repeated       prometheus.Counter
-	storeRestores  prometheus.Counter
-	firstEvent     prometheus.Histogram
+	// relayed counts requests passed on to other entries or by them.
+	relayed       *prometheus.CounterVec
+	repeated      prometheus.Counter
+	storeRestores prometheus.Counter
+	firstEvent    prometheus.Histogram
 }
 
 func newMetrics(d *Daemon) *metrics {
@@ -40,6 +42,7 @@
 		storeCalls:     counter("peridotknot_store_calls_total", "Calls to the store by kind, asker and outcome.", "call", "asker", "outcome"),
 		watchEnds:      counter("peridotknot_watches_ended_total", "Watches at the store that ended without an answer to go on from, by reason.", "watch", "reason"),
 		invalidHeaders: counter("peridotknot_response_headers_invalid_total", "Headers of targets' responses that cannot be used, by what they hold.", "header"),
+		relayed:        counter("peridotknot_relayed_requests_total", "Requests that this entry has passed on to another (sent) or served for another (received), by outcome.", "direction", "outcome"),
 		repeated:       prometheus.NewCounter(prometheus.CounterOpts{Name: "peridotknot_sends_repeated_total", Help: "Sends beyond the first of a request."}),
 		storeRestores:  prometheus.NewCounter(prometheus.CounterOpts{Name: "peridotknot_store_returns_total", Help: "Returns of the store from an older copy of itself."}),
 		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
@@ -50,7 +53,7 @@
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.requests, m.failed, m.orders, m.unusable, m.storeCalls, m.watchEnds, m.invalidHeaders, m.repeated, m.storeRestores, m.firstEvent,
+	m.registry.MustRegister(m.requests, m.failed, m.orders, m.unusable, m.storeCalls, m.watchEnds, m.invalidHeaders, m.relayed, m.repeated, m.storeRestores, m.firstEvent,
 		gauge("peridotknot_config_version", "Version of the configuration in force.", func() float64 {
 			if t := d.configs.Table(); t != nil {
 				return float64(t.Version)
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -63,6 +63,22 @@
 			cause = held
 			break
 		}
+		if err := c.passedBack(verdict); err != nil {
+			return err
+		}
+		if r, cutOff := c.tryRelay(time.Now()); cutOff {
+			if !c.maySend(verdict) {
+				r.end()
+				break
+			}
+			if cause = c.relayPlain(ctx, r); isFinal(cause) {
+				return cause
+			}
+			if verdict = pkverdict.Join(verdict, c.recordRelayFailure(r, cause)); !verdict.MayRetry(c.route.Retryable()) {
+				break
+			}
+			continue
+		}
 		t, err := c.waitForTarget(ctx)
 		if err != nil {
 			cause = errors.Join(cause, err)
@@ -75,25 +91,32 @@
 		resp, body, err := c.sendTo(ctx, t)
 		if err == nil {
 			c.recordSuccess(time.Now())
-			return c.forward(resp, body)
+			return c.forward(resp.Status, resp.Header, body)
 		}
 		c.recordIfInterrupted(time.Now(), err, t)
 		cause = err
 		verdict = pkverdict.Join(verdict, c.recordSendFailure(t, err))
 		if verdict != pkverdict.NotRun && resp != nil && c.sends >= c.route.MaxAttempts {
 			// The target's own error answer is forwarded unchanged.
-			return c.forward(resp, body)
+			return c.forward(resp.Status, resp.Header, body)
 		}
 		if !verdict.MayRetry(c.route.Retryable()) {
 			if resp != nil {
-				return c.forward(resp, body)
+				return c.forward(resp.Status, resp.Header, body)
 			}
 			break
 		}
+		c.afterUnreachable(ctx, err)
 	}
 	return c.finalError(ctx, verdict, cause)
 }
 
+// isFinal reports whether a relay has ended the request: its answer was sent, or is the error.
+func isFinal(err error) bool {
+	var rej *rejection
+	return err == nil || errors.Is(err, errCallerLeft) || errors.As(err, &rej)
+}
+
 // maySend reports whether another send is allowed, and charges a retry to the retry budget.
 func (c *call) maySend(verdict pkverdict.Verdict) bool {
 	if c.delivered == 0 {
@@ -243,12 +266,12 @@
 const misdirectedTTL = 5 * time.Second
 
 // forward sends a complete answer of a target to the caller.
-func (c *call) forward(resp *pkforward.Response, body []byte) error {
+func (c *call) forward(status int, header http.Header, body []byte) error {
 	h := c.w.Header()
-	pkforward.CopyHeaders(h, resp.Header)
+	pkforward.CopyHeaders(h, header)
 	h["Content-Length"] = []string{strconv.Itoa(len(body))}
 	c.headSent = true
-	c.w.WriteHeader(resp.Status)
+	c.w.WriteHeader(status)
 	if _, err := c.w.Write(body); err != nil {
 		return errCallerLeft
 	}
--- /dev/null
+++ b/pkedge/relay.go
@@ -0,0 +1,235 @@
+package pkedge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"peridotknot.example/pkforward"
+	"peridotknot.example/pkrelay"
+	"peridotknot.example/pkverdict"
+)
+
+// maxRelays bounds the entries that a request is passed on to.
+const maxRelays = 3
+
+// relay is one pass of a request to another entry.
+type relay struct {
+	peer pkrelay.Peer
+	end  func()
+}
+
+// tryRelay returns the entry to pass the request on to at now, if this entry is cut off from the
+// targets and another one is not.
+func (c *call) tryRelay(now time.Time) (relay, bool) {
+	if c.relayed != nil || c.relays >= maxRelays || !c.links.CutOff(c.service) {
+		return relay{}, false
+	}
+	peer, found := c.relayPeers.Choose(now, c.relayCandidates(now))
+	if !found {
+		return relay{}, false
+	}
+	return relay{peer: peer, end: c.relayPeers.Begin(peer.ID)}, true
+}
+
+// relayCandidates returns the entries that may serve requests for the call's service at now.
+func (c *call) relayCandidates(now time.Time) []pkrelay.Peer {
+	var out []pkrelay.Peer
+	for _, m := range c.gossip.table.RelayMembers(now, c.service, c.members.list()) {
+		if m.ID != c.settings.Entry {
+			out = append(out, pkrelay.Peer{ID: m.ID, Addr: m.Addr, Near: m.DataCenter == c.settings.DataCenter})
+		}
+	}
+	return out
+}
+
+// send passes the request on and returns the response of a target, or the failure.
+func (r relay) send(ctx context.Context, c *call, lastEventID string) (*http.Response, error) {
+	c.relays++
+	c.sends++
+	now := time.Now()
+	resp, err := c.relayClient.Do(ctx, r.peer.Addr, &pkrelay.Request{
+		From: c.settings.Entry, Method: c.req.Method, Host: c.req.Host, URI: c.req.URI, Header: c.req.Header, Body: c.req.Body,
+		RemainingMS: max(c.deadline.Sub(now).Milliseconds(), 1), Version: c.version(), Runs: c.runs, LastEventID: lastEventID,
+	})
+	if err == nil {
+		c.metrics.relayed.WithLabelValues("sent", "answered").Inc()
+		return resp, nil
+	}
+	if resp == nil || pkrelay.PassedBack(resp) {
+		c.relayPeers.Avoid(now, r.peer.ID)
+	}
+	outcome := "unreachable"
+	if resp != nil {
+		outcome = resp.Header.Get(pkrelay.HeaderReason)
+	}
+	c.metrics.relayed.WithLabelValues("sent", outcome).Inc()
+	return resp, c.relayError(resp, err)
+}
+
+// relayError returns the error of a relay that failed: the answer for the caller where the other entry
+// has refused the request for good, or else the failure of a send.
+func (c *call) relayError(resp *http.Response, err error) error {
+	if resp == nil {
+		return err
+	}
+	_ = resp.Body.Close() // an answer of the entry itself has no body
+	var failure *pkverdict.Error
+	if !c.headSent && errors.As(err, &failure) && failure.Verdict == pkverdict.NotRun && !pkrelay.PassedBack(resp) {
+		return &rejection{status: resp.StatusCode, retryAfter: retryAfterOf(resp.Header), reason: resp.Header.Get(pkrelay.HeaderReason)}
+	}
+	return err
+}
+
+// retryAfterOf returns the time in the Retry-After header of another entry; zero if there is none.
+func retryAfterOf(h http.Header) time.Duration {
+	s, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || s <= 0 {
+		return 0
+	}
+	return seconds(s)
+}
+
+// recordRelayFailure records a failed relay and returns its verdict.
+func (c *call) recordRelayFailure(r relay, err error) pkverdict.Verdict {
+	var failure *pkverdict.Error
+	if !errors.As(err, &failure) {
+		failure = &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: err}
+	}
+	c.countFailure(failure)
+	c.log.Info("a relay failed", "request_id", c.req.Meta.ID, "peer", r.peer.ID, "send", c.sends, "verdict", failure.Verdict.String(), "error", failure.Err)
+	return failure.Verdict
+}
+
+// relayPlain passes a call on and sends its complete answer to the caller.
+func (c *call) relayPlain(ctx context.Context, r relay) error {
+	defer r.end()
+	resp, err := r.send(ctx, c, "")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := pkforward.ReadBody(resp.Body, resp.ContentLength, maxBufferedAnswer)
+	if err != nil {
+		return err
+	}
+	return c.forward(resp.StatusCode, resp.Header, body)
+}
+
+// relayStream passes a stream on, after the last event that the caller has received, and forwards its
+// events.
+func (c *call) relayStream(ctx context.Context, r relay, state *streamState) error {
+	defer r.end()
+	c.path = "relay:" + string(r.peer.ID)
+	resp, err := r.send(ctx, c, state.lastEventID)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode/100 != 2 {
+		body, err := pkforward.ReadBody(resp.Body, resp.ContentLength, maxBufferedAnswer)
+		switch {
+		case err != nil:
+			return err
+		case c.headSent:
+			return &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: errTargetFailure}
+		}
+		return c.forward(resp.StatusCode, resp.Header, body)
+	}
+	return c.forwardEvents(ctx, answerHead{status: resp.StatusCode, header: resp.Header}, resp.Body, state, func(time.Time) {})
+}
+
+// afterUnreachable checks the links of this entry after a send to a target has failed, so that the
+// next send can be a relay at once.
+func (c *call) afterUnreachable(ctx context.Context, err error) {
+	var failure *pkverdict.Error
+	if !errors.As(err, &failure) || c.relayed != nil && c.delivered > 0 || c.r.Context().Err() != nil {
+		return
+	}
+	switch {
+	case failure.Reason == pkverdict.ReasonUnreachable:
+		c.cutOff(ctx, c.service, "")
+	case failure.Reason == pkverdict.ReasonTargetLost && !errors.Is(err, errTargetFailure) && !errors.Is(err, errAlteredAnswer):
+		if !c.links.CheckedWithin(time.Now(), c.service, lostCheckInterval) {
+			c.cutOff(ctx, c.service, "")
+		}
+	}
+}
+
+// lostCheckInterval is the shortest time between checks of the links after connections that were lost.
+const lostCheckInterval = 500 * time.Millisecond
+
+// passedBack returns the answer to an entry that has passed a request on, if this entry cannot serve it
+// and has sent it to no target.
+func (c *call) passedBack(verdict pkverdict.Verdict) error {
+	if c.relayed == nil || !c.links.CutOff(c.service) || verdict != pkverdict.NotRun || c.delivered > 0 {
+		return nil
+	}
+	return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterFailure, reason: pkrelay.ReasonCutOff}
+}
+
+// serveRelayed serves a request that another entry has passed on.
+func (d *Daemon) serveRelayed(w http.ResponseWriter, r *http.Request) {
+	d.active.Add(1)
+	defer d.active.Add(-1)
+	d.relayedActive.Add(1)
+	defer d.relayedActive.Add(-1)
+	c := &call{Daemon: d, w: w, r: r, began: time.Now(), table: d.configs.Table(), relayed: &pkrelay.Request{}}
+	h := w.Header()
+	h["Date"], h["Content-Type"] = nil, nil
+	if err := c.acceptRelayed(r); err != nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxBufferedAnswer)) // the connection is used again
+		c.finish(err)
+		return
+	}
+	d.refreshLoads(c.began)
+	c.finish(c.run())
+}
+
+// acceptRelayed reads a relayed request. The error is its final answer.
+func (c *call) acceptRelayed(r *http.Request) error {
+	limit := defaultLimits.BodyBytes
+	if c.table != nil && c.table.Limits.BodyBytes > 0 {
+		limit = c.table.Limits.BodyBytes
+	}
+	control := http.NewResponseController(c.w)
+	if err := control.SetReadDeadline(c.began.Add(bodyTimeout)); err != nil {
+		return err
+	}
+	in, err := pkrelay.Read(r.Body, limit)
+	if err != nil {
+		c.log.Warn("invalid relayed request", "addr", r.RemoteAddr, "error", err)
+		return &rejection{status: http.StatusBadRequest, reason: pkrelay.ReasonInvalid}
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	c.relayed = in
+	c.runs = in.Runs
+	if c.r, err = in.HTTP(r.Context()); err != nil {
+		c.r = r
+		c.log.Warn("invalid relayed request", "peer", in.From, "error", err)
+		return &rejection{status: http.StatusBadRequest, reason: pkrelay.ReasonInvalid}
+	}
+	switch {
+	case c.stopping.Load():
+		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterFailure, reason: pkrelay.ReasonStopping}
+	case c.table == nil || c.table.Version < in.Version:
+		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterFailure, reason: pkrelay.ReasonOlderConfig}
+	}
+	return nil
+}
+
+// setRelayVerdict marks an answer of this entry itself to the entry that has passed a request on.
+func (c *call) setRelayVerdict(rej *rejection) {
+	verdict := pkverdict.NotRun
+	if rej.status == http.StatusBadGateway || rej.status == http.StatusGatewayTimeout {
+		verdict = pkverdict.MayHaveRun
+	}
+	h := c.w.Header()
+	h[pkrelay.HeaderVerdict] = []string{verdict.String()}
+	h[pkrelay.HeaderReason] = []string{rej.reason}
+}
--- a/pkedge/reroute.go
+++ b/pkedge/reroute.go
@@ -34,6 +34,8 @@
 const (
 	reasonDead    = "dead"
 	reasonLeaving = "leaving"
+	// reasonCutOff means that this entry no longer reaches the target.
+	reasonCutOff = "cut_off"
 )
 
 // attemptSet holds the attempts in progress.
@@ -121,6 +123,10 @@
 // and a retry left.
 func (d *Daemon) reroute(ctx context.Context, a *attempt, t *pkreplica.Target, reason string) {
 	now := time.Now()
+	if reason == reasonCutOff {
+		d.moveToPeer(now, a, t)
+		return
+	}
 	if a.recordEngineDeath(now, t, reason) {
 		a.cancel(errRerouted) // the request would crash another engine
 		return
@@ -141,6 +147,18 @@
 	}
 }
 
+// moveToPeer ends the attempt of a silent stream at an entry that is cut off, so that the stream goes on
+// through another entry, or keeps it for now if there is none or the retry budget allows no send.
+func (d *Daemon) moveToPeer(now time.Time, a *attempt, t *pkreplica.Target) {
+	if !a.canRetry || len(a.call.relayCandidates(now)) == 0 || !d.budgets.of(a.call.service).TryRetry(now, d.retryLimits(now)) {
+		a.deferReroute(now)
+		return
+	}
+	a.charged.Store(true)
+	d.log.Info("a stream goes on by another attempt", "request_id", a.call.req.Meta.ID, "target", t.ID, "why", reasonCutOff)
+	a.cancel(errRerouted)
+}
+
 // findReplacement returns a path that can replace one engine of an attempt's path. The first engine
 // cannot be replaced, nor any after maxReroutes.
 func (d *Daemon) findReplacement(now time.Time, a *attempt, t *pkreplica.Target) (targetPath, bool) {
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -52,11 +52,24 @@
 func (c *call) serveStream(ctx context.Context, s *pkconfig.Service) error {
 	verdict := pkverdict.NotRun
 	var cause error
-	var state streamState
+	state := streamState{lastEventID: c.resumeAfter()}
 	for c.sends < maxSends && ctx.Err() == nil {
 		if !c.maySend(verdict) && !c.waitForBudget(ctx, verdict) {
 			break
 		}
+		if err := c.passedBack(verdict); err != nil {
+			return err
+		}
+		if r, cutOff := c.tryRelay(time.Now()); cutOff {
+			if cause = c.relayStream(ctx, r, &state); isFinal(cause) {
+				return cause
+			}
+			if c.r.Context().Err() != nil {
+				return errCallerLeft
+			}
+			verdict = pkverdict.Join(verdict, c.recordRelayFailure(r, cause))
+			continue
+		}
 		p, err := c.waitForPath(ctx, s)
 		if err != nil {
 			cause = err
@@ -75,6 +88,7 @@
 		}
 		cause = err
 		verdict = pkverdict.Join(verdict, c.recordStreamFailure(p, err, &state))
+		c.afterUnreachable(ctx, err)
 	}
 	if c.headSent {
 		return fmt.Errorf("stream broke off after %d events: %w", state.events, cause)
@@ -233,22 +247,34 @@
 		if c.headSent || (resp.Status >= http.StatusInternalServerError && a.canRetry) {
 			return &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: errTargetFailure}
 		}
-		return c.forward(resp, body)
+		return c.forward(resp.Status, resp.Header, body)
 	}
 	if !resp.Sealed || resp.Header.Get("Content-Encoding") != "" {
 		return &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: errAlteredAnswer}
 	}
-	return c.forwardEvents(ctx, a, resp, state, watch)
+	return c.forwardEvents(ctx, answerHead{status: resp.Status, header: resp.Header}, resp.Body, state, func(now time.Time) {
+		watch.reset()
+		if a.recordEvent(now) {
+			c.recordSuccess(now)
+		}
+	})
 }
 
-// forwardEvents forwards complete events to the caller as they arrive.
-func (c *call) forwardEvents(ctx context.Context, a *attempt, resp *pkforward.Response, state *streamState, watch *watchdog) error {
-	events := pkforward.NewEventReader(resp.Body)
+// answerHead is the status and the header of an answer.
+type answerHead struct {
+	status int
+	header http.Header
+}
+
+// forwardEvents forwards complete events of an answer to the caller as they arrive, and calls onEvent
+// when no more events are buffered.
+func (c *call) forwardEvents(ctx context.Context, head answerHead, body io.Reader, state *streamState, onEvent func(now time.Time)) error {
+	events := pkforward.NewEventReader(body)
 	control := http.NewResponseController(c.w)
 	for {
 		ev, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			return c.streamResult(resp, state)
+			return c.streamResult(state)
 		}
 		if err != nil {
 			if cause := context.Cause(ctx); errors.Is(cause, errPathSilent) || errors.Is(cause, errRerouted) {
@@ -262,9 +288,9 @@
 			c.metrics.firstEvent.Observe(c.firstEvent.Seconds())
 			// Headers are copied only now: if the attempt failed before its first event, they would
 			// put the target's seal on an error answer of the router.
-			pkforward.CopyHeaders(c.w.Header(), resp.Header)
+			pkforward.CopyHeaders(c.w.Header(), head.header)
 			delete(c.w.Header(), "Content-Length")
-			c.w.WriteHeader(resp.Status)
+			c.w.WriteHeader(head.status)
 		}
 		if _, err := c.w.Write(ev.Raw); err != nil {
 			return errCallerLeft
@@ -283,17 +309,14 @@
 			if err := control.Flush(); err != nil {
 				return errCallerLeft
 			}
-			watch.reset()
-			if a.recordEvent(now) {
-				c.recordSuccess(now)
-			}
+			onEvent(now)
 		}
 	}
 }
 
 // streamResult returns the result of an answer that ended normally: one without any event counts as
 // broken off.
-func (c *call) streamResult(resp *pkforward.Response, state *streamState) error {
+func (c *call) streamResult(state *streamState) error {
 	if state.events == 0 {
 		return &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: io.ErrUnexpectedEOF}
 	}
--- a/pkforward/sender.go
+++ b/pkforward/sender.go
@@ -186,13 +186,19 @@
 // ReadAll reads a body of at most limit bytes; the error is a *pkverdict.Error with the verdict
 // that the request may have run.
 func (r *Response) ReadAll(limit int64) ([]byte, error) {
+	return ReadBody(r.Body, r.Length, limit)
+}
+
+// ReadBody reads a body of at most limit bytes whose length is given, or negative if it is not known;
+// the error is a *pkverdict.Error with the verdict that the request may have run.
+func ReadBody(in io.Reader, length, limit int64) ([]byte, error) {
 	var body []byte
 	var err error
-	if r.Length >= 0 && r.Length <= limit {
-		body = make([]byte, r.Length)
-		_, err = io.ReadFull(r.Body, body)
+	if length >= 0 && length <= limit {
+		body = make([]byte, length)
+		_, err = io.ReadFull(in, body)
 	} else {
-		body, err = io.ReadAll(io.LimitReader(r.Body, limit+1))
+		body, err = io.ReadAll(io.LimitReader(in, limit+1))
 	}
 	if err == nil && int64(len(body)) > limit {
 		err = fmt.Errorf("response body exceeds %d bytes", limit)
--- a/pkreach/links.go
+++ b/pkreach/links.go
@@ -16,8 +16,8 @@
 	maxReachedShare = 1.0 / SampleSize
 	// resultTTL is how long a sample counts.
 	resultTTL = 100 * time.Millisecond
-	// recheckInterval is how often an entry that is cut off probes a new sample.
-	recheckInterval = 250 * time.Millisecond
+	// RecheckInterval is how often an entry that is cut off probes a new sample.
+	RecheckInterval = 250 * time.Millisecond
 )
 
 // Sample is the result of probing some targets of one service at about the same time.
@@ -81,28 +81,24 @@
 
 // Checked reports whether a sample of a service that was recorded before now still counts.
 func (l *Links) Checked(now time.Time, s pkid.ServiceID) bool {
+	return l.CheckedWithin(now, s, resultTTL)
+}
+
+// CheckedWithin reports whether a sample of a service was recorded within a time before now.
+func (l *Links) CheckedWithin(now time.Time, s pkid.ServiceID, within time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	one := l.byService[s]
-	return one != nil && now.Sub(one.checkedAt) < resultTTL
+	return one != nil && now.Sub(one.checkedAt) < within
 }
 
 // CutOffServices returns the services whose targets the entry is cut off from, in order.
 func (l *Links) CutOffServices() []pkid.ServiceID {
-	return l.services(func(one *links) bool { return one.cutOff })
-}
-
-// Due returns the services of which a new sample is due at now, in order.
-func (l *Links) Due(now time.Time) []pkid.ServiceID {
-	return l.services(func(one *links) bool { return one.cutOff && now.Sub(one.checkedAt) >= recheckInterval })
-}
-
-func (l *Links) services(which func(*links) bool) []pkid.ServiceID {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []pkid.ServiceID
 	for id, one := range l.byService {
-		if which(one) {
+		if one.cutOff {
 			out = append(out, id)
 		}
 	}
--- a/pkshare/hub.go
+++ b/pkshare/hub.go
@@ -34,6 +34,8 @@
 	ProcessorShare float64 `json:"processor_share"`
 	// Unregistered is set if the entry has no key in the store and is known only from its messages.
 	Unregistered bool `json:"unregistered,omitempty"`
+	// Relays is set if it accepts relayed requests.
+	Relays bool `json:"relays,omitempty"`
 }
 
 // comparePreference orders members by how well they serve as hubs: those with the largest processor
--- a/pkshare/message.go
+++ b/pkshare/message.go
@@ -69,6 +69,10 @@
 	// PackedConfig is like NewConfig with a compressed value. Earlier builds skip it, and follow
 	// the configuration themselves.
 	PackedConfig *pkstore.Item `cbor:"26,keyasint,omitempty"`
+	// Relays is set if the sender accepts relayed requests.
+	Relays bool `cbor:"28,keyasint,omitempty"`
+	// CutOff are the services whose targets the sender cannot reach.
+	CutOff []pkid.ServiceID `cbor:"29,keyasint,omitempty"`
 	// DataCenter and ProcessorShare are those of the sender.
 	DataCenter     pkid.DataCenter `cbor:"12,keyasint,omitempty"`
 	ProcessorShare float32         `cbor:"14,keyasint,omitempty"`
--- a/pkshare/table.go
+++ b/pkshare/table.go
@@ -65,6 +65,10 @@
 	configSentAt     time.Time
 	listSentAt       time.Time
 	quarantineSentAt time.Time
+	// relays is set if the peer accepts relayed requests, cutOff are the services whose targets it
+	// cannot reach.
+	relays bool
+	cutOff []pkid.ServiceID
 	// following is set if the peer watches the replica list in the store, followingSince is since
 	// when it has done so without interruption.
 	following      bool
@@ -123,6 +127,7 @@
 	}
 	p.following, p.relaying, p.quarantineChecksum = m.Following, m.Relaying, m.QuarantineChecksum
 	p.members, p.localEntries = m.Members, m.LocalEntries
+	p.relays, p.cutOff = m.Relays, m.CutOff
 	p.sum, p.dataCenter, p.processorShare = m.Sum, m.DataCenter, float64(m.ProcessorShare)
 	return true
 }
@@ -347,7 +352,26 @@
 	var out []Member
 	for id, p := range t.peers {
 		if now.Sub(p.lastReceivedAt) < staleAfter && p.addr != "" {
-			out = append(out, Member{ID: id, Addr: p.addr, DataCenter: p.dataCenter, ProcessorShare: p.processorShare, Unregistered: true})
+			out = append(out, Member{ID: id, Addr: p.addr, DataCenter: p.dataCenter, ProcessorShare: p.processorShare, Unregistered: true, Relays: p.relays})
+		}
+	}
+	return out
+}
+
+// RelayMembers returns the entries that accept relayed requests at now and, as far as known, reach the
+// targets of a service: those heard from, and those that are only known as members.
+func (t *Table) RelayMembers(now time.Time, s pkid.ServiceID, known []Member) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Member
+	for id, p := range t.peers {
+		if now.Sub(p.lastReceivedAt) < staleAfter && p.addr != "" && p.relays && !slices.Contains(p.cutOff, s) {
+			out = append(out, Member{ID: id, Addr: p.addr, DataCenter: p.dataCenter, Relays: true})
+		}
+	}
+	for _, m := range known {
+		if p := t.peers[m.ID]; m.Relays && m.Addr != "" && (p == nil || now.Sub(p.lastReceivedAt) >= EntryRetention) {
+			out = append(out, m)
 		}
 	}
 	return out
