pkedge, pkshare: entries that are cut off send nothing to the targets

Cause: a path's cost assumes that each other entry has begun as many requests since the last exchange as this one. An entry that serves for five others took the engines for much fuller than they were, and led streams over distant ones; they came late.

Change: entries that are cut off from a service don't count there. Limits and budgets are shared among all as before. The deciding functions take the number; the load that it answers is the one that other entries add unseen.

--- a/pkedge/choose.go
+++ b/pkedge/choose.go
@@ -8,7 +8,6 @@
 	"peridotknot.example/pkconfig"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pklayers"
-	"peridotknot.example/pkrate"
 	"peridotknot.example/pkreplica"
 )
 
@@ -88,8 +87,8 @@
 func (d *Daemon) findPath(now time.Time, s *pkconfig.Service, q pathQuery) (targetPath, bool) {
 	m := s.Engine
 	live := d.liveEngines(now, s.ID, m)
-	entries := d.entryCount(now)
-	share, limited := pkrate.Share{Entries: entries, Place: d.place}, d.limits.Named() > 0 && !q.inPath
+	entries := d.senderCount(now, s.ID)
+	share, limited := d.share(now), d.limits.Named() > 0 && !q.inPath
 	engines := make([]pklayers.Engine, 0, len(live))
 	for _, t := range live {
 		cost, ok := layerCost(now, m, t, q, entries, d.memoryPenalty)
@@ -106,7 +105,7 @@
 			NotFirst:   limited && d.limits.Wait(now, t.ID, t.Born, share) > 0,
 		})
 	}
-	costs := d.pathCosts(now, m, q)
+	costs := d.pathCosts(now, m, q, entries)
 	p, found := pklayers.Find(q.layers, engines, costs, q.from)
 	if !found {
 		return targetPath{}, false
@@ -125,9 +124,9 @@
 	return slices.DeleteFunc(d.roster.Live(now, s), func(t *pkreplica.Target) bool { return !m.Contains(t.Held) })
 }
 
-// pathCosts returns the costs of passing between engines at now.
-func (d *Daemon) pathCosts(now time.Time, m *pklayers.Model, q pathQuery) pklayers.Costs {
-	entries := d.entryCount(now)
+// pathCosts returns the costs of passing between engines at now, if that many entries send requests to
+// them.
+func (d *Daemon) pathCosts(now time.Time, m *pklayers.Model, q pathQuery, entries int) pklayers.Costs {
 	cache := map[[2]pkid.DataCenter]time.Duration{}
 	out := pklayers.Costs{Hop: hopCost, MaxCost: q.maxCost, Reach: m.Delay, Crossing: func(a, b pkid.DataCenter) time.Duration {
 		pair := [2]pkid.DataCenter{a, b}
--- a/pkedge/members_test.go
+++ b/pkedge/members_test.go
@@ -1,11 +1,13 @@
 package pkedge
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"peridotknot.example/pkid"
 	"peridotknot.example/pkshare"
 	"peridotknot.example/pkstore"
 )
@@ -89,3 +91,22 @@
 	assert.Assert(t, d.message(now).Relaying)
 	assert.Assert(t, !d.message(now.Add(time.Minute)).Relaying)
 }
+
+// Guards against an entry that takes over for those which are cut off, and assumes that each of them
+// still sends as many requests to the targets as it does.
+func TestEntriesThatAreCutOffSendNothingToTheTargets(t *testing.T) {
+	now := time.Now()
+	d, _ := poolDaemon()
+	d.members.reportedCount = 6
+	assert.Equal(t, d.senderCount(now, "models"), 6)
+	for i, services := range [][]pkid.ServiceID{{"models", "other"}, {"other"}, nil, {"models"}} {
+		d.gossip.table.Apply(now, pkshare.Message{From: pkid.EntryID(fmt.Sprint(i)), Sequence: 1, CutOff: services})
+	}
+	assert.Equal(t, d.senderCount(now, "models"), 4)
+	assert.Equal(t, d.entryCount(now), 6, "they still share limits")
+	d.gossip.table.Apply(now, pkshare.Message{From: "0", Sequence: 2})
+	assert.Equal(t, d.senderCount(now, "models"), 5)
+	assert.Equal(t, d.senderCount(now.Add(time.Minute), "models"), 6, "not heard from")
+	d.members.reportedCount = 1
+	assert.Equal(t, d.senderCount(now, "models"), 1)
+}
--- a/pkedge/shortage.go
+++ b/pkedge/shortage.go
@@ -26,7 +26,7 @@
 func (d *Daemon) findShortage(now time.Time, s *pkconfig.Service, q pathQuery) shortage {
 	m := s.Engine
 	all := make([]shortage, m.Layers)
-	entries := d.entryCount(now)
+	entries := d.senderCount(now, s.ID)
 	for _, t := range d.liveEngines(now, s.ID, m) {
 		_, hasCapacity := layerCost(now, m, t, q, entries, d.memoryPenalty)
 		avoided := !q.allows(now, t)
--- a/pkshare/table.go
+++ b/pkshare/table.go
@@ -87,6 +87,8 @@
 	peers map[pkid.EntryID]*peer
 	// expectedSince is since when each silent hub has been expected to send.
 	expectedSince map[pkid.EntryID]time.Time
+	// anyCutOff is set if some peer may be cut off from the targets of a service.
+	anyCutOff bool
 	// lastSent is the state that this entry last sent to its hubs, sentSums are the loads that it
 	// last sent as a hub, by role.
 	lastSent Message
@@ -128,6 +130,7 @@
 	p.following, p.relaying, p.quarantineChecksum = m.Following, m.Relaying, m.QuarantineChecksum
 	p.members, p.localEntries = m.Members, m.LocalEntries
 	p.relays, p.cutOff = m.Relays, m.CutOff
+	t.anyCutOff = t.anyCutOff || len(m.CutOff) > 0
 	p.sum, p.dataCenter, p.processorShare = m.Sum, m.DataCenter, float64(m.ProcessorShare)
 	return true
 }
@@ -358,6 +361,28 @@
 	return out
 }
 
+// CutOffCount returns the number of entries heard from at now that cannot reach the targets of a
+// service.
+func (t *Table) CutOffCount(now time.Time, s pkid.ServiceID) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.anyCutOff {
+		return 0
+	}
+	n := 0
+	t.anyCutOff = false
+	for _, p := range t.peers {
+		if now.Sub(p.lastReceivedAt) >= staleAfter || len(p.cutOff) == 0 {
+			continue
+		}
+		t.anyCutOff = true
+		if slices.Contains(p.cutOff, s) {
+			n++
+		}
+	}
+	return n
+}
+
 // RelayMembers returns the entries that accept relayed requests at now and, as far as known, reach the
 // targets of a service: those heard from, and those that are only known as members.
 func (t *Table) RelayMembers(now time.Time, s pkid.ServiceID, known []Member) []Member {
