pkedge: an owner that is cut off from a pool orders nothing there

Found by looking for the same class elsewhere: the owner of the pools lays out layers by what it reaches. An owner that is cut off reached no report (each task was rejected) or only those of spared engines, which it could have ordered to take layers that others hold.

Change: it leaves a pool alone while it is cut off from it, and such an entry doesn't try to become the owner.

TestOwnerThatIsCutOffOrdersNothing fails without the change (probes of the engines, and the attempt to acquire).

--- a/pkedge/confirm_test.go
+++ b/pkedge/confirm_test.go
@@ -13,6 +13,7 @@
 
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkowner"
+	"peridotknot.example/pkreach"
 	"peridotknot.example/pkshare"
 )
 
@@ -104,3 +105,23 @@
 	d.confirmPending(t)
 	assert.Assert(t, d.target(t, "a").IsGone(time.Now()), "another peer is believed")
 }
+
+// Guards against an owner of the pools that mends a pool in order, since its own links are cut.
+func TestOwnerThatIsCutOffOrdersNothing(t *testing.T) {
+	for _, cutOff := range []bool{false, true} {
+		d, engines := twelveEngines(t, allButA...)
+		d.applyRecord(time.Now(), 2, engine("a", "x", 0, 0))
+		sample := pkreach.Sample{Reached: 8}
+		if cutOff {
+			sample = pkreach.Sample{Failed: 8}
+		}
+		d.links.Record(time.Now(), "models", sample)
+		_, s := poolDaemon()
+		for range 3 {
+			d.reconcilePool(t.Context(), "models", s.Engine)
+		}
+		assert.Equal(t, engines.probes.Load() == 0, cutOff)
+		d.ownerlessSince = time.Now().Add(-time.Hour)
+		assert.Equal(t, d.mayAcquire(time.Now()), !cutOff)
+	}
+}
--- a/pkedge/own.go
+++ b/pkedge/own.go
@@ -81,9 +81,10 @@
 // mayAcquire reports whether this daemon may try to become the owner at now. To bound the writes to
 // the store, the designated entries of each data centre try at once and the others only after
 // takeoverDelay. An entry served by a hub learns late of a new owner and does not try, and a daemon
-// whose write has failed waits for acquireRetryDelay.
+// whose write has failed waits for acquireRetryDelay. An entry that is cut off from a service could not order
+// its engines.
 func (d *Daemon) mayAcquire(now time.Time) bool {
-	if now.Before(d.nextAcquire) || !d.era.mayTakeOver(now) {
+	if now.Before(d.nextAcquire) || !d.era.mayTakeOver(now) || len(d.links.CutOffServices()) > 0 {
 		return false
 	}
 	if d.gossip.table.ServedByHub(now) {
@@ -139,6 +140,9 @@
 
 // reconcilePool sends orders to the engines whose layers differ from the plan of their pool.
 func (d *Daemon) reconcilePool(ctx context.Context, s pkid.ServiceID, m *pklayers.Model) {
+	if d.links.CutOff(s) {
+		return // what this entry cannot reach may be in order
+	}
 	scheduler := d.poolScheduler(s)
 	tasks := scheduler.Next(time.Now(), m, d.liveEngines(time.Now(), s, m))
 	outcomes := make([]pkowner.Outcome, len(tasks))
