--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -171,6 +171,9 @@
 // CallersAddr returns the listen address for callers.
 func (d *Daemon) CallersAddr() string { return d.callers.Addr().String() }
 
+// PeersAddr returns the listen address for other entries, empty if there is none.
+func (d *Daemon) PeersAddr() string { return d.gossip.addr }
+
 // ReadyAddr returns the listen address for readiness and metrics.
 func (d *Daemon) ReadyAddr() string { return d.ready.Addr().String() }
 
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -54,67 +54,80 @@
 	return d.retry.Load().limits(d.share(now), d.started)
 }
 
+// sendResult is the result of one send of a request.
+type sendResult struct {
+	// err is the failure of the send, or the result of the request if final is set.
+	err   error
+	final bool
+	// last is set if the request must not be sent again.
+	last bool
+	// verdict is that of all sends so far.
+	verdict pkverdict.Verdict
+}
+
 // servePlain serves a call to a plain service.
 func (c *call) servePlain(ctx context.Context) error {
 	verdict := pkverdict.NotRun
 	var cause error
 	for c.sends < maxSends && ctx.Err() == nil {
-		if held := c.checkQuarantine(time.Now()); held != nil {
-			cause = held
-			break
+		result := c.sendPlain(ctx, verdict)
+		if result.final {
+			return result.err
 		}
-		if err := c.passedBack(verdict); err != nil {
-			return err
-		}
-		if r, cutOff := c.tryRelay(time.Now()); cutOff {
-			if !c.maySend(verdict) {
-				r.end()
-				break
-			}
-			if cause = c.relayPlain(ctx, r); isFinal(cause) {
-				return cause
-			}
-			if verdict = pkverdict.Join(verdict, c.recordRelayFailure(r, cause)); !verdict.MayRetry(c.route.Retryable()) {
-				break
-			}
-			continue
-		}
-		t, err := c.waitForTarget(ctx)
-		if err != nil {
-			cause = errors.Join(cause, err)
+		verdict = result.verdict
+		if result.last {
+			cause = errors.Join(cause, result.err)
 			break
 		}
+		cause = result.err
+	}
+	return c.finalError(ctx, verdict, cause)
+}
+
+// sendPlain sends a call to a target, or passes it on if this entry is cut off; verdict is that of the
+// sends before.
+func (c *call) sendPlain(ctx context.Context, verdict pkverdict.Verdict) sendResult {
+	if held := c.checkQuarantine(time.Now()); held != nil {
+		return sendResult{verdict: verdict, last: true, err: held}
+	}
+	if err := c.passedBack(verdict); err != nil {
+		return sendResult{final: true, err: err}
+	}
+	if r, cutOff := c.tryRelay(time.Now()); cutOff {
+		defer r.end()
 		if !c.maySend(verdict) {
-			break
+			return sendResult{verdict: verdict, last: true}
 		}
-		c.sends++
-		resp, body, err := c.sendTo(ctx, t)
-		if err == nil {
-			c.recordSuccess(time.Now())
-			return c.forward(resp.Status, resp.Header, body)
-		}
-		c.recordIfInterrupted(time.Now(), err, t)
-		cause = err
-		verdict = pkverdict.Join(verdict, c.recordSendFailure(t, err))
-		if verdict != pkverdict.NotRun && resp != nil && c.sends >= c.route.MaxAttempts {
-			// The target's own error answer is forwarded unchanged.
-			return c.forward(resp.Status, resp.Header, body)
-		}
-		if !verdict.MayRetry(c.route.Retryable()) {
-			if resp != nil {
-				return c.forward(resp.Status, resp.Header, body)
-			}
-			break
-		}
-		c.afterUnreachable(ctx, err)
+		result := c.relayResult(r, verdict, c.relayPlain(ctx, r))
+		result.last = !result.verdict.MayRetry(c.route.Retryable())
+		return result
 	}
-	return c.finalError(ctx, verdict, cause)
+	t, err := c.waitForTarget(ctx)
+	if err != nil || !c.maySend(verdict) {
+		return sendResult{verdict: verdict, last: true, err: err}
+	}
+	return c.sendPlainTo(ctx, t, verdict)
 }
 
-// isFinal reports whether a relay has ended the request: its answer was sent, or is the error.
-func isFinal(err error) bool {
-	var rej *rejection
-	return err == nil || errors.Is(err, errCallerLeft) || errors.As(err, &rej)
+// sendPlainTo sends a call to a target.
+func (c *call) sendPlainTo(ctx context.Context, t *pkreplica.Target, verdict pkverdict.Verdict) sendResult {
+	c.sends++
+	resp, body, err := c.sendTo(ctx, t)
+	if err == nil {
+		c.recordSuccess(time.Now())
+		return sendResult{final: true, err: c.forward(resp.Status, resp.Header, body)}
+	}
+	c.recordIfInterrupted(time.Now(), err, t)
+	verdict = pkverdict.Join(verdict, c.recordSendFailure(t, err))
+	last := !verdict.MayRetry(c.route.Retryable())
+	if resp != nil && (last || (verdict != pkverdict.NotRun && c.sends >= c.route.MaxAttempts)) {
+		// The target's own error answer is forwarded unchanged.
+		return sendResult{final: true, err: c.forward(resp.Status, resp.Header, body)}
+	}
+	if !last {
+		c.afterUnreachable(ctx, err)
+	}
+	return sendResult{verdict: verdict, last: last, err: err}
 }
 
 // maySend reports whether another send is allowed, and charges a retry to the retry budget.
--- a/pkedge/relay.go
+++ b/pkedge/relay.go
@@ -71,14 +71,15 @@
 }
 
 // relayError returns the error of a relay that failed: the answer for the caller where the other entry
-// has refused the request for good, or else the failure of a send.
+// has refused the request for good or its time is up, or else the failure of a send.
 func (c *call) relayError(resp *http.Response, err error) error {
 	if resp == nil {
 		return err
 	}
 	_ = resp.Body.Close() // an answer of the entry itself has no body
 	var failure *pkverdict.Error
-	if !c.headSent && errors.As(err, &failure) && failure.Verdict == pkverdict.NotRun && !pkrelay.PassedBack(resp) {
+	refused := errors.As(err, &failure) && failure.Verdict == pkverdict.NotRun && !pkrelay.PassedBack(resp)
+	if !c.headSent && (refused || resp.StatusCode == http.StatusGatewayTimeout) {
 		return &rejection{status: resp.StatusCode, retryAfter: retryAfterOf(resp.Header), reason: resp.Header.Get(pkrelay.HeaderReason)}
 	}
 	return err
@@ -93,20 +94,27 @@
 	return seconds(s)
 }
 
-// recordRelayFailure records a failed relay and returns its verdict.
-func (c *call) recordRelayFailure(r relay, err error) pkverdict.Verdict {
+// relayResult returns the result of a relay that ended with an error or nil; verdict is that of the sends
+// before.
+func (c *call) relayResult(r relay, verdict pkverdict.Verdict, err error) sendResult {
+	var rej *rejection
+	switch {
+	case err == nil || errors.As(err, &rej):
+		return sendResult{final: true, err: err}
+	case errors.Is(err, errCallerLeft) || c.r.Context().Err() != nil:
+		return sendResult{final: true, err: errCallerLeft}
+	}
 	var failure *pkverdict.Error
 	if !errors.As(err, &failure) {
 		failure = &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: err}
 	}
 	c.countFailure(failure)
 	c.log.Info("a relay failed", "request_id", c.req.Meta.ID, "peer", r.peer.ID, "send", c.sends, "verdict", failure.Verdict.String(), "error", failure.Err)
-	return failure.Verdict
+	return sendResult{verdict: pkverdict.Join(verdict, failure.Verdict), err: err}
 }
 
 // relayPlain passes a call on and sends its complete answer to the caller.
 func (c *call) relayPlain(ctx context.Context, r relay) error {
-	defer r.end()
 	resp, err := r.send(ctx, c, "")
 	if err != nil {
 		return err
@@ -122,7 +130,6 @@
 // relayStream passes a stream on, after the last event that the caller has received, and forwards its
 // events.
 func (c *call) relayStream(ctx context.Context, r relay, state *streamState) error {
-	defer r.end()
 	c.path = "relay:" + string(r.peer.ID)
 	resp, err := r.send(ctx, c, state.lastEventID)
 	if err != nil {
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -57,38 +57,14 @@
 		if !c.maySend(verdict) && !c.waitForBudget(ctx, verdict) {
 			break
 		}
-		if err := c.passedBack(verdict); err != nil {
-			return err
-		}
-		if r, cutOff := c.tryRelay(time.Now()); cutOff {
-			if cause = c.relayStream(ctx, r, &state); isFinal(cause) {
-				return cause
-			}
-			if c.r.Context().Err() != nil {
-				return errCallerLeft
-			}
-			verdict = pkverdict.Join(verdict, c.recordRelayFailure(r, cause))
-			continue
+		result := c.sendStream(ctx, s, verdict, &state)
+		if result.final {
+			return result.err
 		}
-		p, err := c.waitForPath(ctx, s)
-		if err != nil {
-			cause = err
-			break
-		}
-		if cause = c.checkQuarantine(time.Now()); cause != nil {
+		verdict, cause = result.verdict, result.err
+		if result.last {
 			break
 		}
-		c.sends++
-		err = c.sendOverPath(ctx, s, p, &state)
-		if err == nil {
-			return nil
-		}
-		if errors.Is(err, errCallerLeft) || c.r.Context().Err() != nil {
-			return errCallerLeft
-		}
-		cause = err
-		verdict = pkverdict.Join(verdict, c.recordStreamFailure(p, err, &state))
-		c.afterUnreachable(ctx, err)
 	}
 	if c.headSent {
 		return fmt.Errorf("stream broke off after %d events: %w", state.events, cause)
@@ -99,6 +75,36 @@
 	return c.finalError(ctx, verdict, cause)
 }
 
+// sendStream sends a request for a stream over a path, or passes it on if this entry is cut off; verdict
+// is that of the sends before.
+func (c *call) sendStream(ctx context.Context, s *pkconfig.Service, verdict pkverdict.Verdict, state *streamState) sendResult {
+	if err := c.passedBack(verdict); err != nil {
+		return sendResult{final: true, err: err}
+	}
+	if r, cutOff := c.tryRelay(time.Now()); cutOff {
+		defer r.end()
+		return c.relayResult(r, verdict, c.relayStream(ctx, r, state))
+	}
+	p, err := c.waitForPath(ctx, s)
+	if err == nil {
+		err = c.checkQuarantine(time.Now())
+	}
+	if err != nil {
+		return sendResult{verdict: verdict, last: true, err: err}
+	}
+	c.sends++
+	err = c.sendOverPath(ctx, s, p, state)
+	if err == nil {
+		return sendResult{final: true}
+	}
+	if errors.Is(err, errCallerLeft) || c.r.Context().Err() != nil {
+		return sendResult{final: true, err: errCallerLeft}
+	}
+	verdict = pkverdict.Join(verdict, c.recordStreamFailure(p, err, state))
+	c.afterUnreachable(ctx, err)
+	return sendResult{verdict: verdict, err: err}
+}
+
 func (c *call) recordStreamFailure(p targetPath, err error, state *streamState) pkverdict.Verdict {
 	var failure *pkverdict.Error
 	if !errors.As(err, &failure) {
