--- a/pkedge/cut_test.go
+++ b/pkedge/cut_test.go
@@ -137,3 +137,67 @@
 		})
 	}
 }
+
+// Guards against streams that break off, and requests that count as crashes, because a sound replica
+// falls silent for a second and goes on.
+func TestStreamsOutliveAReplicaThatHoldsStill(t *testing.T) {
+	t.Parallel()
+	w, engines := newPool(t)
+	nodes, _ := startCuttable(t, w, 2)
+	const streams, length = 4, 400
+	answers, first := nodes[0].startStreams(t, w, streams, length)
+	for id := range first {
+		release := engines[id].Hold()
+		defer release()
+		time.AfterFunc(time.Second, release)
+	}
+	assertComplete(t, answers, streams, length)
+	assert.Equal(t, nodes[0].metric(t, "peridotknot_suspected_requests"), "0")
+	for _, n := range nodes {
+		eventually(t, "the use of the replica", func() bool { return n.metric(t, "peridotknot_targets_avoided") == "0" })
+	}
+}
+
+// Guards against an entry of a large fleet that is cut off and knows nobody to pass requests on to, as it
+// hears from its hubs only, and against one that gives all of them to its hubs.
+func TestEntryOfALargeFleetThatIsCutOffIsServed(t *testing.T) {
+	t.Parallel()
+	const entries = 15
+	w, _ := newPool(t)
+	var links platformtest.Links
+	var nodes []*node
+	for i := range entries {
+		s := pkedge.Settings{
+			Entry: pkid.EntryID(fmt.Sprintf("n-%02d", i)), DataCenter: "a", Store: w.Store.Addr(),
+			Listen: pkedge.Listen{Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: "127.0.0.1:0"},
+			Stop:   pkedge.Stop{GraceS: 1},
+			Retry:  pkedge.Retry{Ratio: 0.2, WindowS: 1, Slack: 400},
+		}
+		if i == entries-1 {
+			nodes = append(nodes, startLinked(t, s, &links))
+		} else {
+			nodes = append(nodes, startWith(t, s))
+		}
+	}
+	cutOff := nodes[entries-1]
+	for _, n := range nodes {
+		eventually(t, "all entries", func() bool { return n.isReady(t) && n.memberCount(t) >= entries })
+	}
+	cutOff.waitForStream(t)
+	links.Cut(platformtest.CutRefusing)
+	i := 0
+	eventually(t, "a stream through the entry that is cut off", func() bool {
+		i++
+		sent, served := cutOff.serveFor(t, fmt.Sprintf("again-%d", i), 100*time.Millisecond)
+		return served == sent
+	})
+	sent, served := cutOff.serveFor(t, "cut", time.Second)
+	assert.Assert(t, sent > 10 && served == sent, "%d of %d served", served, sent)
+	serving := 0
+	for _, n := range nodes {
+		if n.metric(t, `peridotknot_relayed_requests_total{direction="received",outcome="answered"}`) != "" {
+			serving++
+		}
+	}
+	assert.Assert(t, serving > 2, "%d entries have served requests for it", serving)
+}
--- a/pkshare/table_test.go
+++ b/pkshare/table_test.go
@@ -1,6 +1,8 @@
 package pkshare
 
 import (
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -85,3 +87,25 @@
 		assert.Equal(t, table.FollowedSince(now, lost), row.followed, row.name)
 	}
 }
+
+// Guards against requests passed on to entries of earlier builds, which do not take them, and to entries
+// that are cut off as well.
+func TestRelayMembers(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	var table Table
+	table.Apply(now, Message{From: "able", Addr: "able", Sequence: 1, Relays: true})
+	table.Apply(now, Message{From: "older", Addr: "older", Sequence: 1})
+	table.Apply(now, Message{From: "cut", Addr: "cut", Sequence: 1, Relays: true, CutOff: []pkid.ServiceID{"s"}})
+	known := []Member{{ID: "able", Addr: "able", Relays: true}, {ID: "cut", Addr: "cut", Relays: true}, {ID: "known", Addr: "known", Relays: true}, {ID: "older-known", Addr: "older-known"}}
+	ids := func(at time.Time, s pkid.ServiceID) string {
+		var out []string
+		for _, m := range table.RelayMembers(at, s, known) {
+			out = append(out, string(m.ID))
+		}
+		slices.Sort(out)
+		return strings.Join(out, " ")
+	}
+	assert.Equal(t, ids(now, "s"), "able known")
+	assert.Equal(t, ids(now, "another"), "able cut known")
+	assert.Equal(t, ids(now.Add(staleAfter), "s"), "known", "those who fell silent are not tried")
+}
