pkedge: a refusal of another entry promises nothing for the sends before it

Found by reading the relay once more: a request that may be repeated, and that this entry had sent to a target before it passed it on, was answered with the other entry's 503, which promises that it has not run. It is answered 502 now, as without a relay. TestRefusalOfAnotherEntryPromisesNothingForSendsBefore fails without the change.

The outcome label of relays no longer takes words of a peer.

--- a/pkedge/confirm_test.go
+++ b/pkedge/confirm_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -15,6 +17,7 @@
 	"peridotknot.example/pkowner"
 	"peridotknot.example/pkreach"
 	"peridotknot.example/pkshare"
+	"peridotknot.example/pkverdict"
 )
 
 // cutEngines refuse all connections but those to the reachable addresses, and count the probes.
@@ -125,3 +128,17 @@
 		assert.Equal(t, d.mayAcquire(time.Now()), !cutOff)
 	}
 }
+
+// Guards against "not run" in the answer to a request that this entry has sent to a target before another
+// one refused it.
+func TestRefusalOfAnotherEntryPromisesNothingForSendsBefore(t *testing.T) {
+	d, _ := poolDaemon()
+	c := newCall(d, 1)
+	refused := &rejection{status: http.StatusServiceUnavailable, reason: "full"}
+	assert.Assert(t, c.relayResult(relay{}, pkverdict.NotRun, refused).final)
+	result := c.relayResult(relay{}, pkverdict.MayHaveRun, refused)
+	assert.Assert(t, !result.final && result.last)
+	var rej *rejection
+	assert.Assert(t, errors.As(c.finalError(t.Context(), result.verdict, result.err), &rej))
+	assert.Equal(t, rej.status, http.StatusBadGateway)
+}
--- a/pkedge/relay.go
+++ b/pkedge/relay.go
@@ -13,8 +13,13 @@
 	"peridotknot.example/pkverdict"
 )
 
-// maxRelays bounds the entries that a request is passed on to.
-const maxRelays = 3
+const (
+	// maxRelays bounds the entries that a request is passed on to.
+	maxRelays = 3
+	// lostCheckInterval is the shortest time between checks of the links after connections that were
+	// lost.
+	lostCheckInterval = 500 * time.Millisecond
+)
 
 // relay is one pass of a request to another entry.
 type relay struct {
@@ -59,12 +64,14 @@
 		c.metrics.relayed.WithLabelValues("sent", "answered").Inc()
 		return resp, nil
 	}
-	if resp == nil || pkrelay.PassedBack(resp) {
+	outcome := "refused"
+	switch {
+	case resp == nil:
+		outcome = "lost"
+		c.relayPeers.Avoid(now, r.peer.ID)
+	case pkrelay.PassedBack(resp):
+		outcome = "passed_back"
 		c.relayPeers.Avoid(now, r.peer.ID)
-	}
-	outcome := "unreachable"
-	if resp != nil {
-		outcome = resp.Header.Get(pkrelay.HeaderReason)
 	}
 	c.metrics.relayed.WithLabelValues("sent", outcome).Inc()
 	return resp, c.relayError(resp, err)
@@ -99,7 +106,12 @@
 func (c *call) relayResult(r relay, verdict pkverdict.Verdict, err error) sendResult {
 	var rej *rejection
 	switch {
-	case err == nil || errors.As(err, &rej):
+	case err == nil:
+		return sendResult{final: true}
+	case errors.As(err, &rej) && verdict != pkverdict.NotRun:
+		// The other entry has not sent the request, but this one has before.
+		return sendResult{verdict: verdict, last: true, err: err}
+	case rej != nil:
 		return sendResult{final: true, err: err}
 	case errors.Is(err, errCallerLeft) || c.r.Context().Err() != nil:
 		return sendResult{final: true, err: errCallerLeft}
@@ -153,7 +165,7 @@
 // next send can be a relay at once.
 func (c *call) afterUnreachable(ctx context.Context, err error) {
 	var failure *pkverdict.Error
-	if !errors.As(err, &failure) || c.relayed != nil && c.delivered > 0 || c.r.Context().Err() != nil {
+	if !errors.As(err, &failure) || c.r.Context().Err() != nil {
 		return
 	}
 	switch {
@@ -166,9 +178,6 @@
 	}
 }
 
-// lostCheckInterval is the shortest time between checks of the links after connections that were lost.
-const lostCheckInterval = 500 * time.Millisecond
-
 // passedBack returns the answer to an entry that has passed a request on, if this entry cannot serve it
 // and has sent it to no target.
 func (c *call) passedBack(verdict pkverdict.Verdict) error {
