pkedge: a stall of this VM is no evidence against a target; wording

A check of the links that took too long was dropped, and the suspicion then confirmed without it: an entry whose VM had stalled would have taken a sound target for dead. Such a suspicion is not confirmed now. TestStallShowsNothing fails without the change.

The handling of reports is two cases in place of three, with the same behavior, and some comments are reworded.

--- a/pkedge/confirm.go
+++ b/pkedge/confirm.go
@@ -110,7 +110,7 @@
 		}
 	}
 	if d.cutOff(ctx, t.Service, t.ID) || ctx.Err() != nil {
-		d.log.Debug("target not suspected, this entry is cut off", "target", t.ID, "peer", p.from)
+		d.log.Debug("target not suspected, this entry may be cut off", "target", t.ID, "peer", p.from)
 		return false
 	}
 	now := time.Now()
@@ -123,8 +123,8 @@
 }
 
 // verifyReport probes a target that a peer has reported, and returns the fault that it shows here and
-// whether there is one. The reports of a peer that was wrong are ignored for a while: if its links are cut it will
-// report many targets.
+// whether there is one. The reports of a peer that was wrong are ignored for a while: if its links are
+// cut it will report many targets.
 func (d *Daemon) verifyReport(ctx context.Context, p pendingSuspicion) (fault, bool) {
 	t, now := p.target, time.Now()
 	if (t.IsDead(now) && (p.fault != faultGone || t.IsGone(now))) || !d.suspected.trusts(now, p.from) {
--- a/pkedge/confirm_test.go
+++ b/pkedge/confirm_test.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -142,3 +143,23 @@
 	assert.Assert(t, errors.As(c.finalError(t.Context(), result.verdict, result.err), &rej))
 	assert.Equal(t, rej.status, http.StatusBadGateway)
 }
+
+// stalledEngines answer nothing until a stall of this VM is over.
+type stalledEngines struct{ pkowner.Engines }
+
+func (stalledEngines) Connect(context.Context, string) error {
+	time.Sleep(10 * linkTimeout)
+	return context.DeadlineExceeded
+}
+
+// Guards against a stall of this VM that is taken for a cut of its links, or for the end of a target.
+func TestStallShowsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, _ := twelveEngines(t)
+		d.Engines = stalledEngines{}
+		d.suspect(d.target(t, "a"), syscall.ECONNREFUSED)
+		d.confirmPending(t)
+		assert.Assert(t, !d.target(t, "a").IsDead(time.Now()))
+		assert.Equal(t, len(d.links.CutOffServices()), 0)
+	})
+}
--- a/pkedge/links.go
+++ b/pkedge/links.go
@@ -23,23 +23,22 @@
 	linkScanInterval = 50 * time.Millisecond
 )
 
-// cutOff reports whether this entry is cut off from the targets of a service, after a check of its
-// links to some of them unless one has just ended. The suspect is not among them, nor are targets
-// that are known to have failed.
+// cutOff reports whether this entry is cut off from the targets of a service, or cannot find out. It
+// checks the links to some of them unless a check has just ended. The suspect is not among them, nor
+// are targets that have failed for certain.
 func (d *Daemon) cutOff(ctx context.Context, s pkid.ServiceID, suspect pkid.TargetID) bool {
 	if d.links.Checked(time.Now(), s) {
 		return d.links.CutOff(s)
 	}
-	_, _, _ = d.linkChecks.Do(string(s), func() (any, error) {
-		d.checkLinks(ctx, s, suspect)
-		return nil, nil
-	})
-	return d.links.CutOff(s)
+	_, err, _ := d.linkChecks.Do(string(s), func() (any, error) { return nil, d.checkLinks(ctx, s, suspect) })
+	return err != nil || d.links.CutOff(s)
 }
 
-// checkLinks connects to a sample of the targets of a service and records the result. A result that
-// came late is dropped, since this VM has stalled meanwhile.
-func (d *Daemon) checkLinks(ctx context.Context, s pkid.ServiceID, suspect pkid.TargetID) {
+// errStalled is the result of a check that took too long, since this VM has stalled meanwhile.
+var errStalled = errors.New("check of the links took too long")
+
+// checkLinks connects to a sample of the targets of a service and records the result.
+func (d *Daemon) checkLinks(ctx context.Context, s pkid.ServiceID, suspect pkid.TargetID) error {
 	began := time.Now()
 	targets := d.linkSample(began, s, suspect)
 	checkCtx, cancel := context.WithTimeout(ctx, linkTimeout)
@@ -57,14 +56,18 @@
 		}
 	}
 	now := time.Now()
-	if ctx.Err() != nil || now.Sub(began) > 2*linkTimeout {
-		return
+	switch {
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case now.Sub(began) > 2*linkTimeout:
+		return errStalled
 	}
 	cutOff, changed := d.links.Record(now, s, sample)
 	if changed {
 		d.log.Warn("links to the targets of a service have changed", "service", s, "cut_off", cutOff, "reached", sample.Reached, "failed", sample.Failed)
 		d.gossip.requestSend()
 	}
+	return nil
 }
 
 // probeLink returns an error if a target cannot be reached. A link may accept a connection and reset it
--- a/pkedge/suspect.go
+++ b/pkedge/suspect.go
@@ -166,8 +166,9 @@
 	s.requestSend()
 }
 
-// receiveSuspicion applies a suspicion reported by another entry and forwards it if there are hubs.
-// Reports about an earlier start of the target, or an earlier record of it, are dropped.
+// receiveSuspicion takes a suspicion reported by another entry. A stale record, which the target's own
+// answers have shown, is applied at once, and forwarded if there are hubs; other faults are queued to
+// be confirmed. Reports about an earlier start of the target, or an earlier record of it, are dropped.
 func (d *Daemon) receiveSuspicion(now time.Time, from pkid.EntryID, report pkshare.Suspect) {
 	s := suspicion{until: now.Add(time.Duration(report.RemainingMS) * time.Millisecond), startTime: report.Born, recordRevision: report.RecordRevision}
 	switch {
@@ -180,31 +181,31 @@
 		d.streams.wakeUp()
 	}
 	t, found := d.roster.Target(report.Target)
-	switch {
-	case found && d.outdated(t, s):
-	case s.fault != faultStaleRecord:
+	if found && d.outdated(t, s) {
+		return
+	}
+	if s.fault != faultStaleRecord {
 		if found {
 			d.suspected.add(pendingSuspicion{target: t, fault: s.fault, from: from})
 		}
-	default:
-		if found {
-			d.logReported(now, t, from, report)
-			d.applySuspicion(now, t, s)
-		}
-		if d.gossip.withHubs.Load() {
-			d.gossip.announceSuspicion(report.Target, s)
-		}
+		return
+	}
+	if found {
+		d.logStaleRecord(now, t, from, report)
+		d.applySuspicion(now, t, s)
+	}
+	if d.gossip.withHubs.Load() {
+		d.gossip.announceSuspicion(report.Target, s)
 	}
 }
 
-// logReported logs a suspicion that a peer has reported, unless the target is known to be dead.
-func (d *Daemon) logReported(now time.Time, t *pkreplica.Target, from pkid.EntryID, report pkshare.Suspect) {
+// logStaleRecord logs a stale record that a peer has reported, unless its target is dead at now.
+func (d *Daemon) logStaleRecord(now time.Time, t *pkreplica.Target, from pkid.EntryID, report pkshare.Suspect) {
 	if t.IsDead(now) {
 		return
 	}
 	d.log.Info("target suspected on a report from a peer", "target", t.ID, "peer", from, "gone", report.Gone,
-		"misplaced", report.StaleRecord, "born", report.Born, "for_ms", report.RemainingMS,
-		"open_connections", d.Conns.Open(t.Addr), "in_progress", t.OwnLoad().Requests)
+		"misplaced", report.StaleRecord, "born", report.Born, "for_ms", report.RemainingMS)
 }
 
 // outdated reports whether newer information about a target supersedes a suspicion.
--- a/pkreach/doc.go
+++ b/pkreach/doc.go
@@ -2,6 +2,6 @@
 //
 // A target that cannot be reached has failed, or the link to it has. One target shows no
 // difference; a sample of the others of its service does: an entry that reaches almost none of them
-// is cut off, and what it finds says nothing of the targets. Package pkreach takes the results of
-// probes and the present time, and does no I/O.
+// is cut off, and its failures are no evidence against the targets. Package pkreach takes the results
+// of probes and the present time, and does no I/O.
 package pkreach
--- a/pkretry/budget.go
+++ b/pkretry/budget.go
@@ -62,7 +62,7 @@
 	utilization = 0.85
 	// startUtilization is the share of the limit that a process may use in the first window after its
 	// start, spread evenly over that window. Together with utilization it stays within the limit,
-	// however often processes restart, although none knows what its predecessor has spent.
+	// however often processes restart, although what their predecessors have spent is not known.
 	startUtilization = 0.1
 )
 
--- a/pkshare/table.go
+++ b/pkshare/table.go
@@ -361,8 +361,7 @@
 	return out
 }
 
-// CutOffCount returns the number of entries heard from at now that cannot reach the targets of a
-// service.
+// CutOffCount returns the number of live entries at now that cannot reach the targets of a service.
 func (t *Table) CutOffCount(now time.Time, s pkid.ServiceID) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -383,9 +382,9 @@
 	return n
 }
 
-// RelayMembers returns the entries that accept relayed requests at now and, as far as known, reach the
-// targets of a service: those heard from, and those that are only known as members.
-func (t *Table) RelayMembers(now time.Time, s pkid.ServiceID, known []Member) []Member {
+// RelayMembers returns the entries that accept relayed requests at now and have not reported that they
+// are cut off from the targets of a service: the live ones, and members that send this entry nothing.
+func (t *Table) RelayMembers(now time.Time, s pkid.ServiceID, members []Member) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Member
@@ -394,7 +393,7 @@
 			out = append(out, Member{ID: id, Addr: p.addr, DataCenter: p.dataCenter, Relays: true})
 		}
 	}
-	for _, m := range known {
+	for _, m := range members {
 		if p := t.peers[m.ID]; m.Relays && m.Addr != "" && (p == nil || now.Sub(p.lastReceivedAt) >= EntryRetention) {
 			out = append(out, m)
 		}
