--- a/pkedge/confirm_test.go
+++ b/pkedge/confirm_test.go
@@ -14,10 +14,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"peridotknot.example/pkconfig"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkowner"
 	"peridotknot.example/pkreach"
 	"peridotknot.example/pkshare"
+	"peridotknot.example/pkstore"
 	"peridotknot.example/pkverdict"
 )
 
@@ -121,6 +123,8 @@
 		}
 		d.links.Record(time.Now(), "models", sample)
 		_, s := poolDaemon()
+		assert.Assert(t, d.configs.Adopt(pkconfig.Config{Version: 1, Services: []pkconfig.Service{*s, {ID: "plain"}}}, pkstore.Item{Revision: 1}))
+		d.links.Record(time.Now(), "plain", pkreach.Sample{Failed: 8}) // needs no owner
 		for range 3 {
 			d.reconcilePool(t.Context(), "models", s.Engine)
 		}
--- a/pkedge/own.go
+++ b/pkedge/own.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"peridotknot.example/pkconfig"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pklayers"
 	"peridotknot.example/pklease"
@@ -81,10 +83,10 @@
 // mayAcquire reports whether this daemon may try to become the owner at now. To bound the writes to
 // the store, the designated entries of each data centre try at once and the others only after
 // takeoverDelay. An entry served by a hub learns late of a new owner and does not try, and a daemon
-// whose write has failed waits for acquireRetryDelay. An entry that is cut off from a service could not order
+// whose write has failed waits for acquireRetryDelay. An entry that is cut off from a pool could not order
 // its engines.
 func (d *Daemon) mayAcquire(now time.Time) bool {
-	if now.Before(d.nextAcquire) || !d.era.mayTakeOver(now) || len(d.links.CutOffServices()) > 0 {
+	if now.Before(d.nextAcquire) || !d.era.mayTakeOver(now) || d.cutOffFromPools() {
 		return false
 	}
 	if d.gossip.table.ServedByHub(now) {
@@ -98,6 +100,14 @@
 	return designated || now.Sub(d.ownerlessSince) >= takeoverDelay
 }
 
+// cutOffFromPools reports whether this daemon is cut off from a pool of engines.
+func (d *Daemon) cutOffFromPools() bool {
+	table := d.configs.Table()
+	return table != nil && slices.ContainsFunc(table.Services, func(s pkconfig.Service) bool {
+		return s.Engine != nil && d.links.CutOff(s.ID)
+	})
+}
+
 // writeOwnerKey writes the owner's key under this daemon's lease. A key of its own, left by a
 // previous run, is replaced.
 func (d *Daemon) writeOwnerKey(ctx context.Context, id pkstore.LeaseID, owner pkid.EntryID, rev pkstore.Revision) bool {
--- a/pkreach/links.go
+++ b/pkreach/links.go
@@ -53,7 +53,7 @@
 
 // Record applies a sample of a service that was complete at now, and reports whether the entry is
 // cut off and whether that is new. An entry that was cut off is so until it reaches most targets
-// again.
+// again, or the service has none.
 func (l *Links) Record(now time.Time, s pkid.ServiceID, sample Sample) (cutOff, changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -66,7 +66,7 @@
 		l.byService[s] = one
 	}
 	before := one.cutOff
-	one.cutOff = sample.cutOff() || (before && sample.Reached <= sample.Failed)
+	one.cutOff = sample.cutOff() || (before && sample.Failed > 0 && sample.Reached <= sample.Failed)
 	one.checkedAt = now
 	return one.cutOff, one.cutOff != before
 }
--- a/pkreach/links_test.go
+++ b/pkreach/links_test.go
@@ -58,3 +58,11 @@
 	assert.Assert(t, Sample{Reached: 1}.Settled(1))
 	assert.Assert(t, Sample{}.Settled(0))
 }
+
+// Guards against an entry that is cut off for good from a service whose targets are all gone.
+func TestServiceWithoutTargetsIsNotCutOff(t *testing.T) {
+	var l Links
+	l.Record(start, "s", Sample{Failed: 8})
+	cutOff, changed := l.Record(start, "s", Sample{})
+	assert.Assert(t, !cutOff && changed)
+}
