pkedge: which owner of the pools an entry knows, from where, and why the owner orders nothing

Change: log lines 'the owner of the pools has changed' (owner and revision, before and after, source, revision of the source) and 'ability to order engines has changed' (reason), at changes only; metrics peridotknot_owns_pools and peridotknot_engines_without_layers. No decision is changed.

--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -89,6 +89,9 @@
 	schedulers map[pkid.ServiceID]*pkowner.Scheduler
 	// ownerlessSince is since when no owner is known; only reconcilePools uses it.
 	ownerlessSince time.Time
+	// idleReason is why this daemon orders nothing though it holds the owner's key; only reconcilePools
+	// uses it.
+	idleReason string
 	// nextAcquire is when this daemon may try again to become the owner; only reconcilePools uses
 	// it.
 	nextAcquire time.Time
--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -131,14 +131,16 @@
 			d.loadSaved(time.Now(), items)
 			d.replaceMembers(time.Now(), items, at)
 		},
-		onChange: func(events []pkstore.Event, _ pkstore.Revision) {
+		onChange: func(events []pkstore.Event, at pkstore.Revision) {
 			now := time.Now()
 			d.loadSaved(now, written(events))
 			m.mu.Lock()
 			defer m.mu.Unlock()
+			before := m.knownOwner()
 			for _, ev := range events {
 				m.apply(now, strings.TrimPrefix(ev.Item.Key, d.OwnPrefix), ev)
 			}
+			d.logOwner(before, "watch", at)
 		},
 		relayed:    d.membersRelayed,
 		findsHubs:  true,
@@ -155,7 +157,7 @@
 	if m.known && at < m.listedAt {
 		return
 	}
-	first := !m.known
+	first, before := !m.known, m.knownOwner()
 	m.owner, m.ownerRevision, m.ownRevision, m.known, m.reportedCount = "", 0, 0, true, 0
 	m.listedAt = at
 	clear(m.peers)
@@ -172,9 +174,28 @@
 		m.apply(now, strings.TrimPrefix(one.Key, d.OwnPrefix), pkstore.Event{Item: one})
 	}
 	m.listedBefore = m.listedBefore || (first && m.ownRevision != 0)
+	d.logOwner(before, "list", at)
 	d.gossip.updateLinks()
 }
 
+// ownerAt is the owner of the pools, empty if there is none, as of a revision of its key.
+type ownerAt struct {
+	owner    pkid.EntryID
+	revision pkstore.Revision
+}
+
+// knownOwner returns the owner that is known; the caller holds mu.
+func (m *members) knownOwner() ownerAt { return ownerAt{owner: m.owner, revision: m.ownerRevision} }
+
+// logOwner logs a change of the owner since it was the one before; the caller holds members.mu. knownTo is
+// the revision up to which the source knew the store.
+func (d *Daemon) logOwner(before ownerAt, source string, knownTo pkstore.Revision) {
+	if now := d.members.knownOwner(); now != before {
+		d.log.Info("the owner of the pools has changed", "owner", now.owner, "revision", now.revision.String(), "before", before.owner,
+			"before_revision", before.revision.String(), "source", source, "known_to", knownTo.String())
+	}
+}
+
 // refreshMembers lists the daemons' own keys before this daemon registers in a data centre that
 // seems to have no registered entry: what it has read may be seconds old.
 func (d *Daemon) refreshMembers(ctx context.Context) {
--- a/pkedge/metrics.go
+++ b/pkedge/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"peridotknot.example/pkretry"
+	"peridotknot.example/pktimer"
 )
 
 // metrics are the metrics served at /metrics. Accounts, routes and targets are not used as labels,
@@ -79,6 +80,8 @@
 			_, known := d.quarantine.table.Counts(time.Now())
 			return float64(known)
 		}),
+		gauge("peridotknot_owns_pools", "1 while this entry may order the engines of the pools.", func() float64 { return boolValue(d.ownsPools()) }),
+		gauge("peridotknot_engines_without_layers", "Engines that take requests and hold no layers.", func() float64 { return float64(d.emptyEngines(time.Now())) }),
 		gauge("peridotknot_active_requests", "Requests in progress.", func() float64 { return float64(d.active.Load()) }),
 	)
 	return m
@@ -90,6 +93,42 @@
 	return d.budgets.usage(now, d.retryLimits(now))
 }
 
+func boolValue(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// ownsPools reports whether this daemon is the owner of the pools by a lease that is valid.
+func (d *Daemon) ownsPools() bool {
+	m := &d.members
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.owner == d.settings.Entry && m.lease.MayAct(pktimer.BootClock())
+}
+
+// emptyEngines returns the number of engines that take requests at now and hold no layers.
+func (d *Daemon) emptyEngines(now time.Time) int {
+	table := d.configs.Table()
+	if table == nil {
+		return 0
+	}
+	n := 0
+	for i := range table.Services {
+		s := &table.Services[i]
+		if s.Engine == nil {
+			continue
+		}
+		for _, t := range d.roster.Live(now, s.ID) {
+			if t.Held.Len() == 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // avoided returns the number of targets that are avoided at now.
 func (d *Daemon) avoided(now time.Time) int {
 	n := 0
--- a/pkedge/own.go
+++ b/pkedge/own.go
@@ -37,11 +37,13 @@
 // reconcilePools plans the pools of engines and orders changes while this daemon is their owner.
 func (d *Daemon) reconcilePools(ctx context.Context) {
 	pktimer.Every(ctx, reconcileInterval, func(ctx context.Context) {
-		if !d.ensureOwnership(ctx) {
+		owns := d.ensureOwnership(ctx)
+		table := d.configs.Table()
+		d.logIdle(owns, table)
+		if !owns {
 			d.schedulers = nil
 			return
 		}
-		table := d.configs.Table()
 		if table == nil || !d.listed.Load() {
 			return
 		}
@@ -53,6 +55,33 @@
 	})
 }
 
+// logIdle logs why this daemon orders nothing though it holds the owner's key, and when that ends.
+func (d *Daemon) logIdle(owns bool, table *pkconfig.Table) {
+	m := &d.members
+	m.mu.Lock()
+	held, known := m.lease.Fence(), m.knownOwner()
+	m.mu.Unlock()
+	reason := ""
+	switch {
+	case held == 0:
+	case known.owner != d.settings.Entry:
+		reason = "not known as owner"
+	case !owns:
+		reason = "lease"
+	case table == nil:
+		reason = "no configuration"
+	case !d.listed.Load():
+		reason = "no list of replicas"
+	case d.cutOffFromPools():
+		reason = "cut off"
+	}
+	if reason == d.idleReason {
+		return
+	}
+	d.idleReason = reason
+	d.log.Warn("ability to order engines has changed", "reason", reason, "fence", held, "owner", known.owner, "revision", known.revision.String())
+}
+
 // ensureOwnership reports whether this daemon is the owner, after trying to become it if there is
 // none.
 func (d *Daemon) ensureOwnership(ctx context.Context) bool {
@@ -125,9 +154,11 @@
 	m := &d.members
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	before := m.knownOwner()
 	if out.Item.Revision >= m.ownerRevision {
 		m.owner, m.ownerRevision = pkid.EntryID(out.Item.Value), out.Item.Revision
 	}
+	d.logOwner(before, "write", out.Item.Revision)
 	if !out.Succeeded || m.leaseID != id {
 		return false
 	}
