pkedge: an older read of the members does not undo what is known of later revisions

Seen by callers: in a pool whose owner was served by a hub right after it had written the owner's key, no engine ever got layers and every stream was refused, from before any fault on, for as long as that process lived. Cause: replaceMembers applied a stale list by the revision of the last list only, and set the owner back with it, though this process had written the owner's key at a later revision. The others saw a key under a live lease. Class: what this process wrote, or a watch told it, is forgotten since an older read is applied after it. Change: lists and watches move one position (readTo); an older list and older events are dropped, and what is known of a later revision than a list remains: the owner, the own key, saved sizes. A registration records the revision of its key. Along the class, by reading: quarantined requests and the list of replicas are only ever merged by revisions, the configuration by versions, eras rise only, a follower lists again after each break. These were in order.

--- a/pkedge/lease.go
+++ b/pkedge/lease.go
@@ -200,6 +200,11 @@
 		return err
 	}
 	*registered = out.Succeeded
+	if out.Succeeded {
+		m.mu.Lock()
+		m.ownRevision = max(m.ownRevision, out.Item.Revision)
+		m.mu.Unlock()
+	}
 	return nil
 }
 
--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -34,15 +34,16 @@
 	// hub reported them.
 	candidates []pkshare.Member
 	// sizes are the numbers of entries of each data centre, as hubs saved them.
-	sizes map[pkid.DataCenter]int
+	sizes map[pkid.DataCenter]savedSize
 	// listedBefore is set if the first list held a key of this entry.
 	listedBefore bool
 	// owner is the daemon that owns the pools, as of ownerRevision.
 	owner         pkid.EntryID
 	ownerRevision pkstore.Revision
-	// known is set once the members were read, listedAt is the revision of the last list.
-	known    bool
-	listedAt pkstore.Revision
+	// known is set once the members were read, readTo is the revision up to which lists and watches were
+	// applied. Own writes may be known of later revisions.
+	known  bool
+	readTo pkstore.Revision
 	// ownRevision is the revision of this daemon's own key when it was last read.
 	ownRevision pkstore.Revision
 	// reportedCount is the number of members last reported by a hub; zero once the list was read
@@ -74,8 +75,8 @@
 		}
 	}
 	saved := 0
-	for _, n := range m.sizes {
-		saved += n
+	for _, one := range m.sizes {
+		saved += one.entries
 	}
 	return max(m.reportedCount, listed, saved, 1)
 }
@@ -141,36 +142,48 @@
 	})
 }
 
-// replaceMembers applies a list of the daemons' own keys at a revision, unless a later one was
-// applied: a stale read may be older than what is known.
+// replaceMembers applies a list of the daemons' own keys at a revision, unless later changes were
+// applied: a stale read may be older than what is known. What this daemon has written itself since that
+// revision remains.
 func (d *Daemon) replaceMembers(now time.Time, items []pkstore.Item, at pkstore.Revision) {
 	m := &d.members
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.known && at < m.listedAt {
+	if at < m.readTo {
 		return
 	}
 	first, before := !m.known, m.knownOwner()
-	m.owner, m.ownerRevision, m.ownRevision, m.known, m.reportedCount = "", 0, 0, true, 0
-	m.listedAt = at
-	clear(m.peers)
-	clear(m.sizes)
-	for id, gone := range m.leftAt {
-		if gone.IsZero() {
-			m.leftAt[id] = now
-		}
-	}
+	m.dropUnlisted(now, at)
+	m.known, m.readTo, m.reportedCount = true, at, 0
 	for _, one := range items {
 		if one.Key == d.memberKey() {
-			m.ownRevision = one.Revision
+			m.ownRevision = max(m.ownRevision, one.Revision)
+			m.listedBefore = m.listedBefore || first
 		}
 		m.apply(now, strings.TrimPrefix(one.Key, d.OwnPrefix), pkstore.Event{Item: one})
 	}
-	m.listedBefore = m.listedBefore || (first && m.ownRevision != 0)
 	d.logOwner(before, "list", at)
 	d.gossip.updateLinks()
 }
 
+// dropUnlisted drops what is known as of a revision, before the items of a list at that revision are
+// applied.
+func (m *members) dropUnlisted(now time.Time, at pkstore.Revision) {
+	if m.ownerRevision <= at {
+		m.owner, m.ownerRevision = "", 0
+	}
+	if m.ownRevision <= at {
+		m.ownRevision = 0
+	}
+	maps.DeleteFunc(m.sizes, func(_ pkid.DataCenter, one savedSize) bool { return one.revision <= at })
+	clear(m.peers)
+	for id, gone := range m.leftAt {
+		if gone.IsZero() {
+			m.leftAt[id] = now
+		}
+	}
+}
+
 // applyMemberEvents applies changes of the daemons' own keys up to a revision.
 func (d *Daemon) applyMemberEvents(now time.Time, events []pkstore.Event, at pkstore.Revision) {
 	m := &d.members
@@ -178,8 +191,11 @@
 	defer m.mu.Unlock()
 	before := m.knownOwner()
 	for _, ev := range events {
-		m.apply(now, strings.TrimPrefix(ev.Item.Key, d.OwnPrefix), ev)
+		if ev.Item.Revision > m.readTo {
+			m.apply(now, strings.TrimPrefix(ev.Item.Key, d.OwnPrefix), ev)
+		}
 	}
+	m.readTo = max(m.readTo, at)
 	d.logOwner(before, "watch", at)
 }
 
@@ -264,18 +280,27 @@
 // memberKey returns this daemon's own key.
 func (d *Daemon) memberKey() string { return d.OwnPrefix + memberKeyPrefix + string(d.settings.Entry) }
 
+// savedSize is a saved number of entries, as of the revision of its key.
+type savedSize struct {
+	entries  int
+	revision pkstore.Revision
+}
+
 // applySize applies a change of the saved number of entries of a data centre. One that cannot be
 // read is ignored.
 func (m *members) applySize(dc pkid.DataCenter, ev pkstore.Event) {
+	if ev.Item.Revision < m.sizes[dc].revision {
+		return
+	}
 	if m.sizes == nil {
-		m.sizes = map[pkid.DataCenter]int{}
+		m.sizes = map[pkid.DataCenter]savedSize{}
 	}
 	n, err := strconv.Atoi(string(ev.Item.Value))
 	if ev.Deleted || err != nil {
 		delete(m.sizes, dc)
 		return
 	}
-	m.sizes[dc] = n
+	m.sizes[dc] = savedSize{entries: n, revision: ev.Item.Revision}
 }
 
 // applyCandidates replaces the members of a data centre by those that a hub reported.
--- a/pkedge/members_test.go
+++ b/pkedge/members_test.go
@@ -1,11 +1,15 @@
 package pkedge
 
 import (
+	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkshare"
@@ -93,6 +97,74 @@
 	assert.Equal(t, got[0].ID, pkid.EntryID("y"))
 }
 
+// Guards against knowledge of the members that goes back in any order of stale lists, watches and own writes:
+// it must be that of the latest revision which one of them has shown.
+func TestKnowledgeOfTheMembersNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d, store := ownerDaemon()
+		d.OwnPrefix = "own/"
+		m := &d.members
+		m.known = false
+		// owners and present are the owner and whether x is a member at each revision of the store.
+		owners, present := []pkid.EntryID{""}, []bool{false}
+		var history []pkstore.Event
+		put := func(key, value string) {
+			store.revision++
+			item := pkstore.Item{Key: "own/" + key, Value: []byte(value), Revision: store.revision}
+			store.items[item.Key] = item
+			if value == "" {
+				delete(store.items, item.Key)
+			}
+			history = append(history, pkstore.Event{Item: item, Deleted: value == ""})
+		}
+		store.revision = 0
+		record := func() {
+			_, isMember := store.items["own/entry/x"]
+			owners, present = append(owners, pkid.EntryID(store.items["own/owner"].Value)), append(present, isMember)
+		}
+		snapshots := []map[string]pkstore.Item{{}}
+		known, watched := 0, 0
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0: // another entry writes
+				key := rapid.SampledFrom([]string{"owner", "entry/x"}).Draw(t, "key")
+				put(key, rapid.SampledFrom([]string{"", `{"id":"x","addr":"x"}`}).Draw(t, "value"))
+				record()
+			case 1: // this entry writes the owner's key
+				if _, held := store.items["own/owner"]; !held {
+					d.writeOwnerKey(context.Background(), 1, "", 0)
+					history = append(history, pkstore.Event{Item: store.items["own/owner"]})
+					record()
+				}
+			case 2: // a list that may be old
+				at := rapid.IntRange(0, len(snapshots)-1).Draw(t, "list")
+				d.replaceMembers(time.Now(), slices.Collect(maps.Values(snapshots[at])), pkstore.Revision(at))
+				known = max(known, at)
+			case 3: // the watch
+				at := rapid.IntRange(watched, len(history)).Draw(t, "watch")
+				d.applyMemberEvents(time.Now(), history[watched:at], pkstore.Revision(at))
+				known, watched = max(known, at), at
+			}
+			if len(snapshots) < len(owners) {
+				snapshots = append(snapshots, maps.Clone(store.items))
+			}
+			_, isMember := m.peers["x"]
+			if m.readTo != pkstore.Revision(known) && m.known {
+				t.Fatalf("known to %v, want %d", m.readTo, known)
+			}
+			if isMember != present[known] {
+				t.Fatalf("member %v at %d, want %v", isMember, known, present[known])
+			}
+			if want := owners[max(known, int(m.ownerRevision))]; m.owner != want {
+				t.Fatalf("owner %q at %d and %v, want %q", m.owner, known, m.ownerRevision, want)
+			}
+			if id := pkid.EntryID("self"); owners[len(owners)-1] == id && d.members.lease.Fence() == pkid.FencingToken(store.items["own/owner"].Revision) && m.owner != id {
+				t.Fatal("the owner does not know that it is")
+			}
+		}
+	})
+}
+
 // Guards against entries that go to the store, or believe that it is followed, because of their
 // hub's state: one that relays from a hub of another data centre serves them, one that cannot does
 // not, and an entry that is served follows nothing itself.
--- a/pkedge/size.go
+++ b/pkedge/size.go
@@ -48,7 +48,7 @@
 			registered++
 		}
 	}
-	return m.sizes[dc], registered
+	return m.sizes[dc].entries, registered
 }
 
 // writeSize replaces the saved number of entries of this data centre.
@@ -57,7 +57,7 @@
 	out, err := d.write(ctx, askerSize, w)
 	if err == nil && !out.Succeeded {
 		w.Old = out.Item.Revision
-		_, err = d.write(ctx, askerSize, w)
+		out, err = d.write(ctx, askerSize, w)
 	}
 	if err != nil {
 		return err
@@ -65,6 +65,6 @@
 	m := &d.members
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.applySize(d.settings.DataCenter, pkstore.Event{Item: pkstore.Item{Value: w.Value}})
+	m.applySize(d.settings.DataCenter, pkstore.Event{Item: out.Item})
 	return nil
 }
