pkedge: an entry whose write of the owner's key was not answered looks for its outcome

Cause: the write took effect and its answer was lost. The writer then follows the members only until a hub serves it, and one that is served never tried again, so that it never learned that the key is its own; its lease is renewed and the others see an owner. Change: an entry that may hold the owner's key (by what it has read, or by a write without an answer) follows the members itself and may write the key whoever serves it: nobody else would. The mark ends with an answer, a refusal or the lease. The same gate had kept a restarted owner, whose key of the previous run still stood, from replacing it while a hub served it. Tests: mayAcquire has one argument more, whether this entry may hold the key; the calls in tests pass false, as before.

--- a/pkedge/confirm_test.go
+++ b/pkedge/confirm_test.go
@@ -130,7 +130,7 @@
 		}
 		assert.Equal(t, engines.probes.Load() == 0, cutOff)
 		d.ownerlessSince = time.Now().Add(-time.Hour)
-		assert.Equal(t, d.mayAcquire(time.Now()), !cutOff)
+		assert.Equal(t, d.mayAcquire(time.Now(), false), !cutOff)
 	}
 }
 
--- a/pkedge/control_test.go
+++ b/pkedge/control_test.go
@@ -49,17 +49,17 @@
 	d, _ := poolDaemon()
 	d.started = start
 	d.gossip.designated.Store(true)
-	assert.Assert(t, !d.mayAcquire(start), "its role is not settled yet")
-	assert.Assert(t, d.mayAcquire(start.Add(roleSettleTime)))
+	assert.Assert(t, !d.mayAcquire(start, false), "its role is not settled yet")
+	assert.Assert(t, d.mayAcquire(start.Add(roleSettleTime), false))
 
 	d, _ = poolDaemon()
 	d.started = start
-	assert.Assert(t, !d.mayAcquire(start.Add(time.Minute)))
-	assert.Assert(t, !d.mayAcquire(start.Add(time.Minute+takeoverDelay-1)))
-	assert.Assert(t, d.mayAcquire(start.Add(time.Minute+takeoverDelay)))
+	assert.Assert(t, !d.mayAcquire(start.Add(time.Minute), false))
+	assert.Assert(t, !d.mayAcquire(start.Add(time.Minute+takeoverDelay-1), false))
+	assert.Assert(t, d.mayAcquire(start.Add(time.Minute+takeoverDelay), false))
 	d.serveByHub(start.Add(2 * time.Minute))
-	assert.Assert(t, !d.mayAcquire(start.Add(2*time.Minute)))
-	assert.Assert(t, !d.mayAcquire(start.Add(3*time.Minute)), "the delay starts again")
+	assert.Assert(t, !d.mayAcquire(start.Add(2*time.Minute), false))
+	assert.Assert(t, !d.mayAcquire(start.Add(3*time.Minute), false), "the delay starts again")
 }
 
 // refusingStore refuses all writes.
--- a/pkedge/era.go
+++ b/pkedge/era.go
@@ -55,7 +55,7 @@
 	owned := m.owner == d.settings.Entry
 	before, later := d.era.observe(now, rev.Era(), owned)
 	if later {
-		m.owner, m.ownerRevision, m.ownRevision = "", 0, 0
+		m.owner, m.ownerRevision, m.ownRevision, m.ownerWrite = "", 0, 0, false
 		m.lease.Lost()
 	}
 	m.mu.Unlock()
--- a/pkedge/lease.go
+++ b/pkedge/lease.go
@@ -140,7 +140,7 @@
 	} else if err := d.renew(ctx, current); err != nil {
 		if errors.Is(err, pkstore.ErrNoLease) {
 			m.mu.Lock()
-			m.leaseID, m.ownRevision = 0, 0
+			m.leaseID, m.ownRevision, m.ownerWrite = 0, 0, false
 			m.lease.Lost()
 			m.mu.Unlock()
 		}
@@ -232,7 +232,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	v.MembersRead, v.Listed, v.Holds = m.known, m.listedBefore, m.leaseID != 0
-	v.Owner = m.owner == d.settings.Entry
+	v.Owner = m.mayHoldOwnerKey(d.settings.Entry)
 	v.Appointed = m.candidates == nil || pkshare.ContainsEntry(m.candidates, d.settings.Entry)
 	for id, one := range m.peers {
 		if id != d.settings.Entry && one.DataCenter == d.settings.DataCenter {
@@ -256,7 +256,7 @@
 	if v.Holds && !wanted {
 		m := &d.members
 		m.mu.Lock()
-		m.leaseID, m.ownRevision, m.failures, m.unanswered = 0, 0, 0, false
+		m.leaseID, m.ownRevision, m.ownerWrite, m.failures, m.unanswered = 0, 0, false, 0, false
 		m.lease.Lost()
 		m.mu.Unlock()
 		d.log.Info("lease dropped, a hub serves this entry and needs no more candidates", "registered", len(v.Registered))
--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -40,6 +40,9 @@
 	// owner is the daemon that owns the pools, as of ownerRevision.
 	owner         pkid.EntryID
 	ownerRevision pkstore.Revision
+	// ownerWrite is set while a write of the owner's key by this daemon has no answer: the key may be its
+	// own.
+	ownerWrite bool
 	// known is set once the members were read, readTo is the revision up to which lists and watches were
 	// applied. Own writes may be known of later revisions.
 	known  bool
@@ -87,7 +90,7 @@
 func (d *Daemon) membersRelayed(now time.Time) bool {
 	m := &d.members
 	m.mu.Lock()
-	may := m.known && m.owner != d.settings.Entry
+	may := m.known && !m.mayHoldOwnerKey(d.settings.Entry)
 	m.mu.Unlock()
 	return may && d.gossip.table.ServedByHub(now)
 }
@@ -208,6 +211,16 @@
 // knownOwner returns the owner that is known; the caller holds mu.
 func (m *members) knownOwner() ownerAt { return ownerAt{owner: m.owner, revision: m.ownerRevision} }
 
+// mayHoldOwnerKey reports whether the owner's key may be that of self; the caller holds mu.
+func (m *members) mayHoldOwnerKey(self pkid.EntryID) bool { return m.owner == self || m.ownerWrite }
+
+// setOwnerWrite records whether a write of the owner's key by this daemon has no answer.
+func (m *members) setOwnerWrite(unanswered bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ownerWrite = unanswered
+}
+
 // logOwner logs a change of the owner since it was the one before; the caller holds members.mu. knownTo is
 // the revision up to which the source knew the store.
 func (d *Daemon) logOwner(before ownerAt, source string, knownTo pkstore.Revision) {
--- a/pkedge/own.go
+++ b/pkedge/own.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -87,7 +88,7 @@
 func (d *Daemon) ensureOwnership(ctx context.Context) bool {
 	m := &d.members
 	m.mu.Lock()
-	id, owner, known, rev := m.leaseID, m.owner, m.known, m.ownerRevision
+	id, owner, known, rev, holds := m.leaseID, m.owner, m.known, m.ownerRevision, m.mayHoldOwnerKey(d.settings.Entry)
 	may, answered := m.lease.MayAct(pktimer.BootClock()), m.failures == 0
 	m.mu.Unlock()
 	if !known || id == 0 || d.stopping.Load() {
@@ -100,7 +101,7 @@
 	if owner == d.settings.Entry && may {
 		return true
 	}
-	if !answered || !d.mayAcquire(time.Now()) {
+	if !answered || !d.mayAcquire(time.Now(), holds) {
 		return false
 	}
 	if !pktimer.Sleep(ctx, rand.N(acquireJitter)) {
@@ -109,15 +110,18 @@
 	return d.writeOwnerKey(ctx, id, owner, rev)
 }
 
-// mayAcquire reports whether this daemon may try to become the owner at now. To bound the writes to
-// the store, the designated entries of each data centre try at once and the others only after
-// takeoverDelay. An entry served by a hub learns late of a new owner and does not try, and a daemon
-// whose write has failed waits for acquireRetryDelay. An entry that is cut off from a pool could not order
-// its engines.
-func (d *Daemon) mayAcquire(now time.Time) bool {
+// mayAcquire reports whether this daemon may try to become the owner at now; holds is set if the owner's
+// key may be its own, which nobody else then writes. To bound the writes to the store, the designated
+// entries of each data centre otherwise try at once and the others only after takeoverDelay. An entry served
+// by a hub learns late of a new owner and does not try, and a daemon whose write has failed waits for
+// acquireRetryDelay. An entry that is cut off from a pool could not order its engines.
+func (d *Daemon) mayAcquire(now time.Time, holds bool) bool {
 	if now.Before(d.nextAcquire) || !d.era.mayTakeOver(now) || d.cutOffFromPools() {
 		return false
 	}
+	if holds {
+		return true
+	}
 	if d.gossip.table.ServedByHub(now) {
 		d.ownerlessSince = time.Time{}
 		return false
@@ -144,14 +148,19 @@
 	if owner == d.settings.Entry {
 		w.Old = rev
 	}
+	m := &d.members
+	m.setOwnerWrite(true)
 	sent := pktimer.BootClock()
 	out, err := d.write(ctx, askerOwner, w)
 	if err != nil {
 		d.log.Warn("pool ownership was not acquired", "error", err)
 		d.nextAcquire = time.Now().Add(acquireRetryDelay)
+		if errors.Is(err, pkstore.ErrRefused) || errors.Is(err, pkstore.ErrNoLease) {
+			m.setOwnerWrite(false)
+		}
 		return false
 	}
-	m := &d.members
+	m.setOwnerWrite(false)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	before := m.knownOwner()
