pkedge, pkshare: an owner of the pools that does not act is replaced

Whatever made the holder of the owner's key idle, nobody else could take over while its lease lived: 31 s without a layer for a new engine in the test of an owner that is cut off (then the test gave up). Cause: 'there is an owner' was read off the key, which shows that a process renews a lease and not that it does the work. Change: each entry tells in its messages the revision of the owner's key on which it has acted in the last 1.5 s (compared an engine's report with the plan, or finished a round), or zero. An entry that hears for three seconds that the holder of the key does not act replaces the key by compare-and-swap, by the same turns as for pools without an owner. It orders nothing for 2.1 s: the holder follows the members and has read of it by then. No owner is replaced that is not heard of (its lease ends if it is dead) or whose build tells nothing. In fleets with hubs the hubs of the holder's data centre hear it. Evidence: TestAnOwnerThatDoesNotActIsReplaced and TestAnOwnerThatIsCutOffIsReplaced failed before; both pass (the second after 10 s). TestAnOwnerThatMayActIsNotReplaced and TestANewOwnerWaitsForAnIdleOne guard the other side. The first has one field more in its message: builds that do not tell are left alone. Messages: one field of 2 to 12 bytes more.

--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -87,8 +87,14 @@
 	storeCalls storeCallCounts
 	// schedulers are the schedulers of order changes by pool; only reconcilePools uses them.
 	schedulers map[pkid.ServiceID]*pkowner.Scheduler
-	// ownerlessSince is since when no owner is known; only reconcilePools uses it.
+	// ownerlessSince is since when no owner is known that acts, idleOwner is the holder of the owner's key
+	// that does not act, since idleSince; only reconcilePools uses them.
 	ownerlessSince time.Time
+	idleOwner      ownerAt
+	idleSince      time.Time
+	// handoverUntil is until when the previous owner of the pools may still send orders; only
+	// reconcilePools uses it.
+	handoverUntil time.Time
 	// idleReason is why this daemon orders nothing though it holds the owner's key; only reconcilePools
 	// uses it.
 	idleReason string
--- a/pkedge/gossip.go
+++ b/pkedge/gossip.go
@@ -418,9 +418,17 @@
 	return roles.ByAddr
 }
 
+// ownedRevision returns the revision of the owner's key that the sender of a message acts on, or zero.
+func ownedRevision(m pkshare.Message) pkstore.Revision {
+	if m.Owns == nil {
+		return 0
+	}
+	return *m.Owns
+}
+
 // hasChanges reports whether message b must be sent after message a.
 func hasChanges(a, b pkshare.Message) bool {
-	if a.Relays != b.Relays || !slices.Equal(a.CutOff, b.CutOff) {
+	if a.Relays != b.Relays || !slices.Equal(a.CutOff, b.CutOff) || ownedRevision(a) != ownedRevision(b) {
 		return true
 	}
 	if a.Config != b.Config || a.Version != b.Version || a.List != b.List || a.QuarantineChecksum != b.QuarantineChecksum || len(a.Loads) != len(b.Loads) {
@@ -483,6 +491,8 @@
 	if table := d.configs.Table(); table != nil {
 		m.Config, m.Version = table.Item.Revision, table.Version
 	}
+	owns := d.actingRevision(now)
+	m.Owns = &owns
 	m.Sequence, m.Suspects = d.suspects(now)
 	m.Loads = d.ownLoads()
 	return m
--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -43,6 +43,9 @@
 	// ownerWrite is set while a write of the owner's key by this daemon has no answer: the key may be its
 	// own.
 	ownerWrite bool
+	// actedAt is when this daemon last compared what engines hold with the plan, or ordered one, as the
+	// owner of the pools.
+	actedAt time.Time
 	// known is set once the members were read, readTo is the revision up to which lists and watches were
 	// applied. Own writes may be known of later revisions.
 	known  bool
--- a/pkedge/own.go
+++ b/pkedge/own.go
@@ -28,6 +28,15 @@
 	// takeoverDelay is how long the pools must be without an owner before an entry that is not
 	// designated in its data centre tries to become it.
 	takeoverDelay = 3 * time.Second
+	// ownerActTimeout is how long after it has last acted an owner tells the others that it acts. A call to an
+	// engine takes up to orderTimeout.
+	ownerActTimeout = 1500 * time.Millisecond
+	// ownerIdleTimeout is how long the holder of the owner's key may tell that it does not act before another
+	// entry takes over. A new owner needs one message to tell that it acts.
+	ownerIdleTimeout = 3 * time.Second
+	// handoverDelay is how long a previous owner that is alive may take to read that its key was replaced, and
+	// to end the orders that it has begun.
+	handoverDelay = maxMembersBatchDelay + orderTimeout
 	// acquireRetryDelay is the delay after a failed write of the owner's key; within that time a
 	// lease renewal shows whether the store answers again.
 	acquireRetryDelay = leaseRenewInterval
@@ -48,14 +57,53 @@
 		if table == nil || !d.listed.Load() {
 			return
 		}
+		if time.Now().Before(d.handoverUntil) {
+			d.recordActed(time.Now())
+			return
+		}
 		for i := range table.Services {
 			if s := &table.Services[i]; s.Engine != nil {
 				d.reconcilePool(ctx, s.ID, s.Engine)
 			}
 		}
+		if !d.cutOffFromPools() {
+			d.recordActed(time.Now())
+		}
 	})
 }
 
+// recordActed records that this daemon acts as the owner of the pools at now.
+func (d *Daemon) recordActed(now time.Time) {
+	d.members.mu.Lock()
+	defer d.members.mu.Unlock()
+	d.members.actedAt = now
+}
+
+// actingRevision returns the revision of the owner's key if this daemon holds it and has lately acted on
+// it at now, or zero.
+func (d *Daemon) actingRevision(now time.Time) pkstore.Revision {
+	m := &d.members
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.owner != d.settings.Entry || !m.lease.MayAct(pktimer.BootClock()) || now.Sub(m.actedAt) >= ownerActTimeout {
+		return 0
+	}
+	return pkstore.Revision(m.lease.Fence())
+}
+
+// ownerIdle reports whether the holder of the owner's key has told for some time before now that it does
+// not act on it. One that is not heard of may act.
+func (d *Daemon) ownerIdle(now time.Time, one ownerAt) bool {
+	if !d.gossip.table.OwnerIdle(now, one.owner, one.revision) {
+		d.idleOwner = ownerAt{}
+		return false
+	}
+	if d.idleOwner != one {
+		d.idleOwner, d.idleSince = one, now
+	}
+	return now.Sub(d.idleSince) >= ownerIdleTimeout
+}
+
 // logIdle logs why this daemon orders nothing though it holds the owner's key, and when that ends.
 func (d *Daemon) logIdle(owns bool, table *pkconfig.Table) {
 	m := &d.members
@@ -94,7 +142,7 @@
 	if !known || id == 0 || d.stopping.Load() {
 		return false
 	}
-	if owner != "" && owner != d.settings.Entry {
+	if owner != "" && owner != d.settings.Entry && !d.ownerIdle(time.Now(), ownerAt{owner: owner, revision: rev}) {
 		d.ownerlessSince = time.Time{}
 		return false
 	}
@@ -141,11 +189,11 @@
 	})
 }
 
-// writeOwnerKey writes the owner's key under this daemon's lease. A key of its own, left by a
-// previous run, is replaced.
+// writeOwnerKey writes the owner's key under this daemon's lease. A key that is there, of a previous run of
+// this daemon or of an owner that does not act, is replaced.
 func (d *Daemon) writeOwnerKey(ctx context.Context, id pkstore.LeaseID, owner pkid.EntryID, rev pkstore.Revision) bool {
 	w := pkstore.Swap{Key: d.OwnPrefix + ownerKey, Value: []byte(d.settings.Entry), Lease: id}
-	if owner == d.settings.Entry {
+	if owner != "" {
 		w.Old = rev
 	}
 	m := &d.members
@@ -173,7 +221,10 @@
 	}
 	m.lease.Terms = pklease.Terms{TTL: leaseTTL, Margin: leaseMargin}
 	m.lease.Granted(sent, pkid.FencingToken(out.Item.Revision))
-	d.log.Info("owns the pools", "revision", out.Item.Revision.String())
+	if owner != "" && owner != d.settings.Entry {
+		d.handoverUntil = time.Now().Add(handoverDelay)
+	}
+	d.log.Info("owns the pools", "revision", out.Item.Revision.String(), "idle_owner", owner)
 	return true
 }
 
@@ -220,6 +271,7 @@
 		d.log.Warn("engine report was not read, no order sent", "target", task.Target.ID, "error", err)
 		return pkowner.Rejected
 	}
+	d.recordActed(time.Now())
 	if report.Busy || task.Target.IsGone(time.Now()) {
 		return pkowner.Rejected
 	}
--- a/pkedge/own_test.go
+++ b/pkedge/own_test.go
@@ -84,6 +84,59 @@
 	})
 }
 
+// Guards against two owners at once, and against ownership that passes to and fro: an owner that acts, that is not
+// heard of, that tells nothing, or that has only begun must not be replaced.
+func TestAnOwnerThatMayActIsNotReplaced(t *testing.T) {
+	const key = 4
+	acts := pkstore.Revision(key)
+	for name, row := range map[string]struct {
+		heard func(round int) bool
+		owns  func(round int) *pkstore.Revision
+	}{
+		"acts":      {owns: func(int) *pkstore.Revision { return &acts }},
+		"not heard": {heard: func(int) bool { return false }},
+		"earlier":   {owns: func(int) *pkstore.Revision { return nil }},
+		"acts at times": {owns: func(round int) *pkstore.Revision {
+			if round%10 == 0 {
+				return &acts
+			}
+			return new(pkstore.Revision)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d, store := ownerDaemon()
+				store.items[ownerKey] = pkstore.Item{Key: ownerKey, Value: []byte("other"), Revision: key}
+				d.members.owner, d.members.ownerRevision = "other", key
+				round := 0
+				owns := d.ownsWithin(t, 20*time.Second, func() {
+					round++
+					if row.heard == nil || row.heard(round) {
+						d.receiveMessage(time.Now(), pkshare.Message{From: "other", Run: 1, Sequence: uint64(round), Owns: row.owns(round)})
+					}
+				})
+				assert.Assert(t, !owns)
+				assert.Equal(t, store.items[ownerKey].Revision, pkstore.Revision(key))
+			})
+		})
+	}
+}
+
+// Guards against a new owner that orders engines beside an idle one which is about to act again: it must leave
+// that one the time to read that it was replaced.
+func TestANewOwnerWaitsForAnIdleOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, store := ownerDaemon()
+		store.items[ownerKey] = pkstore.Item{Key: ownerKey, Value: []byte("idle"), Revision: 4}
+		d.members.owner, d.members.ownerRevision = "idle", 4
+		assert.Assert(t, d.writeOwnerKey(t.Context(), 1, "idle", 4))
+		assert.Assert(t, d.handoverUntil.Sub(time.Now()) >= maxMembersBatchDelay+orderTimeout)
+		d.recordActed(time.Now())
+		assert.Equal(t, d.actingRevision(time.Now()), store.items[ownerKey].Revision, "others see that it acts meanwhile")
+		assert.Equal(t, d.actingRevision(time.Now().Add(ownerActTimeout)), pkstore.Revision(0), "it does not any more")
+	})
+}
+
 // Guards against pools that nobody orders while the owner's key stands under a lease that its holder
 // renews without acting on it.
 func TestAnOwnerThatDoesNotActIsReplaced(t *testing.T) {
@@ -94,7 +147,7 @@
 		sequence := uint64(0)
 		owns := d.ownsWithin(t, 20*time.Second, func() {
 			sequence++
-			d.receiveMessage(time.Now(), pkshare.Message{From: "idle", Run: 1, Sequence: sequence})
+			d.receiveMessage(time.Now(), pkshare.Message{From: "idle", Run: 1, Sequence: sequence, Owns: new(pkstore.Revision)})
 		})
 		assert.Assert(t, owns)
 		assert.Equal(t, d.members.owner, pkid.EntryID("self"))
--- a/pkshare/message.go
+++ b/pkshare/message.go
@@ -73,6 +73,9 @@
 	Relays bool `cbor:"28,keyasint,omitempty"`
 	// CutOff are the services whose targets the sender cannot reach.
 	CutOff []pkid.ServiceID `cbor:"29,keyasint,omitempty"`
+	// Owns is the revision of the owner's key by which the sender owns the pools and has lately compared
+	// what their engines hold with the plan; zero if it does neither, nil from builds that don't tell.
+	Owns *pkstore.Revision `cbor:"30,keyasint,omitempty"`
 	// DataCenter and ProcessorShare are those of the sender.
 	DataCenter     pkid.DataCenter `cbor:"12,keyasint,omitempty"`
 	ProcessorShare float32         `cbor:"14,keyasint,omitempty"`
--- a/pkshare/table.go
+++ b/pkshare/table.go
@@ -69,6 +69,8 @@
 	// cannot reach.
 	relays bool
 	cutOff []pkid.ServiceID
+	// owns is the revision of the owner's key that the peer acts on, nil if its build does not tell.
+	owns *pkstore.Revision
 	// following is set if the peer watches the replica list in the store, followingSince is since
 	// when it has done so without interruption.
 	following      bool
@@ -129,7 +131,7 @@
 	}
 	p.following, p.relaying, p.quarantineChecksum = m.Following, m.Relaying, m.QuarantineChecksum
 	p.members, p.localEntries = m.Members, m.LocalEntries
-	p.relays, p.cutOff = m.Relays, m.CutOff
+	p.relays, p.cutOff, p.owns = m.Relays, m.CutOff, m.Owns
 	t.anyCutOff = t.anyCutOff || len(m.CutOff) > 0
 	p.sum, p.dataCenter, p.processorShare = m.Sum, m.DataCenter, float64(m.ProcessorShare)
 	return true
@@ -382,6 +384,15 @@
 	return n
 }
 
+// OwnerIdle reports whether an entry that is heard of at now tells that it does not act on the owner's
+// key at a revision.
+func (t *Table) OwnerIdle(now time.Time, owner pkid.EntryID, key pkstore.Revision) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[owner]
+	return p != nil && now.Sub(p.lastReceivedAt) < staleAfter && p.owns != nil && *p.owns != key
+}
+
 // RelayMembers returns the entries that accept relayed requests at now and have not reported that they
 // are cut off from the targets of a service: the live ones, and members that send this entry nothing.
 func (t *Table) RelayMembers(now time.Time, s pkid.ServiceID, members []Member) []Member {
