pkedge: an owner of the pools that is cut off from one gives up its key

Cause: an owner that is cut off orders nothing, rightly, and kept the key. Change: after a second of being cut off from a pool it stops acting, then removes the key by compare-and-swap; the designated entries take over at once. It takes part again when its links are back. Evidence: TestAnOwnerThatIsCutOffGivesUpItsKey fails with the step left out.

--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -92,6 +92,9 @@
 	ownerlessSince time.Time
 	idleOwner      ownerAt
 	idleSince      time.Time
+	// cutOffSince is since when this daemon, as the owner, has been cut off from a pool; only reconcilePools
+	// uses it.
+	cutOffSince time.Time
 	// handoverUntil is until when the previous owner of the pools may still send orders; only
 	// reconcilePools uses it.
 	handoverUntil time.Time
--- a/pkedge/own.go
+++ b/pkedge/own.go
@@ -28,6 +28,9 @@
 	// takeoverDelay is how long the pools must be without an owner before an entry that is not
 	// designated in its data centre tries to become it.
 	takeoverDelay = 3 * time.Second
+	// stepDownDelay is how long an owner must have been cut off from a pool before it gives up the owner's key.
+	// Its engines do without orders for as long.
+	stepDownDelay = time.Second
 	// ownerActTimeout is how long after it has last acted an owner tells the others that it acts. A call to an
 	// engine takes up to orderTimeout.
 	ownerActTimeout = 1500 * time.Millisecond
@@ -147,7 +150,7 @@
 		return false
 	}
 	if owner == d.settings.Entry && may {
-		return true
+		return !d.stepDown(ctx, rev)
 	}
 	if !answered || !d.mayAcquire(time.Now(), holds) {
 		return false
@@ -189,6 +192,43 @@
 	})
 }
 
+// stepDown gives up the owner's key at a revision if this daemon has been cut off from a pool for
+// stepDownDelay, and reports whether it has: another entry may reach the engines.
+func (d *Daemon) stepDown(ctx context.Context, rev pkstore.Revision) bool {
+	now := time.Now()
+	if !d.cutOffFromPools() {
+		d.cutOffSince = time.Time{}
+		return false
+	}
+	if d.cutOffSince.IsZero() {
+		d.cutOffSince = now
+	}
+	if now.Sub(d.cutOffSince) < stepDownDelay {
+		return false
+	}
+	d.cutOffSince = time.Time{}
+	m := &d.members
+	m.mu.Lock()
+	m.lease.Lost()
+	m.mu.Unlock()
+	out, err := d.write(ctx, askerOwner, pkstore.Swap{Key: d.OwnPrefix + ownerKey, Old: rev, Delete: true})
+	if err != nil {
+		d.log.Warn("pool ownership was not given up", "error", err)
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.knownOwner()
+	if out.Item.Revision >= m.ownerRevision {
+		m.owner, m.ownerRevision = "", out.Item.Revision
+		if !out.Succeeded {
+			m.owner = pkid.EntryID(out.Item.Value)
+		}
+	}
+	d.logOwner(before, "write", out.Item.Revision)
+	return true
+}
+
 // writeOwnerKey writes the owner's key under this daemon's lease. A key that is there, of a previous run of
 // this daemon or of an owner that does not act, is replaced.
 func (d *Daemon) writeOwnerKey(ctx context.Context, id pkstore.LeaseID, owner pkid.EntryID, rev pkstore.Revision) bool {
--- a/pkedge/own_test.go
+++ b/pkedge/own_test.go
@@ -9,7 +9,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"peridotknot.example/pkconfig"
 	"peridotknot.example/pkid"
+	"peridotknot.example/pklayers"
+	"peridotknot.example/pkreach"
 	"peridotknot.example/pkshare"
 	"peridotknot.example/pkstore"
 )
@@ -84,6 +87,26 @@
 	})
 }
 
+// Guards against pools that nobody orders for seconds because their owner is cut off from a pool and waits until
+// others find it idle: it must give the key up, and take it again only when its links are back.
+func TestAnOwnerThatIsCutOffGivesUpItsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, store := ownerDaemon()
+		d.configs.Adopt(pkconfig.Config{Version: 1, Services: []pkconfig.Service{{ID: "models", Engine: &pklayers.Model{Layers: 8}}}}, pkstore.Item{Revision: 1})
+		assert.Assert(t, d.ownsWithin(t, time.Second, func() {}))
+		lost := pkreach.Sample{Failed: pkreach.SampleSize}
+		d.links.Record(time.Now(), "models", lost)
+		assert.Assert(t, d.ensureOwnership(t.Context()), "a cut may end soon")
+		time.Sleep(stepDownDelay)
+		assert.Assert(t, !d.ensureOwnership(t.Context()))
+		assert.Equal(t, len(store.items), 0)
+		assert.Equal(t, d.members.owner, pkid.EntryID(""))
+		assert.Assert(t, !d.ownsWithin(t, 10*time.Second, func() { d.links.Record(time.Now(), "models", lost) }))
+		d.links.Record(time.Now(), "models", pkreach.Sample{Reached: pkreach.SampleSize})
+		assert.Assert(t, d.ownsWithin(t, time.Second, func() {}))
+	})
+}
+
 // Guards against two owners at once, and against ownership that passes to and fro: an owner that acts, that is not
 // heard of, that tells nothing, or that has only begun must not be replaced.
 func TestAnOwnerThatMayActIsNotReplaced(t *testing.T) {
