pkedge: each check of the links with targets that fail is logged

Hypotheses 1 and 2 of links that lose packets differ in what the samples find. Change: one line a check with failures, with how many were reached and failed when it ended; at most ten a second, as checks are. No decision is changed.

--- a/pkedge/links.go
+++ b/pkedge/links.go
@@ -62,6 +62,9 @@
 	case now.Sub(began) > 2*linkTimeout:
 		return errStalled
 	}
+	if sample.Failed > 0 {
+		d.log.Info("links to the targets of a service checked", "service", s, "reached", sample.Reached, "failed", sample.Failed, "suspect", suspect, "ms", now.Sub(began).Milliseconds())
+	}
 	cutOff, changed := d.links.Record(now, s, sample)
 	if changed {
 		d.log.Warn("links to the targets of a service have changed", "service", s, "cut_off", cutOff, "reached", sample.Reached, "failed", sample.Failed)
