--- a/pkedge/confirm_test.go
+++ b/pkedge/confirm_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"syscall"
@@ -148,6 +149,83 @@
 	assert.Equal(t, rej.status, http.StatusBadGateway)
 }
 
+// unreliableEngines lose some of the attempts to connect, and never answer at the silent addresses.
+type unreliableEngines struct {
+	pkowner.Engines
+	random *rand.Rand
+	lost   float64
+	silent map[string]bool
+}
+
+func (e *unreliableEngines) Connect(ctx context.Context, addr string) error {
+	if !e.silent[addr] && e.random.Float64() >= e.lost {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (e *unreliableEngines) Report(ctx context.Context, addr string) (pkowner.Report, error) {
+	return pkowner.Report{AcceptedOrders: 1}, e.Connect(ctx, addr)
+}
+
+// Guards against an entry whose links lose packets that avoids engines in order, and against one with links in order, or
+// that lose a packet now and then, that does not avoid silent engines, be they a third of the pool.
+func TestSilenceShowsNothingOverLinksThatLosePackets(t *testing.T) {
+	const seeds, engineCount = 20, 12
+	for name, row := range map[string]struct {
+		lost float64
+		// rounds is how often each engine is checked.
+		rounds   int
+		silent   []string
+		impaired bool
+	}{
+		"three packets in ten":                         {lost: 0.51, rounds: 25, impaired: true},
+		"three packets in ten beside a silent engine":  {lost: 0.51, rounds: 25, silent: []string{"l"}, impaired: true},
+		"no packet, one silent engine":                 {rounds: 25, silent: []string{"l"}},
+		"no packet, a third of the engines are silent": {rounds: 25, silent: []string{"i", "j", "k", "l"}},
+		"three packets in a hundred, a silent engine":  {lost: 0.06, rounds: 5, silent: []string{"l"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			avoidedSound, avoidedSilent, impaired := 0, 0, 0
+			for seed := range uint64(seeds) {
+				synctest.Test(t, func(t *testing.T) {
+					d, _ := twelveEngines(t)
+					engines := &unreliableEngines{random: rand.New(rand.NewPCG(seed, 0)), lost: row.lost, silent: map[string]bool{}}
+					for _, addr := range row.silent {
+						engines.silent[addr] = true
+					}
+					d.Engines = engines
+					sound := map[pkid.TargetID]bool{}
+					for range row.rounds {
+						for _, one := range d.roster.All() {
+							d.checkLiveness(t.Context(), one)
+							if !engines.silent[one.Addr] && one.IsDead(time.Now()) {
+								sound[one.ID] = true
+							}
+						}
+						time.Sleep(200 * time.Millisecond)
+					}
+					avoidedSound += len(sound)
+					for _, addr := range row.silent {
+						if one := d.target(t, pkid.TargetID(addr)); one.IsDead(time.Now()) {
+							avoidedSilent++
+						}
+					}
+					impaired += len(d.links.CutOffServices())
+				})
+			}
+			assert.Assert(t, avoidedSound <= seeds*engineCount/20, "%d of %d engines in order were avoided", avoidedSound, seeds*engineCount)
+			if row.impaired {
+				assert.Assert(t, impaired >= seeds-seeds/10, "found in %d of %d runs", impaired, seeds)
+				return
+			}
+			assert.Equal(t, impaired, 0)
+			assert.Equal(t, avoidedSilent, seeds*len(row.silent))
+		})
+	}
+}
+
 // stalledEngines answer nothing until a stall of this VM is over.
 type stalledEngines struct{ pkowner.Engines }
 
--- a/pkedge/cut_test.go
+++ b/pkedge/cut_test.go
@@ -156,6 +156,26 @@
 	assert.Assert(t, string(w.Store.Value(platform.OwnPrefix+"owner")) != owner)
 }
 
+// Guards against an entry whose links lose packets that takes engines for dead, one after the other, and refuses its
+// callers, while another entry reaches all of them.
+func TestCallersOfAnEntryWhoseLinksLosePacketsAreServed(t *testing.T) {
+	t.Parallel()
+	w, _ := newPool(t)
+	w.Add(platformtest.App, "app-0", "a")
+	nodes, links := startCuttable(t, w, 3)
+	links[0].Cut(platformtest.CutLossy)
+	sent, served := nodes[0].serveFor(t, "lossy", 6*time.Second)
+	assert.Assert(t, sent > 100 && served >= sent-sent/20, "%d of %d served", served, sent)
+	sent, served = nodes[1].serveFor(t, "sound", time.Second)
+	assert.Assert(t, sent > 10 && served == sent, "%d of %d served by an entry in order", served, sent)
+	links[0].Cut(platformtest.NoCut)
+	eventually(t, "requests of its own again", func() bool {
+		before := nodes[0].metric(t, `peridotknot_relayed_requests_total{direction="sent",outcome="answered"}`)
+		sent, served := nodes[0].serveFor(t, "again", 100*time.Millisecond)
+		return served == sent && before == nodes[0].metric(t, `peridotknot_relayed_requests_total{direction="sent",outcome="answered"}`)
+	})
+}
+
 // Guards against streams that break off, and requests that count as crashes, because a sound replica
 // falls silent for a second and goes on.
 func TestStreamsOutliveAReplicaThatHoldsStill(t *testing.T) {
