pkedge, pkreach: links that lose packets are told from dead targets

Seen by callers: entries whose links to the engines lose three packets in ten refused most of their callers for want of room, while the pool was in order and other entries served all of theirs; for seconds after the links were whole as well. Cause: a liveness check is one report within 40 ms, and what was to stop an entry with bad links, a sample of eight, asked whether two answer. Over such links half of the probes get no answer, so the engines were avoided one after the other, for four seconds each, streams left them by the retry that they have, and requests found no path. Class: a link judged by whether it answers once, not by how well it serves. Change: (1) a sample in which over a quarter of the targets are silent is followed up: what answers the next probe runs, and its lost probes show the loss; what stays silent may be dead and shows nothing. From a quarter lost on, over the last samples, links are lossy (pkreach.Lossy), down to an eighth. (2) Over lossy links silence is no evidence; a refused connection is. A sample that leaves it open defers the suspicion to the next one. (3) Requests are passed on to an entry in order, silent streams go on there, and the owner of the pools yields, as for links that are cut; where no entry is in order, all go on by themselves. (4) A liveness check requests up to three reports within its 40 ms. (5) When the condition changes, targets avoided for silence or failures, which the links explain, are used again. Cost: where over a quarter of a sample is silent, dead or not, a silent engine is avoided up to 0.2 s later. TestSampleIsSettledOnceEnoughTargetsAreReached: two of eight reached settles no sample any more, since the rest may be lost; it now has ten rows. TestEngineBehindARefusalIsChecked counts the three reports of a check in place of one. Names: what is 'impaired' is cut off or lossy (Message.Impaired, same wire number).

--- a/pkedge/attempt.go
+++ b/pkedge/attempt.go
@@ -180,7 +180,7 @@
 		return nil, ""
 	}
 	silent := a.stallInputLocked().Silent(now)
-	if silent && a.call.links.CutOff(a.service.ID) {
+	if silent && a.call.links.Impaired(a.service.ID) {
 		a.rerouting = true
 		return a.path.first(), reasonCutOff
 	}
--- a/pkedge/confirm.go
+++ b/pkedge/confirm.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"peridotknot.example/pkid"
+	"peridotknot.example/pkreach"
 	"peridotknot.example/pkreplica"
 )
 
@@ -100,7 +101,8 @@
 // whether it is.
 //
 // What one entry cannot reach may be in order: its link may be at fault. So a report of a peer counts
-// once this entry has found the same, and no failure counts while this entry is cut off.
+// once this entry has found the same, and no failure counts while this entry is cut off, nor silence while
+// its links lose packets.
 func (d *Daemon) confirm(ctx context.Context, p pendingSuspicion) bool {
 	t := p.target
 	if p.from != "" {
@@ -109,8 +111,9 @@
 			return false
 		}
 	}
-	if d.cutOff(ctx, t.Service, t.ID) || ctx.Err() != nil {
-		d.log.Debug("target not suspected, this entry may be cut off", "target", t.ID, "peer", p.from)
+	links, known := d.linkCondition(ctx, t.Service, t.ID)
+	if !known || links == pkreach.CutOff || (links == pkreach.Lossy && p.fault != faultGone) || ctx.Err() != nil {
+		d.log.Debug("target not suspected, the links may be at fault", "target", t.ID, "peer", p.from, "links", links.String())
 		return false
 	}
 	now := time.Now()
@@ -155,6 +158,5 @@
 	if t.Held.Len() == 0 {
 		return d.Engines.Connect(ctx, t.Addr)
 	}
-	_, err := d.readReport(ctx, t)
-	return err
+	return d.readReportHedged(ctx, t)
 }
--- a/pkedge/gossip.go
+++ b/pkedge/gossip.go
@@ -428,7 +428,7 @@
 
 // hasChanges reports whether message b must be sent after message a.
 func hasChanges(a, b pkshare.Message) bool {
-	if a.Relays != b.Relays || !slices.Equal(a.CutOff, b.CutOff) || ownedRevision(a) != ownedRevision(b) {
+	if a.Relays != b.Relays || !slices.Equal(a.Impaired, b.Impaired) || ownedRevision(a) != ownedRevision(b) {
 		return true
 	}
 	if a.Config != b.Config || a.Version != b.Version || a.List != b.List || a.QuarantineChecksum != b.QuarantineChecksum || len(a.Loads) != len(b.Loads) {
@@ -472,7 +472,7 @@
 		From: d.settings.Entry, Addr: s.addr, Run: s.run, List: d.roster.At(),
 		DataCenter: d.settings.DataCenter, ProcessorShare: float32(d.settings.ProcessorShare),
 		Following: d.followsStore(now),
-		Relays:    s.addr != "" && !d.stopping.Load(), CutOff: d.links.CutOffServices(),
+		Relays:    s.addr != "" && !d.stopping.Load(), Impaired: d.links.ImpairedServices(),
 		Cases: d.quarantine.table.RecentChanges(now), QuarantineChecksum: d.quarantine.table.Checksum(now),
 		Paces:  d.paces.Observations(now),
 		Limits: d.limits.Observations(now, s.withHubs.Load() && s.designated.Load()),
--- a/pkedge/links.go
+++ b/pkedge/links.go
@@ -19,19 +19,22 @@
 	// linkTimeout bounds a connection attempt of a check of the links. It is a few round trips
 	// between distant data centres.
 	linkTimeout = 100 * time.Millisecond
+	// followUpTimeout is the same for the follow-ups of a doubtful check. A packet that is lost is sent again
+	// after more than that.
+	followUpTimeout = linkTimeout / 2
 	// linkScanInterval is how often services are looked up whose links are due for another check.
 	linkScanInterval = 50 * time.Millisecond
 )
 
-// cutOff reports whether this entry is cut off from the targets of a service, or cannot find out. It
-// checks the links to some of them unless a check has just ended. The suspect is not among them, nor
-// are targets that have failed for certain.
-func (d *Daemon) cutOff(ctx context.Context, s pkid.ServiceID, suspect pkid.TargetID) bool {
+// linkCondition returns the condition of the links to the targets of a service, and whether it could be found
+// out. It checks the links to some of the targets unless a check has just ended. The suspect is not among
+// them, nor are targets that have failed for certain.
+func (d *Daemon) linkCondition(ctx context.Context, s pkid.ServiceID, suspect pkid.TargetID) (c pkreach.Condition, known bool) {
 	if d.links.Checked(time.Now(), s) {
-		return d.links.CutOff(s)
+		return d.links.Condition(s), true
 	}
 	_, err, _ := d.linkChecks.Do(string(s), func() (any, error) { return nil, d.checkLinks(ctx, s, suspect) })
-	return err != nil || d.links.CutOff(s)
+	return d.links.Condition(s), err == nil && !d.links.Unclear(s)
 }
 
 // errStalled is the result of a check that took too long, since this VM has stalled meanwhile.
@@ -41,38 +44,89 @@
 func (d *Daemon) checkLinks(ctx context.Context, s pkid.ServiceID, suspect pkid.TargetID) error {
 	began := time.Now()
 	targets := d.linkSample(began, s, suspect)
-	checkCtx, cancel := context.WithTimeout(ctx, linkTimeout)
-	defer cancel()
-	results := make(chan error, len(targets))
-	for _, t := range targets {
-		go func() { results <- d.probeLink(checkCtx, t) }()
-	}
+	// Impaired links count as whole only by a sample that leaves nothing out.
+	impaired := d.links.Impaired(s)
 	var sample pkreach.Sample
-	for missing := len(targets); missing > 0 && !sample.Settled(missing); missing-- {
-		if <-results == nil {
+	silent, err := d.probeLinks(ctx, targets, linkTimeout, func(t *pkreplica.Target, err error, missing int) bool {
+		switch {
+		case err == nil:
 			sample.Reached++
-		} else {
+			sample.Answered++
+		case isConnError(err):
+			sample.Failed++
+		default:
 			sample.Failed++
+			sample.Silent++
 		}
+		return impaired || !sample.Settled(missing)
+	})
+	followUp := impaired || sample.Doubtful()
+	for attempt := 1; err == nil && followUp && len(silent) > 0 && attempt <= pkreach.FollowUps; attempt++ {
+		silent, err = d.probeLinks(ctx, silent, followUpTimeout, func(_ *pkreplica.Target, err error, _ int) bool {
+			if err == nil {
+				sample.Answered++
+				sample.Lost += attempt
+			}
+			return true
+		})
 	}
-	now := time.Now()
-	switch {
-	case ctx.Err() != nil:
-		return ctx.Err()
-	case now.Sub(began) > 2*linkTimeout:
-		return errStalled
+	if err != nil {
+		return err
 	}
+	now := time.Now()
+	condition, changed := d.links.Record(now, s, sample)
 	if sample.Failed > 0 {
-		d.log.Info("links to the targets of a service checked", "service", s, "reached", sample.Reached, "failed", sample.Failed, "suspect", suspect, "ms", now.Sub(began).Milliseconds())
+		d.log.Info("links to the targets of a service checked", "service", s, "condition", condition.String(), "reached", sample.Reached, "failed", sample.Failed,
+			"silent", sample.Silent, "answered", sample.Answered, "lost", sample.Lost, "suspect", suspect, "ms", now.Sub(began).Milliseconds())
 	}
-	cutOff, changed := d.links.Record(now, s, sample)
 	if changed {
-		d.log.Warn("links to the targets of a service have changed", "service", s, "cut_off", cutOff, "reached", sample.Reached, "failed", sample.Failed)
+		d.log.Warn("links to the targets of a service have changed", "service", s, "condition", condition.String(), "cut_off", condition == pkreach.CutOff,
+			"reached", sample.Reached, "failed", sample.Failed, "lost", sample.Lost)
+		for _, t := range d.roster.All() {
+			if t.Service == s {
+				t.ForgetSilence(now)
+			}
+		}
 		d.gossip.requestSend()
 	}
 	return nil
 }
 
+// probeLinks probes the links to targets at the same time, and returns those that were silent until the timeout.
+// It passes each result, with the number of those still missing, to next until that returns false. The error
+// is that of ctx, or that this VM has stalled.
+func (d *Daemon) probeLinks(ctx context.Context, targets []*pkreplica.Target, timeout time.Duration, next func(t *pkreplica.Target, err error, missing int) bool) ([]*pkreplica.Target, error) {
+	began := time.Now()
+	probeCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	type result struct {
+		target *pkreplica.Target
+		err    error
+	}
+	results := make(chan result, len(targets))
+	for _, t := range targets {
+		go func() { results <- result{target: t, err: d.probeLink(probeCtx, t)} }()
+	}
+	var silent []*pkreplica.Target
+	for missing := len(targets) - 1; missing >= 0; missing-- {
+		one := <-results
+		if one.err != nil && !isConnError(one.err) {
+			silent = append(silent, one.target)
+		}
+		if !next(one.target, one.err, missing) {
+			break
+		}
+	}
+	switch {
+	case ctx.Err() != nil:
+		return nil, ctx.Err()
+	case time.Since(began) > 2*timeout:
+		return nil, errStalled
+	default:
+		return silent, nil
+	}
+}
+
 // probeLink returns an error if a target cannot be reached. A link may accept a connection and reset it
 // once it is used; a target that is connected and does not answer in time is only busy.
 func (d *Daemon) probeLink(ctx context.Context, t *pkreplica.Target) error {
@@ -113,17 +167,17 @@
 	return all[:min(len(all), pkreach.SampleSize)]
 }
 
-// watchLinks checks the links to the targets of all services while this entry is cut off from those of
-// any: a cut is likely to cover all, and calls that may not be repeated must not be what shows it.
+// watchLinks checks the links to the targets of all services while those to any are impaired: a fault is likely
+// to cover all, and calls that may not be repeated must not be what shows it.
 func (d *Daemon) watchLinks(ctx context.Context) {
 	pktimer.Every(ctx, linkScanInterval, func(ctx context.Context) {
 		table := d.configs.Table()
-		if table == nil || len(d.links.CutOffServices()) == 0 {
+		if table == nil || len(d.links.ImpairedServices()) == 0 {
 			return
 		}
 		for i := range table.Services {
 			if s := table.Services[i].ID; !d.links.CheckedWithin(time.Now(), s, pkreach.RecheckInterval) {
-				d.cutOff(ctx, s, "")
+				d.linkCondition(ctx, s, "")
 			}
 		}
 	})
--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -117,7 +117,7 @@
 // senderCount returns the number of daemons that send requests to the targets of a service at now: those
 // that are cut off from them pass their requests on.
 func (d *Daemon) senderCount(now time.Time, s pkid.ServiceID) int {
-	return max(d.entryCount(now)-d.gossip.table.CutOffCount(now, s), 1)
+	return max(d.entryCount(now)-d.gossip.table.ImpairedCount(now, s), 1)
 }
 
 // countEntries returns the numbers of entries of this data centre and of the fleet, as a hub counts
--- a/pkedge/own.go
+++ b/pkedge/own.go
@@ -13,6 +13,7 @@
 	"peridotknot.example/pklayers"
 	"peridotknot.example/pklease"
 	"peridotknot.example/pkowner"
+	"peridotknot.example/pkreach"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkstore"
 	"peridotknot.example/pktimer"
@@ -69,8 +70,8 @@
 				d.reconcilePool(ctx, s.ID, s.Engine)
 			}
 		}
-		if !d.cutOffFromPools() {
-			d.recordActed(time.Now())
+		if now := time.Now(); !d.cutOffFromPools(now) {
+			d.recordActed(now)
 		}
 	})
 }
@@ -124,7 +125,7 @@
 		reason = "no configuration"
 	case !d.listed.Load():
 		reason = "no list of replicas"
-	case d.cutOffFromPools():
+	case d.cutOffFromPools(time.Now()):
 		reason = "cut off"
 	}
 	if reason == d.idleReason {
@@ -167,7 +168,7 @@
 // by a hub learns late of a new owner and does not try, and a daemon whose write has failed waits for
 // acquireRetryDelay. An entry that is cut off from a pool could not order its engines.
 func (d *Daemon) mayAcquire(now time.Time, holds bool) bool {
-	if now.Before(d.nextAcquire) || !d.era.mayTakeOver(now) || d.cutOffFromPools() {
+	if now.Before(d.nextAcquire) || !d.era.mayTakeOver(now) || d.cutOffFromPools(now) {
 		return false
 	}
 	if holds {
@@ -184,11 +185,16 @@
 	return designated || now.Sub(d.ownerlessSince) >= takeoverDelay
 }
 
-// cutOffFromPools reports whether this daemon is cut off from a pool of engines.
-func (d *Daemon) cutOffFromPools() bool {
+// cutOffFromPools reports whether this daemon is cut off from a pool of engines at now, or has lossy links to one
+// while another entry has not.
+func (d *Daemon) cutOffFromPools(now time.Time) bool {
 	table := d.configs.Table()
 	return table != nil && slices.ContainsFunc(table.Services, func(s pkconfig.Service) bool {
-		return s.Engine != nil && d.links.CutOff(s.ID)
+		if s.Engine == nil {
+			return false
+		}
+		links := d.links.Condition(s.ID)
+		return links == pkreach.CutOff || (links == pkreach.Lossy && len(d.relayCandidates(now, s.ID)) > 0)
 	})
 }
 
@@ -196,7 +202,7 @@
 // stepDownDelay, and reports whether it has: another entry may reach the engines.
 func (d *Daemon) stepDown(ctx context.Context, rev pkstore.Revision) bool {
 	now := time.Now()
-	if !d.cutOffFromPools() {
+	if !d.cutOffFromPools(now) {
 		d.cutOffSince = time.Time{}
 		return false
 	}
--- a/pkedge/relay.go
+++ b/pkedge/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"peridotknot.example/pkforward"
+	"peridotknot.example/pkid"
 	"peridotknot.example/pkrelay"
 	"peridotknot.example/pkverdict"
 )
@@ -27,25 +28,25 @@
 	end  func()
 }
 
-// tryRelay returns the entry to pass the request on to at now, if this entry is cut off from the
-// targets and another one is not.
+// tryRelay returns the entry to pass the request on to at now, if the links of this entry to the targets are
+// impaired and those of another one are not.
 func (c *call) tryRelay(now time.Time) (relay, bool) {
-	if c.relayed != nil || c.relays >= maxRelays || !c.links.CutOff(c.service) {
+	if c.relayed != nil || c.relays >= maxRelays || !c.links.Impaired(c.service) {
 		return relay{}, false
 	}
-	peer, found := c.relayPeers.Choose(now, c.relayCandidates(now))
+	peer, found := c.relayPeers.Choose(now, c.relayCandidates(now, c.service))
 	if !found {
 		return relay{}, false
 	}
 	return relay{peer: peer, end: c.relayPeers.Begin(peer.ID)}, true
 }
 
-// relayCandidates returns the entries that may serve requests for the call's service at now.
-func (c *call) relayCandidates(now time.Time) []pkrelay.Peer {
+// relayCandidates returns the other entries whose links to the targets of a service may be whole at now.
+func (d *Daemon) relayCandidates(now time.Time, s pkid.ServiceID) []pkrelay.Peer {
 	var out []pkrelay.Peer
-	for _, m := range c.gossip.table.RelayMembers(now, c.service, c.members.list()) {
-		if m.ID != c.settings.Entry {
-			out = append(out, pkrelay.Peer{ID: m.ID, Addr: m.Addr, Near: m.DataCenter == c.settings.DataCenter})
+	for _, m := range d.gossip.table.RelayMembers(now, s, d.members.list()) {
+		if m.ID != d.settings.Entry {
+			out = append(out, pkrelay.Peer{ID: m.ID, Addr: m.Addr, Near: m.DataCenter == d.settings.DataCenter})
 		}
 	}
 	return out
@@ -170,10 +171,10 @@
 	}
 	switch {
 	case failure.Reason == pkverdict.ReasonUnreachable:
-		c.cutOff(ctx, c.service, "")
+		c.linkCondition(ctx, c.service, "")
 	case failure.Reason == pkverdict.ReasonTargetLost && !errors.Is(err, errTargetFailure) && !errors.Is(err, errAlteredAnswer):
 		if !c.links.CheckedWithin(time.Now(), c.service, lostCheckInterval) {
-			c.cutOff(ctx, c.service, "")
+			c.linkCondition(ctx, c.service, "")
 		}
 	}
 }
--- a/pkedge/reroute.go
+++ b/pkedge/reroute.go
@@ -34,7 +34,7 @@
 const (
 	reasonDead    = "dead"
 	reasonLeaving = "leaving"
-	// reasonCutOff means that this entry no longer reaches the target.
+	// reasonCutOff means that this entry no longer reaches the target, or not reliably.
 	reasonCutOff = "cut_off"
 )
 
@@ -147,10 +147,10 @@
 	}
 }
 
-// moveToPeer ends the attempt of a silent stream at an entry that is cut off, so that the stream goes on
+// moveToPeer ends the attempt of a silent stream at an entry whose links are impaired, so that the stream goes on
 // through another entry, or keeps it for now if there is none or the retry budget allows no send.
 func (d *Daemon) moveToPeer(now time.Time, a *attempt, t *pkreplica.Target) {
-	if !a.canRetry || len(a.call.relayCandidates(now)) == 0 || !d.budgets.of(a.call.service).TryRetry(now, d.retryLimits(now)) {
+	if !a.canRetry || len(d.relayCandidates(now, a.service.ID)) == 0 || !d.budgets.of(a.call.service).TryRetry(now, d.retryLimits(now)) {
 		a.deferReroute(now)
 		return
 	}
--- a/pkedge/suspect.go
+++ b/pkedge/suspect.go
@@ -22,6 +22,8 @@
 	// livenessTimeout bounds the report of an engine that is checked for liveness; live engines
 	// answer within a few milliseconds under any load.
 	livenessTimeout = 40 * time.Millisecond
+	// livenessReports is how many reports are requested within that time, since packets may be lost.
+	livenessReports = 3
 	// livenessInterval is the shortest time between liveness checks of one engine.
 	livenessInterval = 200 * time.Millisecond
 )
@@ -82,7 +84,7 @@
 	defer cancel()
 	control := make(chan error, 1)
 	go func() { control <- d.checkControl(probeCtx, t) }()
-	_, err := d.readReport(probeCtx, t)
+	err := d.readReportHedged(probeCtx, t)
 	if ctx.Err() != nil {
 		return false
 	}
@@ -92,10 +94,41 @@
 	if dead {
 		d.rerouteAll(ctx, time.Now(), d.streams.list())
 	}
+	if err != nil && !dead && !d.links.CheckedWithin(time.Now(), t.Service, lostCheckInterval) {
+		d.linkCondition(ctx, t.Service, "")
+	}
 	d.log.Info("engine checked for liveness", "target", t.ID, "dead", dead, "error", err, "control_error", controlErr)
 	return dead
 }
 
+// readReportHedged reads a report of an engine by up to livenessReports requests, each a little after the one
+// before: over links that lose packets one alone would show a live engine as silent. It returns the error
+// if none is answered.
+func (d *Daemon) readReportHedged(ctx context.Context, t *pkreplica.Target) error {
+	results := make(chan error, livenessReports)
+	read := func() {
+		_, err := d.readReport(ctx, t)
+		results <- err
+	}
+	hedge := time.NewTicker(livenessTimeout / livenessReports)
+	defer hedge.Stop()
+	go read()
+	for sent, ended := 1, 0; ; {
+		select {
+		case err := <-results:
+			ended++
+			if err == nil || isConnError(err) || ended == sent {
+				return err
+			}
+		case <-hedge.C:
+			if sent < livenessReports {
+				sent++
+				go read()
+			}
+		}
+	}
+}
+
 // errNoControl is the result of a liveness control without another engine to ask.
 var errNoControl = errors.New("no other engine in the pool")
 
--- a/pkreplica/target.go
+++ b/pkreplica/target.go
@@ -290,6 +290,21 @@
 	}
 }
 
+// ForgetSilence uses the target again at now if it is avoided for having been silent, or for failures, which a
+// fault of this entry's links explains.
+func (t *Target) ForgetSilence(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.backoffUntil, t.failures = time.Time{}, 0
+	if now.Before(t.goneUntil) || !now.Before(t.deadUntil) {
+		return
+	}
+	if !t.avoidUntil.After(t.deadUntil) {
+		t.avoidUntil = time.Time{}
+	}
+	t.deadUntil = time.Time{}
+}
+
 // MarkGone avoids the target from now until a time because its process has ended.
 func (t *Target) MarkGone(now, until time.Time) {
 	t.MarkDead(now, until)
--- a/pkshare/message.go
+++ b/pkshare/message.go
@@ -71,8 +71,8 @@
 	PackedConfig *pkstore.Item `cbor:"26,keyasint,omitempty"`
 	// Relays is set if the sender accepts relayed requests.
 	Relays bool `cbor:"28,keyasint,omitempty"`
-	// CutOff are the services whose targets the sender cannot reach.
-	CutOff []pkid.ServiceID `cbor:"29,keyasint,omitempty"`
+	// Impaired are the services whose targets the sender cannot reach, or not reliably.
+	Impaired []pkid.ServiceID `cbor:"29,keyasint,omitempty"`
 	// Owns is the revision of the owner's key by which the sender owns the pools and has lately compared
 	// what their engines hold with the plan; zero if it does neither, nil from builds that don't tell.
 	Owns *pkstore.Revision `cbor:"30,keyasint,omitempty"`
--- a/pkshare/table.go
+++ b/pkshare/table.go
@@ -65,10 +65,10 @@
 	configSentAt     time.Time
 	listSentAt       time.Time
 	quarantineSentAt time.Time
-	// relays is set if the peer accepts relayed requests, cutOff are the services whose targets it
+	// relays is set if the peer accepts relayed requests, impaired are the services whose targets it
 	// cannot reach.
-	relays bool
-	cutOff []pkid.ServiceID
+	relays   bool
+	impaired []pkid.ServiceID
 	// owns is the revision of the owner's key that the peer acts on, nil if its build does not tell.
 	owns *pkstore.Revision
 	// following is set if the peer watches the replica list in the store, followingSince is since
@@ -89,8 +89,8 @@
 	peers map[pkid.EntryID]*peer
 	// expectedSince is since when each silent hub has been expected to send.
 	expectedSince map[pkid.EntryID]time.Time
-	// anyCutOff is set if some peer may be cut off from the targets of a service.
-	anyCutOff bool
+	// anyImpaired is set if some peer may be cut off from the targets of a service.
+	anyImpaired bool
 	// lastSent is the state that this entry last sent to its hubs, sentSums are the loads that it
 	// last sent as a hub, by role.
 	lastSent Message
@@ -131,8 +131,8 @@
 	}
 	p.following, p.relaying, p.quarantineChecksum = m.Following, m.Relaying, m.QuarantineChecksum
 	p.members, p.localEntries = m.Members, m.LocalEntries
-	p.relays, p.cutOff, p.owns = m.Relays, m.CutOff, m.Owns
-	t.anyCutOff = t.anyCutOff || len(m.CutOff) > 0
+	p.relays, p.impaired, p.owns = m.Relays, m.Impaired, m.Owns
+	t.anyImpaired = t.anyImpaired || len(m.Impaired) > 0
 	p.sum, p.dataCenter, p.processorShare = m.Sum, m.DataCenter, float64(m.ProcessorShare)
 	return true
 }
@@ -363,21 +363,21 @@
 	return out
 }
 
-// CutOffCount returns the number of live entries at now that cannot reach the targets of a service.
-func (t *Table) CutOffCount(now time.Time, s pkid.ServiceID) int {
+// ImpairedCount returns the number of live entries at now that cannot reach the targets of a service.
+func (t *Table) ImpairedCount(now time.Time, s pkid.ServiceID) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.anyCutOff {
+	if !t.anyImpaired {
 		return 0
 	}
 	n := 0
-	t.anyCutOff = false
+	t.anyImpaired = false
 	for _, p := range t.peers {
-		if now.Sub(p.lastReceivedAt) >= staleAfter || len(p.cutOff) == 0 {
+		if now.Sub(p.lastReceivedAt) >= staleAfter || len(p.impaired) == 0 {
 			continue
 		}
-		t.anyCutOff = true
-		if slices.Contains(p.cutOff, s) {
+		t.anyImpaired = true
+		if slices.Contains(p.impaired, s) {
 			n++
 		}
 	}
@@ -400,7 +400,7 @@
 	defer t.mu.Unlock()
 	var out []Member
 	for id, p := range t.peers {
-		if now.Sub(p.lastReceivedAt) < staleAfter && p.addr != "" && p.relays && !slices.Contains(p.cutOff, s) {
+		if now.Sub(p.lastReceivedAt) < staleAfter && p.addr != "" && p.relays && !slices.Contains(p.impaired, s) {
 			out = append(out, Member{ID: id, Addr: p.addr, DataCenter: p.dataCenter, Relays: true})
 		}
 	}
