pkedge: an entry with impaired links passes relayed requests back

Entries of large fleets hear their hubs only, and do not know which others are impaired. Cause: such an entry served what it was passed; only one that is cut off passed it back. Test: TestRelayedRequestIsPassedBackOverLossyLinks.

--- a/pkedge/confirm_test.go
+++ b/pkedge/confirm_test.go
@@ -20,6 +20,7 @@
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkowner"
 	"peridotknot.example/pkreach"
+	"peridotknot.example/pkrelay"
 	"peridotknot.example/pkshare"
 	"peridotknot.example/pkstore"
 	"peridotknot.example/pkverdict"
@@ -255,6 +256,21 @@
 	assert.DeepEqual(t, d.message(now).Impaired, []pkid.ServiceID{"models"})
 }
 
+// Guards against relayed requests that are served over links which lose packets: they must go back unsent.
+func TestRelayedRequestIsPassedBackOverLossyLinks(t *testing.T) {
+	d, _ := poolDaemon()
+	c := newCall(d, 1)
+	c.service, c.relayed = "models", &pkrelay.Request{}
+	assert.NilError(t, c.passedBack(pkverdict.NotRun))
+	d.links.Record(time.Now(), "models", pkreach.Sample{Reached: 4, Failed: 4, Silent: 4, Answered: 8, Lost: 6})
+	var rej *rejection
+	assert.Assert(t, errors.As(c.passedBack(pkverdict.NotRun), &rej))
+	assert.Equal(t, rej.reason, pkrelay.ReasonCutOff)
+	assert.NilError(t, c.passedBack(pkverdict.MayHaveRun), "it was sent")
+	c.relayed = nil
+	assert.NilError(t, c.passedBack(pkverdict.NotRun), "it came from its caller")
+}
+
 // stalledEngines answer nothing until a stall of this VM is over.
 type stalledEngines struct{ pkowner.Engines }
 
--- a/pkedge/relay.go
+++ b/pkedge/relay.go
@@ -179,10 +179,10 @@
 	}
 }
 
-// passedBack returns the answer to an entry that has passed a request on, if this entry cannot serve it
-// and has sent it to no target.
+// passedBack returns the answer to an entry that has passed a request on, if the links of this entry are impaired
+// as well and it has sent the request to no target.
 func (c *call) passedBack(verdict pkverdict.Verdict) error {
-	if c.relayed == nil || !c.links.CutOff(c.service) || verdict != pkverdict.NotRun || c.delivered > 0 {
+	if c.relayed == nil || !c.links.Impaired(c.service) || verdict != pkverdict.NotRun || c.delivered > 0 {
 		return nil
 	}
 	return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterFailure, reason: pkrelay.ReasonCutOff}
