pkedge: a target whose connection attempt had no answer is tried once more

Seen by callers, in a test: a call through an entry with lossy links was refused for want of a target, though both replicas of its service were in order: one packet of a connection attempt to each was lost. Cause: a target that could not be connected to was never tried again within a call, however it failed. Change: the first attempt without any answer does not use a target up; a refused connection and a second silence do.

--- a/pkedge/call.go
+++ b/pkedge/call.go
@@ -42,8 +42,10 @@
 	relayed *pkrelay.Request
 	// relays counts the entries that the request was passed on to.
 	relays int
-	// tried lists the targets that are not tried again.
-	tried []pkid.TargetID
+	// tried lists the targets that are not tried again, unanswered those whose connection attempt had no
+	// answer once.
+	tried      []pkid.TargetID
+	unanswered []pkid.TargetID
 	// charged is set if the next send was charged to the retry budget already.
 	charged bool
 	// headSent is set once the head of the answer was sent to the caller.
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash/fnv"
 	"net/http"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -171,14 +172,18 @@
 	return true
 }
 
-// recordSendFailure records a failed send to a target and returns its verdict. The target is not
-// tried again.
+// recordSendFailure records a failed send to a target and returns its verdict. The target is not tried again,
+// unless its connection attempt has had no answer for the first time: the packet may be lost.
 func (c *call) recordSendFailure(t *pkreplica.Target, err error) pkverdict.Verdict {
-	c.tried = append(c.tried, t.ID)
 	var failure *pkverdict.Error
 	if !errors.As(err, &failure) {
 		failure = &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: err}
 	}
+	if failure.Reason == pkverdict.ReasonUnreachable && !isConnError(failure.Err) && !slices.Contains(c.unanswered, t.ID) {
+		c.unanswered = append(c.unanswered, t.ID)
+	} else {
+		c.tried = append(c.tried, t.ID)
+	}
 	c.countFailure(failure)
 	c.metrics.failed.WithLabelValues(failure.Verdict.String(), string(failure.Reason)).Inc()
 	c.log.Info("a send failed", "request_id", c.req.Meta.ID, "digest", c.traits.Request.String(), "parts", c.req.Meta.SharedParts, "target", t.ID, "send", c.sends,
