pkedge: a refused connection shows the end of a target also where a sample leaves silence open

Cause: a sample that leaves open whether targets are dead or links lose packets made the check as a whole uncertain, so that the end of a process, which a refused connection shows, was not counted against the request that crashed it until the next suspicion. Change: what is uncertain holds for silence alone.

--- a/pkedge/confirm.go
+++ b/pkedge/confirm.go
@@ -112,7 +112,8 @@
 		}
 	}
 	links, known := d.linkCondition(ctx, t.Service, t.ID)
-	if !known || links == pkreach.CutOff || (links == pkreach.Lossy && p.fault != faultGone) || ctx.Err() != nil {
+	silenceCounts := links == pkreach.Whole && !d.links.Unclear(t.Service)
+	if !known || links == pkreach.CutOff || (!silenceCounts && p.fault != faultGone) || ctx.Err() != nil {
 		d.log.Debug("target not suspected, the links may be at fault", "target", t.ID, "peer", p.from, "links", links.String())
 		return false
 	}
--- a/pkedge/links.go
+++ b/pkedge/links.go
@@ -38,7 +38,7 @@
 		return d.links.Condition(s), true
 	}
 	_, err, _ := d.linkChecks.Do(string(s), func() (any, error) { return nil, d.checkLinks(ctx, s, suspect) })
-	return d.links.Condition(s), err == nil && !d.links.Unclear(s)
+	return d.links.Condition(s), err == nil
 }
 
 // errStalled is the result of a check that took too long, since this VM has stalled meanwhile.
--- a/pkedge/poison_test.go
+++ b/pkedge/poison_test.go
@@ -217,3 +217,31 @@
 	p.waitQuarantined(t, fourth)
 	p.assertRefused(t, fourth)
 }
+
+// Guards against a request that crashes engine after engine while links of entries are impaired by turns: crashes that
+// an entry with such links meets, or that it hears of, must count like others.
+func TestRequestThatCrashesEnginesIsQuarantinedBesideImpairedLinks(t *testing.T) {
+	for name, cut := range map[string]platformtest.Cut{
+		"refusing": platformtest.CutRefusing, "silent": platformtest.CutSilent, "lossy": platformtest.CutLossy,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w, _ := newPool(t)
+			nodes, links := startCuttable(t, w, 3)
+			p := &poisonRequest{w: w, service: platformtest.Pool, uri: "/talk/poison", tokens: 5}
+			w.Poison(p.uri)
+			const sends, period = 36, 4
+			for i := range sends {
+				for k, l := range links {
+					c := platformtest.NoCut
+					if i/period%len(links) == k {
+						c = cut
+					}
+					l.Cut(c)
+				}
+				p.send(t, nodes[i%len(nodes)])
+			}
+			assert.Assert(t, len(w.CrashedReplicas()) <= maxCrashed, "%d replicas crashed", len(w.CrashedReplicas()))
+		})
+	}
+}
