pkquarantine: a request that is as suspect as the part blamed in its place is on probation

Timeline: engines end at 5.61, 5.74 (all entries then lose what they know), 6.98, 10.97, 14.86, 15.14 and 15.88. At 14.93 the request has three crashes that the entries know of; so has a part that many prompts share, and since nothing has run well since the restart, the part is blamed, then at 15.18 another one. The request was sent at 15.14 and 15.66; the crash at 15.88 corrects the blame. Cause: traits with the same crashes as a blamed part wait for one another if they are parts; a request did not. Change: such a request is on probation as well: one a second at all entries together, until the next crash or success tells. Tried and taken back: blaming the request first on ties.

--- a/pkquarantine/blame.go
+++ b/pkquarantine/blame.go
@@ -35,7 +35,7 @@
 	byParts, byAny map[StartID]bool
 	// crashes are those in all cases, sorted by time; nil if they were not needed.
 	crashes []crash
-	// tied are the parts with the same crashes as one that is quarantined.
+	// tied are the parts, and the requests, with the same crashes as a part that is quarantined.
 	tied map[Digest]bool
 }
 
@@ -78,13 +78,14 @@
 	return out
 }
 
-// recordTies records the parts that are as suspect as the one that is quarantined next.
+// recordTies records the parts and the requests that are as suspect as the part that is quarantined next.
 func (b *blame) recordTies(best candidate, suspects []Digest) {
 	if best.part == 0 || best.sound {
 		return
 	}
 	for _, d := range suspects {
-		if c, guilty := b.judge(d, b.cases[d]); guilty && c.part > 0 && !c.sound && c.completed == best.completed && c.crashes == best.crashes {
+		c, guilty := b.judge(d, b.cases[d])
+		if guilty && !c.sound && c.crashes == best.crashes && (c.part == 0 || c.completed == best.completed) {
 			b.tied[d] = true
 		}
 	}
--- a/pkquarantine/blame_test.go
+++ b/pkquarantine/blame_test.go
@@ -172,3 +172,33 @@
 		table.Remaining(now, prompt(12, poisonPart))
 	}
 }
+
+// A request has the same crashes as a part that was quarantined in its place. Guards against sending the request to
+// one replica after the other until the next crash corrects the blame.
+func TestRequestAsSuspectAsAPartTakesTurns(t *testing.T) {
+	const entries = 4
+	now := epoch
+	tables := make([]*Table, entries)
+	for i := range tables {
+		tables[i] = &Table{Phase: float64(i) / entries}
+		for k := range 3 {
+			at := epoch.Add(time.Duration(k) * time.Second)
+			for _, traits := range []Traits{prompt(10, otherPart), prompt(11, poisonPart), prompt(12, poisonPart)} {
+				tables[i].RecordCrash(at, at, traits, startN(k))
+			}
+			now = at
+		}
+		assert.Assert(t, tables[i].Remaining(now, prompt(13, poisonPart)) > 0, "a part is quarantined")
+	}
+	sent := 0
+	const span = 20 * time.Second
+	for at := time.Duration(0); at < span; at += 10 * time.Millisecond {
+		for _, one := range tables {
+			if one.TryProbation(now.Add(at), prompt(10, otherPart), entries) {
+				sent++
+			}
+			assert.Assert(t, one.TryProbation(now.Add(at), prompt(14, otherPart), entries), "another request with its part")
+		}
+	}
+	assert.Equal(t, sent, int(span/probationInterval))
+}
--- a/pkquarantine/probation.go
+++ b/pkquarantine/probation.go
@@ -6,7 +6,7 @@
 const probationInterval = time.Second
 
 // TryProbation reports whether a request with the given traits may be sent at now, one of a number of
-// entries. Parts that are as suspect as a quarantined one are on probation: requests with them are sent one
+// entries. Traits that are as suspect as a quarantined part are on probation: requests with them are sent one
 // after the other, so that the next crash or success tells which one is at fault, and costs one replica.
 func (t *Table) TryProbation(now time.Time, traits Traits, entries int) bool {
 	t.mu.Lock()
@@ -16,12 +16,12 @@
 		return true
 	}
 	interval := probationInterval * time.Duration(max(entries, 1))
-	for _, d := range traits.Parts {
+	for _, d := range traits.all() {
 		if t.blame.tied[d] && now.Before(t.probationTurn(now, d, interval)) {
 			return false
 		}
 	}
-	for _, d := range traits.Parts {
+	for _, d := range traits.all() {
 		if t.blame.tied[d] {
 			t.turns[d] = now.Add(interval)
 		}
@@ -29,7 +29,7 @@
 	return true
 }
 
-// probationTurn returns when this entry may next send a request with a part on probation. The first turns of
+// probationTurn returns when this entry may next send a request with a trait on probation. The first turns of
 // the entries are spread over the interval.
 func (t *Table) probationTurn(now time.Time, d Digest, interval time.Duration) time.Time {
 	turn, known := t.turns[d]
