pkedge, pkquarantine: crashes short of a quarantine survive a restart of all entries

Cause: only quarantined requests were saved. Change: each designated entry saves the requests and parts that one more crash would quarantine, up to 32, under one key of its own, at most every 0.3 s where something is new, for ten minutes; all read them with the members. What ran well since is left out of the next write. Cost: one write, at times a grant, for each designated entry and burst of crashes, and what its followers call for the change. Open: a kill of all within some 0.2 s of the second crash; a store that is away meanwhile; an engine that is back under its old id without 'born' counts once.

--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -209,7 +209,7 @@
 		peers := &http.Server{Handler: d.peersHandler(inner), ReadHeaderTimeout: readHeaderTimeout}
 		g.Add(func() error { return untilDone(inner, peers.Serve(d.gossip.listener)) }, func(error) { _ = peers.Close() })
 	}
-	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.pollConfig, d.maintainLease, d.reconcilePools, d.sendToPeers, d.updateLoads, d.rerouteStreams, d.monitorEngines, d.pollPaces, d.logStoreCalls, d.detectCrashes, d.saveQuarantined, d.checkRefusalCauses, d.confirmSuspicions, d.watchLinks, d.saveSize} {
+	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.pollConfig, d.maintainLease, d.reconcilePools, d.sendToPeers, d.updateLoads, d.rerouteStreams, d.monitorEngines, d.pollPaces, d.logStoreCalls, d.detectCrashes, d.saveQuarantined, d.saveSuspects, d.checkRefusalCauses, d.confirmSuspicions, d.watchLinks, d.saveSize} {
 		g.Add(func() error { loop(inner); return nil }, func(error) { cancel() })
 	}
 	return g.Run()
--- a/pkedge/poison_test.go
+++ b/pkedge/poison_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"peridotknot.example/platform"
 	"peridotknot.example/platform/platformtest"
 )
 
@@ -18,6 +19,8 @@
 	// maxCrashed is how many replicas a poison request may crash: three until it is quarantined,
 	// and one more by a send in progress.
 	maxCrashed = 4
+	// crashFoundTime is how long a test waits between sends, so that a crash is found and saved.
+	crashFoundTime = 500 * time.Millisecond
 )
 
 // poisonRequest is a request that crashes each replica that runs it, sent again and again.
@@ -245,3 +248,38 @@
 		})
 	}
 }
+
+// Guards against a request that crashes three engines more after each restart of all entries: crashes before the third
+// were known to their processes alone.
+func TestCrashesCountAcrossARestartOfAllEntries(t *testing.T) {
+	t.Parallel()
+	w, _ := newPool(t)
+	one, two := start(t, w, "one"), start(t, w, "two")
+	waitForPeers(t, one, two)
+	p := &poisonRequest{w: w, service: platformtest.Pool, uri: "/talk/poison", tokens: 5}
+	w.Poison(p.uri)
+	saved := func(prefix string) bool { return len(w.Store.Keys(platform.OwnPrefix+prefix)) > 0 }
+	for i := 0; !saved("suspects/") && !saved("quarantine/"); i++ { // one send may crash two engines
+		one.waitForStream(t)
+		p.send(t, one)
+		time.Sleep(crashFoundTime)
+		assert.Assert(t, i < 4, "nothing saved after %d crashes", len(w.CrashedReplicas()))
+	}
+	before := len(w.CrashedReplicas())
+	for _, n := range []*node{one, two} {
+		n.stop()
+		err := <-n.ended
+		n.ended <- err
+		assert.NilError(t, err)
+	}
+	three, four := start(t, w, "three"), start(t, w, "four")
+	waitForPeers(t, three, four)
+	for i := 0; three.metric(t, quarantinedMetric) != "1"; i++ {
+		three.waitForStream(t)
+		p.send(t, three)
+		time.Sleep(crashFoundTime)
+		assert.Assert(t, len(w.CrashedReplicas()) <= before+2, "%d replicas crashed, %d before the restart", len(w.CrashedReplicas()), before)
+	}
+	p.waitQuarantined(t, four)
+	p.assertRefused(t, three, four)
+}
--- a/pkedge/quarantine.go
+++ b/pkedge/quarantine.go
@@ -390,5 +390,5 @@
 		d.markSaved(saved.Case.Digest)
 		cases = append(cases, saved.Case.Aged(now.Sub(time.UnixMilli(saved.SavedUnixMS))))
 	}
-	d.mergeCases(now, cases, "store")
+	d.mergeCases(now, append(cases, d.savedSuspectCases(now, items)...), "store")
 }
--- a/pkquarantine/table.go
+++ b/pkquarantine/table.go
@@ -298,6 +298,34 @@
 	return out
 }
 
+// Suspects returns up to a number of cases at now that a crash more may quarantine, those that matter most
+// first.
+func (t *Table) Suspects(now time.Time, most int) []Case {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.quarantinedSet(now)
+	latest := blame{cases: t.cases, byAny: t.blame.byAny}
+	var found []changedCase
+	for d, r := range t.cases {
+		counted, last := r.countCrashes()
+		if counted < CrashLimit-1 || now.Sub(last) >= Period || t.isQuarantined(now, d) {
+			continue
+		}
+		n, _ := t.rank(now, d, r)
+		if one := (changedCase{digest: d, record: r, rank: n}); n >= CrashLimit-1 && one.matters(&latest) {
+			found = append(found, one)
+		}
+	}
+	slices.SortFunc(found, func(a, b changedCase) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), b.record.changedAt.Compare(a.record.changedAt), cmp.Compare(a.digest, b.digest))
+	})
+	var out []Case
+	for _, one := range found[:min(len(found), most)] {
+		out = append(out, one.record.toCase(now, one.digest))
+	}
+	return out
+}
+
 // Case returns the case of a trait, and whether there is one.
 func (t *Table) Case(now time.Time, d Digest) (Case, bool) {
 	t.mu.Lock()
--- a/pkquarantine/table_test.go
+++ b/pkquarantine/table_test.go
@@ -338,3 +338,28 @@
 		assert.Assert(t, left <= Period-now.Sub(last)+10*interval, "%v left, %v after the last crash", left, now.Sub(last))
 	}
 }
+
+// Guards against suspects that a restart of all entries forgets, and against saving all that ran beside them: those
+// with one crash, cleared ones, and those whose crashes a quarantined part explains.
+func TestSuspectsAreShortOfAQuarantineByOneCrash(t *testing.T) {
+	var table Table
+	now := epoch
+	for k := range 2 {
+		now = now.Add(time.Second)
+		table.RecordCrash(now, now, prompt(10), startN(k))
+		table.RecordCrash(now, now, prompt(11), startN(k))
+		table.RecordCrash(now, now, prompt(Digest(20+k)), startN(k))
+	}
+	table.RecordSuccess(now, prompt(11))
+	suspects := table.Suspects(now, 10)
+	assert.Equal(t, len(suspects), 1)
+	assert.Equal(t, suspects[0].Digest, Digest(10))
+
+	var fresh Table
+	fresh.MergeCases(now, suspects)
+	assert.Equal(t, fresh.Remaining(now, prompt(10)), time.Duration(0))
+	fresh.RecordCrash(now, now, prompt(10), startN(9))
+	assert.Equal(t, fresh.Remaining(now, prompt(10)), Period)
+	assert.Equal(t, len(fresh.Suspects(now, 10)), 0, "it is quarantined")
+	assert.Equal(t, len(table.Suspects(now.Add(Period), 10)), 0, "its last crash is long ago")
+}
