--- a/pkedge/gossip.go
+++ b/pkedge/gossip.go
@@ -418,6 +418,11 @@
 	return roles.ByAddr
 }
 
+// rolesChanged reports whether message b says something else than message a of what its sender may be asked for.
+func rolesChanged(a, b pkshare.Message) bool {
+	return a.Relays != b.Relays || !slices.Equal(a.Impaired, b.Impaired) || ownedRevision(a) != ownedRevision(b)
+}
+
 // ownedRevision returns the revision of the owner's key that the sender of a message acts on, or zero.
 func ownedRevision(m pkshare.Message) pkstore.Revision {
 	if m.Owns == nil {
@@ -428,10 +433,7 @@
 
 // hasChanges reports whether message b must be sent after message a.
 func hasChanges(a, b pkshare.Message) bool {
-	if a.Relays != b.Relays || !slices.Equal(a.Impaired, b.Impaired) || ownedRevision(a) != ownedRevision(b) {
-		return true
-	}
-	if a.Config != b.Config || a.Version != b.Version || a.List != b.List || a.QuarantineChecksum != b.QuarantineChecksum || len(a.Loads) != len(b.Loads) {
+	if rolesChanged(a, b) || a.Config != b.Config || a.Version != b.Version || a.List != b.List || a.QuarantineChecksum != b.QuarantineChecksum || len(a.Loads) != len(b.Loads) {
 		return true
 	}
 	if len(b.Suspects) > 0 || len(a.Cases) > 0 || len(b.Paces) > 0 || !pkrate.SameLimits(a.Limits, b.Limits) {
--- a/pkedge/links.go
+++ b/pkedge/links.go
@@ -47,11 +47,31 @@
 // checkLinks connects to a sample of the targets of a service and records the result.
 func (d *Daemon) checkLinks(ctx context.Context, s pkid.ServiceID, suspect pkid.TargetID) error {
 	began := time.Now()
-	targets := d.linkSample(began, s, suspect)
-	// Impaired links count as whole only by a sample that leaves nothing out.
-	impaired := d.links.Impaired(s)
+	sample, err := d.sampleLinks(ctx, s, suspect)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	condition, changed := d.links.Record(now, s, sample)
+	if sample.Failed > 0 {
+		d.log.Info("links to the targets of a service checked", "service", s, "condition", condition.String(), "reached", sample.Reached, "failed", sample.Failed,
+			"silent", sample.Silent, "answered", sample.Answered, "lost", sample.Lost, "suspect", suspect, "ms", now.Sub(began).Milliseconds())
+	}
+	if changed {
+		d.log.Warn("links to the targets of a service have changed", "service", s, "condition", condition.String(), "cut_off", condition == pkreach.CutOff,
+			"reached", sample.Reached, "failed", sample.Failed, "lost", sample.Lost)
+		d.forgetSilence(now, s)
+		d.gossip.requestSend()
+	}
+	return nil
+}
+
+// sampleLinks probes the links to some targets of a service, and again to those that are silent if that leaves a
+// doubt. Impaired links count as whole only by a sample that leaves nothing out.
+func (d *Daemon) sampleLinks(ctx context.Context, s pkid.ServiceID, suspect pkid.TargetID) (pkreach.Sample, error) {
 	var sample pkreach.Sample
-	silent, err := d.probeLinks(ctx, targets, linkTimeout, func(t *pkreplica.Target, err error, missing int) bool {
+	impaired := d.links.Impaired(s)
+	silent, err := d.probeLinks(ctx, d.linkSample(time.Now(), s, suspect), linkTimeout, func(_ *pkreplica.Target, err error, missing int) bool {
 		switch {
 		case err == nil:
 			sample.Reached++
@@ -64,8 +84,10 @@
 		}
 		return impaired || !sample.Settled(missing)
 	})
-	followUp := impaired || sample.Doubtful()
-	for attempt := 1; err == nil && followUp && len(silent) > 0 && attempt <= pkreach.FollowUps; attempt++ {
+	if !impaired && !sample.Doubtful() {
+		return sample, err
+	}
+	for attempt := 1; err == nil && len(silent) > 0 && attempt <= pkreach.FollowUps; attempt++ {
 		silent, err = d.probeLinks(ctx, silent, followUpTimeout, func(_ *pkreplica.Target, err error, _ int) bool {
 			if err == nil {
 				sample.Answered++
@@ -74,26 +96,16 @@
 			return true
 		})
 	}
-	if err != nil {
-		return err
-	}
-	now := time.Now()
-	condition, changed := d.links.Record(now, s, sample)
-	if sample.Failed > 0 {
-		d.log.Info("links to the targets of a service checked", "service", s, "condition", condition.String(), "reached", sample.Reached, "failed", sample.Failed,
-			"silent", sample.Silent, "answered", sample.Answered, "lost", sample.Lost, "suspect", suspect, "ms", now.Sub(began).Milliseconds())
-	}
-	if changed {
-		d.log.Warn("links to the targets of a service have changed", "service", s, "condition", condition.String(), "cut_off", condition == pkreach.CutOff,
-			"reached", sample.Reached, "failed", sample.Failed, "lost", sample.Lost)
-		for _, t := range d.roster.All() {
-			if t.Service == s {
-				t.ForgetSilence(now)
-			}
+	return sample, err
+}
+
+// forgetSilence uses the targets of a service again at now that are avoided for what the links explain.
+func (d *Daemon) forgetSilence(now time.Time, s pkid.ServiceID) {
+	for _, t := range d.roster.All() {
+		if t.Service == s {
+			t.ForgetSilence(now)
 		}
-		d.gossip.requestSend()
 	}
-	return nil
 }
 
 // probeLinks probes the links to targets at the same time, and returns those that were silent until the timeout.
--- a/pkedge/own_test.go
+++ b/pkedge/own_test.go
@@ -153,7 +153,7 @@
 		store.items[ownerKey] = pkstore.Item{Key: ownerKey, Value: []byte("idle"), Revision: 4}
 		d.members.owner, d.members.ownerRevision = "idle", 4
 		assert.Assert(t, d.writeOwnerKey(t.Context(), 1, "idle", 4))
-		assert.Assert(t, d.handoverUntil.Sub(time.Now()) >= maxMembersBatchDelay+orderTimeout)
+		assert.Assert(t, time.Until(d.handoverUntil) >= maxMembersBatchDelay+orderTimeout)
 		d.recordActed(time.Now())
 		assert.Equal(t, d.actingRevision(time.Now()), store.items[ownerKey].Revision, "others see that it acts meanwhile")
 		assert.Equal(t, d.actingRevision(time.Now().Add(ownerActTimeout)), pkstore.Revision(0), "it does not any more")
