pkedge: an entry that writes the owner's key knows what the write has met

Change: a write that meets no key shows that there is none; the next one begins anew. The same where an owner gives up its key. Test: TestAnOwnerWhoseKeyIsGoneWritesItOnce. Not run against the code before.

--- a/pkedge/own.go
+++ b/pkedge/own.go
@@ -224,17 +224,26 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	before := m.knownOwner()
-	if out.Item.Revision >= m.ownerRevision {
-		m.owner, m.ownerRevision = "", out.Item.Revision
-		if !out.Succeeded {
-			m.owner = pkid.EntryID(out.Item.Value)
-		}
+	if out.Succeeded {
+		out.Item.Value = nil // the key is removed
 	}
-	d.logOwner(before, "write", out.Item.Revision)
+	d.applyOwnerWrite(out.Item)
 	return true
 }
 
+// applyOwnerWrite applies the item of the owner's key that a write has left, or has met; the caller holds members.mu.
+func (d *Daemon) applyOwnerWrite(item pkstore.Item) {
+	m := &d.members
+	before := m.knownOwner()
+	switch {
+	case item.Revision >= m.ownerRevision:
+		m.owner, m.ownerRevision = pkid.EntryID(item.Value), item.Revision
+	case item.Revision == 0: // the key that was known is gone
+		m.owner = ""
+	}
+	d.logOwner(before, "write", item.Revision)
+}
+
 // writeOwnerKey writes the owner's key under this daemon's lease. A key that is there, of a previous run of
 // this daemon or of an owner that does not act, is replaced.
 func (d *Daemon) writeOwnerKey(ctx context.Context, id pkstore.LeaseID, owner pkid.EntryID, rev pkstore.Revision) bool {
@@ -257,11 +266,7 @@
 	m.setOwnerWrite(false)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	before := m.knownOwner()
-	if out.Item.Revision >= m.ownerRevision {
-		m.owner, m.ownerRevision = pkid.EntryID(out.Item.Value), out.Item.Revision
-	}
-	d.logOwner(before, "write", out.Item.Revision)
+	d.applyOwnerWrite(out.Item)
 	if !out.Succeeded || m.leaseID != id {
 		return false
 	}
--- a/pkedge/own_test.go
+++ b/pkedge/own_test.go
@@ -107,6 +107,22 @@
 	})
 }
 
+// Guards against a write of the owner's key in each round by an owner whose key has ended with its lease, and that has
+// not read of it: what a write meets is known.
+func TestAnOwnerWhoseKeyIsGoneWritesItOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, store := ownerDaemon()
+		assert.Assert(t, d.ownsWithin(t, time.Second, func() {}))
+		delete(store.items, ownerKey)
+		d.members.lease.Lost()
+		d.members.leaseID = 2
+		assert.Assert(t, !d.ensureOwnership(t.Context()), "the condition fails")
+		assert.Equal(t, d.members.owner, pkid.EntryID(""))
+		assert.Assert(t, d.ensureOwnership(t.Context()))
+		assert.Equal(t, string(store.items[ownerKey].Value), "self")
+	})
+}
+
 // Guards against two owners at once, and against ownership that passes to and fro: an owner that acts, that is not
 // heard of, that tells nothing, or that has only begun must not be replaced.
 func TestAnOwnerThatMayActIsNotReplaced(t *testing.T) {
