pkedge: streams wait in a queue for room

Where routes for streams of a pool declare different priorities, a stream that finds no path waits in the queue of the pool, and one that an engine has refused returns to it; the retry budget holds it there. An entry that starts counts its unreported requests as many times as there are entries.

--- a/pkconfig/table.go
+++ b/pkconfig/table.go
@@ -18,17 +18,23 @@
 	Item     pkstore.Item
 	routes   map[string][]*Route
 	accounts map[string]*Account
-	services map[pkid.ServiceID]*Service
+	// accountsByID are the same accounts by their names.
+	accountsByID map[pkid.AccountID]*Account
+	services     map[pkid.ServiceID]*Service
+	// ranked are the services whose routes for streams declare different priorities.
+	ranked map[pkid.ServiceID]bool
 }
 
 // NewTable indexes a configuration that was read from item.
 func NewTable(c Config, item pkstore.Item) *Table {
 	t := &Table{
-		Config:   c,
-		Item:     item,
-		routes:   map[string][]*Route{},
-		accounts: map[string]*Account{},
-		services: map[pkid.ServiceID]*Service{},
+		Config:       c,
+		Item:         item,
+		routes:       map[string][]*Route{},
+		accounts:     map[string]*Account{},
+		accountsByID: map[pkid.AccountID]*Account{},
+		services:     map[pkid.ServiceID]*Service{},
+		ranked:       rankedServices(c.Routes),
 	}
 	for i := range t.Routes {
 		route := &t.Routes[i]
@@ -38,6 +44,7 @@
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	for i := range t.Accounts {
+		t.accountsByID[t.Accounts[i].ID] = &t.Accounts[i]
 		for _, key := range t.Accounts[i].Keys {
 			t.accounts[key] = &t.Accounts[i]
 		}
@@ -48,6 +55,30 @@
 	return t
 }
 
+// rankedServices returns the services whose routes for streams declare different priorities.
+func rankedServices(routes []Route) map[pkid.ServiceID]bool {
+	priorities := map[pkid.ServiceID]int{}
+	ranked := map[pkid.ServiceID]bool{}
+	for i := range routes {
+		if routes[i].Kind != Stream {
+			continue
+		}
+		for _, s := range routes[i].Services {
+			first, known := priorities[s.Service]
+			switch {
+			case !known:
+				priorities[s.Service] = routes[i].Priority
+			case first != routes[i].Priority:
+				ranked[s.Service] = true
+			}
+		}
+	}
+	return ranked
+}
+
+// Ranked reports whether the routes for streams of a service declare different priorities.
+func (t *Table) Ranked(id pkid.ServiceID) bool { return t.ranked[id] }
+
 // Route returns the route of host with the longest prefix of path.
 func (t *Table) Route(host, path string) (*Route, bool) {
 	for _, route := range t.routes[host] {
@@ -64,6 +95,12 @@
 	return a, found
 }
 
+// AccountByID returns a client account.
+func (t *Table) AccountByID(id pkid.AccountID) (*Account, bool) {
+	a, found := t.accountsByID[id]
+	return a, found
+}
+
 // Service returns the service with the given ID.
 func (t *Table) Service(id pkid.ServiceID) (*Service, bool) {
 	s, found := t.services[id]
--- a/pkedge/attempt.go
+++ b/pkedge/attempt.go
@@ -68,18 +68,30 @@
 		canRetry:   c.route.Retryable() && c.runs+1 < c.route.MaxAttempts,
 		drainDelay: drainDelayMin + rand.N(drainDelayMax-drainDelayMin),
 	}
-	p.reserve(now, s.Engine, &c.linkUsage, a.tokens, float64(c.req.Meta.PromptTokens), c.gossip.reportDelay())
+	if !p.reserved {
+		c.reservePath(now, s, &p)
+	}
 	c.streams.add(a)
 	return a
 }
 
-// end releases what newAttempt reserved and returns the number of path changes.
-func (a *attempt) end() int {
+// reservePath reserves the load of the request on the targets of a path.
+func (c *call) reservePath(now time.Time, s *pkconfig.Service, p *targetPath) {
+	p.reserve(now, s.Engine, &c.linkUsage, c.estimatedTokens(s.Engine), float64(c.req.Meta.PromptTokens), c.gossip.reportDelay())
+	p.reserved = true
+}
+
+// end releases at now what newAttempt reserved and returns the number of path changes.
+func (a *attempt) end(now time.Time) int {
 	a.call.streams.remove(a)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ended = true
 	a.path.release(a.tokens)
+	if a.events > 0 && a.service.Engine != nil {
+		a.call.room(a.service.ID).recordStream(now.Sub(a.began), a.firstEventAt.Sub(a.began))
+	}
+	a.call.roomFreed()
 	return a.reroutes
 }
 
--- a/pkedge/call.go
+++ b/pkedge/call.go
@@ -61,6 +61,11 @@
 	longestGap  time.Duration
 	// reroutes counts the path changes of all attempts.
 	reroutes int
+	// waited is how long the request waited in queues for room, ahead the number of requests that it found there,
+	// requeued how often it came back from an engine that refused it.
+	waited   time.Duration
+	ahead    int
+	requeued int
 }
 
 // rejection is an error answer of the router itself.
@@ -100,7 +105,7 @@
 	}
 	c.log.Info("request", "request_id", c.req.Meta.ID, "digest", c.traits.Request.String(), "parts", c.req.Meta.SharedParts, "route", name, "kind", kind, "account", c.account,
 		"outcome", outcome, "sends", c.sends, "runs", c.runs, "ms", took.Milliseconds(), "config", c.version(), "path", c.path, "first_ms", c.firstEvent.Milliseconds(), "events", c.events, "pause_ms", c.longestGap.Milliseconds(),
-		"mended", c.reroutes, "relays", c.relays, "relayed_by", c.relayedBy(), "error", err)
+		"mended", c.reroutes, "relays", c.relays, "relayed_by", c.relayedBy(), "waited_ms", c.waited.Milliseconds(), "ahead", c.ahead, "requeued", c.requeued, "error", err)
 	switch {
 	case err == nil:
 	case c.headSent || rej == nil:
--- a/pkedge/choose.go
+++ b/pkedge/choose.go
@@ -73,6 +73,11 @@
 	// lastResort also allows targets that are avoided for a possibly transient failure, since the
 	// request would be refused otherwise.
 	lastResort bool
+	// queued is set for requests of a pool with a queue for room.
+	queued bool
+	// unreported is the number of other entries whose loads are not known yet, and which are assumed to use as
+	// much of each engine as this one.
+	unreported float64
 }
 
 // allows reports whether the path may use a target at now.
@@ -88,7 +93,7 @@
 	m := s.Engine
 	live := d.liveEngines(now, s.ID, m)
 	entries := d.senderCount(now, s.ID)
-	senders := equivalentSenders(live, entries)
+	senders := equivalentSenders(now, live, entries, q.queued)
 	share, limited := d.share(now), d.limits.Named() > 0 && !q.inPath
 	engines := make([]pklayers.Engine, 0, len(live))
 	for _, t := range live {
@@ -126,10 +131,16 @@
 }
 
 // equivalentSenders returns how many entries that send as much as this one make up all that send to a pool.
-func equivalentSenders(pool []*pkreplica.Target, entries int) float64 {
+// With settled set, requests that the other entries do not know of yet are left out, as theirs are not known here:
+// an entry that has just started would otherwise take itself for most of the senders.
+func equivalentSenders(now time.Time, pool []*pkreplica.Target, entries int, settled bool) float64 {
 	own, peers := 0, 0
 	for _, t := range pool {
-		own += t.OwnLoad().Requests
+		load := t.OwnLoad()
+		if settled && load.Tokens > 0 {
+			load.Requests = int(float64(load.Requests) * (1 - t.RecentMemory(now)/load.Tokens))
+		}
+		own += load.Requests
 		peers += t.PeerLoad().Requests
 	}
 	return pkreplica.EquivalentSenders(own, peers, entries)
@@ -183,6 +194,10 @@
 	}
 	capacity := m.KVCapacity(t.Kind, held) * float64(held)
 	used := t.ExpectedMemory(now, senders) + q.tokens*float64(held)
+	if q.unreported > 0 {
+		need, own := q.tokens*float64(held), t.OwnLoad().Tokens
+		used = t.PeerLoad().Tokens + (1+q.unreported)*(own+need) + t.RecentMemory(now)*max(senders-1-q.unreported, 0)
+	}
 	fill := used / capacity
 	if capacity <= 0 || fill > q.memoryShare {
 		return 0, false
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -105,6 +105,7 @@
 	// it.
 	nextAcquire time.Time
 	budgets     budgets
+	rooms       rooms
 	// loadsSummedAt is when the loads of the other entries were last summed.
 	loadsMu       sync.Mutex
 	loadsSummedAt time.Time
@@ -152,6 +153,7 @@
 	d.retry.Store(&s.Retry)
 	d.seeds.Store(&s.Seeds)
 	d.streams.wake = make(chan struct{}, 1)
+	d.rooms.wake = make(chan struct{}, 1)
 	d.refusalCauses = make(chan refusalCause, maxRefusalCauses)
 	d.suspected.pending = make(chan pendingSuspicion, maxPendingSuspicions)
 	d.metrics = newMetrics(d)
@@ -209,7 +211,7 @@
 		peers := &http.Server{Handler: d.peersHandler(inner), ReadHeaderTimeout: readHeaderTimeout}
 		g.Add(func() error { return untilDone(inner, peers.Serve(d.gossip.listener)) }, func(error) { _ = peers.Close() })
 	}
-	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.pollConfig, d.maintainLease, d.reconcilePools, d.sendToPeers, d.updateLoads, d.rerouteStreams, d.monitorEngines, d.pollPaces, d.logStoreCalls, d.detectCrashes, d.saveQuarantined, d.saveSuspects, d.checkRefusalCauses, d.confirmSuspicions, d.watchLinks, d.saveSize} {
+	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.pollConfig, d.maintainLease, d.reconcilePools, d.sendToPeers, d.updateLoads, d.rerouteStreams, d.monitorEngines, d.pollPaces, d.logStoreCalls, d.detectCrashes, d.saveQuarantined, d.saveSuspects, d.checkRefusalCauses, d.confirmSuspicions, d.watchLinks, d.saveSize, d.dispatchRooms} {
 		g.Add(func() error { loop(inner); return nil }, func(error) { cancel() })
 	}
 	return g.Run()
--- a/pkedge/gossip.go
+++ b/pkedge/gossip.go
@@ -244,9 +244,19 @@
 		}
 	}
 	loads := d.gossip.table.PeerLoads(now, d.entryCount(now), own)
+	reported := loads
+	if d.unreported(now) > 0 {
+		reported = d.gossip.table.PeerLoads(now, 0, own)
+	}
+	table := d.configs.Table()
 	for _, t := range all {
-		t.SetPeerLoad(loads[t.ID])
+		if d.queuesFor(table, t.Service) {
+			t.SetPeerLoad(reported[t.ID])
+		} else {
+			t.SetPeerLoad(loads[t.ID])
+		}
 	}
+	d.roomFreed()
 }
 
 // reportDelay returns how long it takes until all other entries know of a request.
--- a/pkedge/metrics.go
+++ b/pkedge/metrics.go
@@ -28,6 +28,9 @@
 	repeated      prometheus.Counter
 	storeRestores prometheus.Counter
 	firstEvent    prometheus.Histogram
+	// queueRefused counts the requests refused by the queues for room, queueWait how long requests waited there.
+	queueRefused *prometheus.CounterVec
+	queueWait    prometheus.Histogram
 }
 
 func newMetrics(d *Daemon) *metrics {
@@ -50,11 +53,16 @@
 			Name: "peridotknot_first_event_seconds", Help: "Time from a request to its first event.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 1.6, 16),
 		}),
+		queueRefused: counter("peridotknot_queue_refused_total", "Requests that the queues for room have refused, by cause.", "cause"),
+		queueWait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "peridotknot_queue_wait_seconds", Help: "Time that requests waited in queues for room, with those that did not wait.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+		}),
 	}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.requests, m.failed, m.orders, m.unusable, m.storeCalls, m.watchEnds, m.invalidHeaders, m.relayed, m.repeated, m.storeRestores, m.firstEvent,
+	m.registry.MustRegister(m.requests, m.failed, m.orders, m.unusable, m.storeCalls, m.watchEnds, m.invalidHeaders, m.relayed, m.repeated, m.storeRestores, m.firstEvent, m.queueRefused, m.queueWait,
 		gauge("peridotknot_config_version", "Version of the configuration in force.", func() float64 {
 			if t := d.configs.Table(); t != nil {
 				return float64(t.Version)
@@ -82,6 +90,7 @@
 		}),
 		gauge("peridotknot_owns_pools", "1 while this entry may order the engines of the pools.", func() float64 { return boolValue(d.ownsPools()) }),
 		gauge("peridotknot_engines_without_layers", "Engines that take requests and hold no layers.", func() float64 { return float64(d.emptyEngines(time.Now())) }),
+		gauge("peridotknot_waiting_requests", "Requests in the queues for room.", func() float64 { return float64(d.rooms.waiting.Load()) }),
 		gauge("peridotknot_active_requests", "Requests in progress.", func() float64 { return float64(d.active.Load()) }),
 	)
 	return m
--- a/pkedge/path.go
+++ b/pkedge/path.go
@@ -18,6 +18,8 @@
 	hops    []pkforward.Hop
 	// cost is the cost per token at the time of the choice.
 	cost time.Duration
+	// reserved is set if the load of the request is on the targets already.
+	reserved bool
 }
 
 func (p *targetPath) add(t *pkreplica.Target, stage pklayers.Stage) {
--- /dev/null
+++ b/pkedge/room_test.go
@@ -0,0 +1,231 @@
+package pkedge
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotknot.example/pkconfig"
+	"peridotknot.example/pkid"
+	"peridotknot.example/pklayers"
+	"peridotknot.example/pkstore"
+)
+
+// rankedConfig has routes of three priorities to one pool.
+func rankedConfig() pkconfig.Config {
+	route := func(name string, priority int) pkconfig.Route {
+		return pkconfig.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: pkconfig.Stream, Priority: priority, MaxAttempts: 2, Resumable: true,
+			LatencyObjective: 500 * time.Millisecond, GapObjective: 250 * time.Millisecond, Timeout: 20 * time.Second,
+			Services: []pkconfig.WeightedService{{Service: "models", Weight: 1}},
+		}
+	}
+	return pkconfig.Config{
+		Version: 1, Routes: []pkconfig.Route{route("urgent", 0), route("usual", 1), route("overnight", 2)},
+		Services: []pkconfig.Service{{ID: "models"}},
+	}
+}
+
+// queuedPool is a daemon with a queue for room, and a pool whose only engine has room for one request.
+type queuedPool struct {
+	*Daemon
+	service *pkconfig.Service
+	table   *pkconfig.Table
+	engine  pkid.TargetID
+	full    float64
+}
+
+func newQueuedPool(t *testing.T) *queuedPool {
+	t.Helper()
+	d, s := poolDaemon(engine("a", "home", 0, 80))
+	d.settings.DataCenter = "home"
+	s.Engine.Kinds["l4"] = pklayers.Accelerator{MemoryMB: 180_000, StepFactor: 16, PrefillFactor: 8.2}
+	d.metrics = newMetrics(d)
+	d.rooms.wake = make(chan struct{}, 1)
+	setRetryBudget(d, 9)
+	return &queuedPool{
+		Daemon: d, service: s, table: pkconfig.NewTable(rankedConfig(), pkstore.Item{}), engine: "a",
+		full: s.Engine.KVCapacity("l4", 80) * 80,
+	}
+}
+
+// fill takes the share of the engine's room until the function that it returns is called.
+func (p *queuedPool) fill(t *testing.T, share float64) (free func()) {
+	t.Helper()
+	target := p.target(t, p.engine)
+	target.Begin(time.Now().Add(-time.Minute), share*p.full, 0, time.Millisecond)
+	return func() {
+		target.Done(share * p.full)
+		p.roomFreed()
+	}
+}
+
+// call returns a request on a route that takes half of the engine's room.
+func (p *queuedPool) call(name string) *call {
+	route, _ := p.table.Route("h", "/"+name+"/")
+	c := &call{
+		Daemon: p.Daemon, r: httptest.NewRequest(http.MethodPost, "/", nil), table: p.table, route: route, service: p.service.ID,
+		began: time.Now(), deadline: time.Now().Add(20 * time.Second),
+	}
+	c.req.Meta.ID, c.req.Meta.PromptTokens = pkid.RequestID(name), pkid.Tokens(0.5*p.full/80)
+	return c
+}
+
+// wait has requests wait for a path in the background, and sends the name and the result of each.
+func (p *queuedPool) wait(ctx context.Context, out chan<- waitResult, c *call) {
+	go func() {
+		path, err := c.waitForPath(ctx, p.service)
+		out <- waitResult{c.route.Name, path, err, time.Since(c.began)}
+	}()
+	synctest.Wait()
+}
+
+type waitResult struct {
+	name string
+	path targetPath
+	err  error
+	took time.Duration
+}
+
+// Guards against giving freed room to whoever asks first: a burst of requests of low priority would keep urgent
+// ones waiting.
+func TestUrgentRequestGoesBeforeOthersThatWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newQueuedPool(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go p.dispatchRooms(ctx)
+		free := p.fill(t, 0.85)
+		out := make(chan waitResult, 3)
+		for _, name := range []string{"overnight", "usual", "urgent"} {
+			p.wait(ctx, out, p.call(name))
+			time.Sleep(time.Millisecond)
+		}
+		assert.Equal(t, p.rooms.waiting.Load(), int64(3))
+		time.Sleep(40 * time.Millisecond)
+		free()
+		synctest.Wait()
+		first := <-out
+		assert.NilError(t, first.err)
+		assert.Equal(t, first.name, "urgent")
+		assert.Equal(t, first.took, 41*time.Millisecond, "started as soon as there is room")
+		for _, name := range []string{"usual", "overnight"} {
+			first.path.release(p.call(first.name).estimatedTokens(p.service.Engine))
+			p.roomFreed()
+			synctest.Wait()
+			first = <-out
+			assert.NilError(t, first.err)
+			assert.Equal(t, first.name, name)
+		}
+		assert.Equal(t, p.rooms.waiting.Load(), int64(0))
+	})
+}
+
+// Guards against refusing a request that an engine has refused, and against letting it hold up others, while
+// the retry budget is spent for a moment.
+func TestRequestHeldByTheRetryBudgetKeepsItsTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newQueuedPool(t)
+		p.retry.Store(&Retry{WindowS: 1, Slack: 1.5 / 0.85})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go p.dispatchRooms(ctx)
+		out := make(chan waitResult, 2)
+		refused := p.call("urgent")
+		refused.delivered, refused.sends = 1, 1
+		assert.Assert(t, refused.chargeRetry(), "the last one in the window")
+		p.wait(ctx, out, refused)
+		p.wait(ctx, out, p.call("overnight"))
+		next := <-out
+		assert.NilError(t, next.err)
+		assert.Equal(t, next.name, "overnight")
+		next.path.release(p.call("overnight").estimatedTokens(p.service.Engine))
+		p.roomFreed()
+		next = <-out
+		assert.NilError(t, next.err)
+		assert.Equal(t, next.name, "urgent")
+		assert.Assert(t, next.took > 900*time.Millisecond && next.took < 1200*time.Millisecond, "%v", next.took)
+	})
+}
+
+// Guards against holding requests that cannot be served before their callers leave, and against sending all of
+// them away for the same time.
+func TestRequestWithoutRoomInTimeIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newQueuedPool(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go p.dispatchRooms(ctx)
+		p.fill(t, 0.9)
+		p.room("models").recordStream(3*time.Second, 40*time.Millisecond)
+		out := make(chan waitResult, 2)
+		p.wait(ctx, out, p.call("urgent"))
+		p.wait(ctx, out, p.call("urgent"))
+		p.wait(ctx, out, p.call("usual"))
+		got := <-out
+		var refused *queueRefusal
+		assert.Assert(t, errors.As(got.err, &refused))
+		assert.Equal(t, got.took, time.Duration(0))
+		assert.Equal(t, refused.cause, causeLate)
+		assert.Assert(t, refused.retryAfter >= refused.wait && refused.retryAfter <= refused.wait*3/2, "%v, wait %v", refused.retryAfter, refused.wait)
+		got = <-out
+		assert.Assert(t, errors.As(got.err, &refused))
+		assert.Equal(t, refused.cause, causeExpired)
+		assert.Assert(t, got.took >= 1900*time.Millisecond && got.took <= 2*time.Second, "%v", got.took)
+	})
+}
+
+// Guards against room that stays reserved for a caller that has left while its path was chosen, and against
+// requests in the queue whose callers have left.
+func TestCallerThatLeavesFreesItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newQueuedPool(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go p.dispatchRooms(ctx)
+		free := p.fill(t, 0.9)
+		out := make(chan waitResult, 1)
+		leaving, leave := context.WithCancel(ctx)
+		p.wait(leaving, out, p.call("urgent"))
+		leave()
+		got := <-out
+		assert.Assert(t, errors.Is(got.err, context.Canceled))
+		assert.Equal(t, p.rooms.waiting.Load(), int64(0))
+		free()
+		p.wait(ctx, out, p.call("usual"))
+		got = <-out
+		assert.NilError(t, got.err)
+		assert.Equal(t, p.target(t, p.engine).OwnLoad().Requests, 1)
+	})
+}
+
+// Guards against a queue for pools that do not call for one, which are served as before.
+func TestQueueIsUsedWhereRoutesDiffer(t *testing.T) {
+	p := newQueuedPool(t)
+	same := rankedConfig()
+	for i := range same.Routes {
+		same.Routes[i].Priority = 1
+	}
+	equal := pkconfig.NewTable(same, pkstore.Item{})
+	for _, row := range []struct {
+		mode  QueueMode
+		table *pkconfig.Table
+		want  bool
+	}{
+		{"", p.table, true},
+		{QueueAuto, p.table, true},
+		{QueueNever, p.table, false},
+		{"", equal, false},
+		{QueueAlways, equal, true},
+		{QueueAlways, nil, false},
+	} {
+		p.settings.Queue.Mode = row.mode
+		assert.Equal(t, p.queues(row.table, p.service), row.want, "%+v", row.mode)
+	}
+}
--- a/pkedge/settings.go
+++ b/pkedge/settings.go
@@ -30,6 +30,7 @@
 	MemoryMB int   `yaml:"memory_mb"`
 	Stop     Stop  `yaml:"stop"`
 	Retry    Retry `yaml:"retry"`
+	Queue    Queue `yaml:"queue"`
 }
 
 // Listen holds the addresses that a daemon listens on.
@@ -55,11 +56,40 @@
 	Slack   float64 `yaml:"slack"`
 }
 
+// QueueMode says for which pools of engines requests are queued for room.
+type QueueMode string
+
+// Modes of the queue for room.
+const (
+	// QueueAuto queues for pools whose routes for streams declare different priorities.
+	QueueAuto   QueueMode = "auto"
+	QueueAlways QueueMode = "always"
+	QueueNever  QueueMode = "never"
+)
+
+// Queue configures the queues in which streams wait for room in a pool of engines.
+type Queue struct {
+	// Mode is QueueAuto if it is empty.
+	Mode QueueMode `yaml:"mode"`
+	// MaxWaiting bounds the requests that wait for a pool at this entry; zero means
+	// pkqueue.DefaultMaxWaiting.
+	MaxWaiting int `yaml:"max_waiting"`
+}
+
 // limits returns the limits of an entry that has started at the given time.
 func (r Retry) limits(s pkrate.Share, started time.Time) pkretry.Limits {
 	return pkretry.Limits{Ratio: r.Ratio, Slack: r.Slack, Window: seconds(r.WindowS), Share: s, Started: started}
 }
 
+func (q Queue) valid() bool {
+	switch q.Mode {
+	case "", QueueAuto, QueueAlways, QueueNever:
+		return true
+	default:
+		return false
+	}
+}
+
 // placeOf returns the place of an entry, from 0 to 1, in the order in which entries take turns.
 func placeOf(self pkid.EntryID) float64 {
 	digest := sha256.Sum256([]byte(self))
@@ -86,5 +116,7 @@
 	c.Require(s.Retry.Ratio >= 0, "retry.ratio must not be below 0", "retry", "ratio")
 	c.Require(s.Retry.WindowS > 0, "retry.window_s must be over 0", "retry", "window_s")
 	c.Require(s.Retry.Slack >= 0, "retry.slack must not be below 0", "retry", "slack")
+	c.Require(s.Queue.valid(), "queue.mode must be auto, always or never", "queue", "mode")
+	c.Require(s.Queue.MaxWaiting >= 0, "queue.max_waiting must not be below 0", "queue", "max_waiting")
 	return s, c.Err()
 }
--- a/pkedge/shortage.go
+++ b/pkedge/shortage.go
@@ -27,7 +27,7 @@
 	m := s.Engine
 	all := make([]shortage, m.Layers)
 	live := d.liveEngines(now, s.ID, m)
-	senders := equivalentSenders(live, d.senderCount(now, s.ID))
+	senders := equivalentSenders(now, live, d.senderCount(now, s.ID), q.queued)
 	for _, t := range live {
 		_, hasCapacity := layerCost(now, m, t, q, senders, d.memoryPenalty)
 		avoided := !q.allows(now, t)
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -53,8 +53,9 @@
 	verdict := pkverdict.NotRun
 	var cause error
 	state := streamState{lastEventID: c.resumeAfter()}
+	queued := c.queues(c.table, s)
 	for c.sends < maxSends && ctx.Err() == nil {
-		if !c.maySend(verdict) && !c.waitForBudget(ctx, verdict) {
+		if !c.maySendStream(ctx, queued, verdict) {
 			break
 		}
 		result := c.sendStream(ctx, s, verdict, &state)
@@ -72,12 +73,24 @@
 	if verdict == pkverdict.NotRun && errors.Is(cause, errProbation) {
 		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterProbation, reason: "probation"}
 	}
+	if rej := queueRejection(cause); rej != nil && verdict == pkverdict.NotRun {
+		return rej
+	}
 	if verdict == pkverdict.NotRun && ctx.Err() == nil && errors.Is(cause, errNoCapacity) {
 		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterFull, reason: "full"}
 	}
 	return c.finalError(ctx, verdict, cause)
 }
 
+// maySendStream reports whether another send is allowed, and charges a retry to the retry budget. Requests that
+// are queued for room are charged for a retry when their turn comes.
+func (c *call) maySendStream(ctx context.Context, queued bool, verdict pkverdict.Verdict) bool {
+	if queued && !c.links.Impaired(c.service) {
+		return c.delivered == 0 || c.mayRetry(verdict)
+	}
+	return c.maySend(verdict) || c.waitForBudget(ctx, verdict)
+}
+
 // sendStream sends a request for a stream over a path, or passes it on if this entry is cut off; verdict
 // is that of the sends before.
 func (c *call) sendStream(ctx context.Context, s *pkconfig.Service, verdict pkverdict.Verdict, state *streamState) sendResult {
@@ -90,7 +103,9 @@
 	}
 	p, err := c.waitForPath(ctx, s)
 	if err == nil {
-		err = c.admitSuspect(time.Now())
+		if err = c.admitSuspect(time.Now()); err != nil && p.reserved {
+			p.release(c.estimatedTokens(s.Engine))
+		}
 	}
 	if err != nil {
 		return sendResult{verdict: verdict, last: true, err: err}
@@ -145,9 +160,12 @@
 // errNoCapacity is returned if no path has enough capacity for a request.
 var errNoCapacity = errors.New("no path has enough capacity")
 
-// waitForPath returns a path for the request. If none has enough capacity it waits up to
-// capacityTimeout, or resumeTimeout if the answer has started.
+// waitForPath returns a path for the request. If none has enough capacity it waits in the queue of the
+// pool, or if the pool has none up to capacityTimeout, or resumeTimeout if the answer has started.
 func (c *call) waitForPath(ctx context.Context, s *pkconfig.Service) (targetPath, error) {
+	if c.queues(c.table, s) {
+		return c.waitInQueue(ctx, s)
+	}
 	tick := time.NewTicker(capacityPollInterval)
 	defer tick.Stop()
 	until := time.Now().Add(capacityTimeout)
@@ -235,7 +253,7 @@
 	a := c.newAttempt(time.Now(), s, p, cancel)
 	defer func() {
 		a.recordFailure(time.Now(), err)
-		c.reroutes += a.end()
+		c.reroutes += a.end(time.Now())
 		c.charged = a.charged.Load()
 	}()
 	watch := c.startWatchdog(ctx, a)
--- a/pkreplica/target.go
+++ b/pkreplica/target.go
@@ -125,6 +125,14 @@
 	return t.tokens + t.peerLoad.Tokens + t.decayedRecent(now)*(senders-1)
 }
 
+// RecentMemory returns the memory that this entry's requests will hold which the other entries do not know of
+// yet, in tokens times layers.
+func (t *Target) RecentMemory(now time.Time) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return min(t.decayedRecent(now), t.tokens)
+}
+
 // PeerLoad returns the load of all other entries.
 func (t *Target) PeerLoad() Load {
 	t.mu.Lock()
--- a/pkshare/population.go
+++ b/pkshare/population.go
@@ -51,6 +51,22 @@
 	return len(localIDs), all
 }
 
+// ReportingCount returns the number of other entries whose loads are known at now.
+func (t *Table) ReportingCount(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if global := t.globalSum(now); global != nil {
+		return global.Entries - 1
+	}
+	sums := t.remoteSums(now)
+	n := 0
+	t.forEachDirect(now, sums, func(*peer) { n++ })
+	for _, p := range sums {
+		n += p.sum.Entries
+	}
+	return n
+}
+
 // Candidates returns the entries of a data centre that should be registered in the store: the
 // preferred ones of those that are registered or heard from at now. Hubs appoint them, since the
 // other entries do not know of one another and would all take the place of one that has left.
