pkwarmup: entries without reports keep to the room of a target

Change: the weight is whole until SilentAfter while nobody reports, and falls linearly while some do. MayStart lets the entries with the lowest places start one request where a part is below one. Part takes loads below zero or not a number as the safer of the two readings.

Conclusion: entries without reports keep to the room until silence has lasted 1.5 s.

--- a/pkwarmup/part.go
+++ b/pkwarmup/part.go
@@ -17,13 +17,39 @@
 
 // Unreported returns the number of entries, not an integer, that are assumed to use as much room as
 // this one and whose loads are not known.
+//
+// After a power cut all of 69 entries start within 0.4 s and receive 1,574 streams in 2 s, while the
+// first loads take 0.45 s through the hubs. Until then entries that counted only on what they know
+// would each fill the same targets. An entry that stays silent while others report is probably down,
+// so its weight falls linearly and is zero from SilentAfter on. While nobody reports, silence says
+// nothing of a single entry, since a hub may be what fails: the weight is whole until SilentAfter.
+// With a weight that fell without reports, the replayed entries sent 129 to 134 requests to a target
+// that has room for 108.
 func (f Fleet) Unreported() float64 {
+	others := max(float64(f.Entries-1-f.Reporting), 0)
 	left := 1 - float64(f.Uptime)/float64(SilentAfter)
-	return max(float64(f.Entries-1-f.Reporting), 0) * min(max(left, 0), 1)
+	if f.Reporting <= 0 && left > 0 {
+		left = 1
+	}
+	return others * min(max(left, 0), 1)
 }
 
-// Part returns how much of a target's room an entry may use if others have reported that they use
-// some of it.
+// Part returns how much of a target's room an entry may use, with what it uses already, if others
+// have reported that they use some of it. The rest is left to the entries that have not reported,
+// which are assumed to use as much as this one: the loads of the others are not known yet after a
+// start of all entries.
 func Part(room, reported, unreported float64) float64 {
-	return max(room-reported, 0) / (1 + max(unreported, 0))
+	free := room - max(reported, 0)
+	if !(free > 0) { // also if a load is not a number
+		return 0
+	}
+	return free / (1 + max(unreported, 0))
+}
+
+// MayStart reports whether an entry that uses none of a target may start one request there that
+// needs some of its room. Where there are more entries than the target has room for requests, none
+// could start one by its part alone; those whose place is low enough for the room then start one.
+// Places range from 0 to 1 and are spread evenly over the entries.
+func MayStart(part, need, place float64) bool {
+	return part >= need || max(place, 0)*need < part
 }
