pkedge: a starting entry takes turns at targets without reports

An entry whose own requests are unknown to the others keeps to its part of a target; where that is less than one request, entries take turns.

--- a/pkedge/choose.go
+++ b/pkedge/choose.go
@@ -76,8 +76,9 @@
 	// queued is set for requests of a pool with a queue for room.
 	queued bool
 	// unreported is the number of other entries whose loads are not known yet, and which are assumed to use as
-	// much of each engine as this one.
+	// much of each engine as this one; place is that of this entry among them.
 	unreported float64
+	place      float64
 }
 
 // allows reports whether the path may use a target at now.
@@ -194,9 +195,8 @@
 	}
 	capacity := m.KVCapacity(t.Kind, held) * float64(held)
 	used := t.ExpectedMemory(now, senders) + q.tokens*float64(held)
-	if q.unreported > 0 {
-		need, own := q.tokens*float64(held), t.OwnLoad().Tokens
-		used = t.PeerLoad().Tokens + (1+q.unreported)*(own+need) + t.RecentMemory(now)*max(senders-1-q.unreported, 0)
+	if q.unreported > 0 && !q.mayStart(now, t, senders, q.memoryShare*capacity, q.tokens*float64(held)) {
+		return 0, false
 	}
 	fill := used / capacity
 	if capacity <= 0 || fill > q.memoryShare {
--- a/pkedge/room.go
+++ b/pkedge/room.go
@@ -278,7 +278,7 @@
 	if sends == 0 {
 		q.memoryShare -= c.reservedShare(now, s, it)
 	}
-	q.queued, q.unreported = true, c.unreported(now)
+	q.queued, q.unreported, q.place = true, c.unreported(now), c.placeAt(now)
 	return q
 }
 
@@ -364,12 +364,13 @@
 		r.held = append(r.held, w)
 		return waiting
 	}
+	ahead := r.ahead(now, w)
 	r.enqueue(now, w)
 	r.admitAll(now)
 	if len(w.result) > 0 || w.ticket == 0 || w.item.Started {
 		return waiting
 	}
-	if wait, known := r.estimate(now, w); known && now.Add(wait).After(w.item.Latest) && r.queue.Remove(w.ticket) {
+	if wait, known := r.estimate(now, w, ahead); known && now.Add(wait).After(w.item.Latest) && r.queue.Remove(w.ticket) {
 		r.finish(w, admission{err: r.refusal(now, w, causeLate)})
 	}
 	return waiting
@@ -390,15 +391,22 @@
 	return true
 }
 
-// estimate returns how long a request will wait from now, and whether that is known.
-func (r *room) estimate(now time.Time, w *waiter) (time.Duration, bool) {
-	d, m, it := w.c.Daemon, w.service.Engine, w.item
-	ahead := r.queue.Ahead(now, it)
-	for _, level := range d.othersDemand(now, w.service.ID) {
-		if level.Priority <= it.Priority {
-			ahead += level.Tokens
+// ahead returns the tokens of the requests that go at now before one that is not in the queue, here and at
+// other entries.
+func (r *room) ahead(now time.Time, w *waiter) float64 {
+	sum := r.queue.Ahead(now, w.item)
+	for _, level := range w.c.othersDemand(now, w.service.ID) {
+		if level.Priority <= w.item.Priority {
+			sum += level.Tokens
 		}
 	}
+	return sum
+}
+
+// estimate returns how long a request that the given tokens go before will wait from now, and whether that is
+// known.
+func (r *room) estimate(now time.Time, w *waiter, ahead float64) (time.Duration, bool) {
+	d, m := w.c.Daemon, w.service.Engine
 	turnover := pkqueue.Turnover{Duration: r.duration}
 	for _, t := range d.liveEngines(now, w.service.ID, m) {
 		turnover.InFlight += (t.OwnLoad().Tokens + t.PeerLoad().Tokens) / float64(m.Layers)
@@ -414,7 +422,7 @@
 // refusal returns the error for a request that is refused at now.
 func (r *room) refusal(now time.Time, w *waiter, cause string) error {
 	it := w.item
-	wait, _ := r.estimate(now, w)
+	wait, _ := r.estimate(now, w, r.ahead(now, w))
 	out := &queueRefusal{cause: cause, wait: wait, retryAfter: pkqueue.RetryAfter(wait, w.c.deadline.Sub(now), rand.Float64())}
 	w.c.metrics.queueRefused.WithLabelValues(cause).Inc()
 	w.c.log.Info("request refused for lack of room", "request_id", w.c.req.Meta.ID, "account", it.Account, "priority", it.Priority, "rank", it.Rank,
