pkqueue: the order, fair share and bound of requests that wait

The package held its interface with a list in order of arrival, which ignores urgency, accounts and the bound.

Requests are kept by class (started, in time, late; priority; rank), within a class by account, and within an account by objective or arrival. Accounts are ordered by admitted tokens that decay with 5 s; the last in order is found by the usage of an account plus what it has waiting, so that the start of a burst of one account is dropped rather than what small accounts have waiting. One in eight admissions goes to the request that has waited longest.

--- a/pkqueue/queue.go
+++ b/pkqueue/queue.go
@@ -1,6 +1,7 @@
 package pkqueue
 
 import (
+	"math"
 	"time"
 
 	"peridotknot.example/pkid"
@@ -52,69 +53,267 @@
 	Tokens   float64
 }
 
-// Queue holds the requests that wait for room in a pool; the zero value is empty. It is not safe for
-// concurrent use.
+const (
+	// agedEvery is the number of admissions of which at least one goes to the request that has
+	// waited longest.
+	agedEvery = 8
+	// maxHeads bounds the candidates for one admission; copying those of all 300 classes would take
+	// longer than the rest of a decision.
+	maxHeads = 16
+	// maxTokens is the largest length of a request that is believed.
+	maxTokens = 1e9
+)
+
+// Queue holds the requests that wait for capacity of a pool; the zero value is empty. It is not
+// safe for concurrent use. Its time is the latest that any method was given and never goes back.
 type Queue[T any] struct {
 	Limits Limits
-	last   Ticket
-	all    []Waiting[T]
+
+	inUse     bool
+	base      time.Time
+	now       time.Duration // since base, as all times of entries
+	reference time.Duration // of scaled usage
+	decay     float64       // from scaled usage to tokens at now
+	last      Ticket
+	waiting   map[Ticket]*entry[T]
+	classes   [nClasses]*class[T]
+	nonEmpty  [(nClasses + 63) / 64]uint64 // bit set of the classes with requests
+	times     [entrySlots]heap[time.Duration, *entry[T]]
+	expired   []*entry[T]
+	accounts  map[pkid.AccountID]*account[T]
+	sweepAt   int
+	notAged   int // admissions since that of the request that had waited longest
 }
 
 // Push adds a request at now and returns the requests that are dropped for lack of space, which may
 // be the new one.
-func (q *Queue[T]) Push(_ time.Time, it Item, value T) (Ticket, []Waiting[T]) {
+//
+// It addresses bursts of 1.5 to 2.6 times the usual load while a tenth of the capacity is lost: the
+// last in order is dropped, not whichever request arrives while the queue is full.
+func (q *Queue[T]) Push(now time.Time, it Item, value T) (Ticket, []Waiting[T]) {
+	q.advance(now)
+	it = checked(it, now)
 	q.last++
-	q.all = append(q.all, Waiting[T]{Ticket: q.last, Item: it, Value: value})
-	return q.last, nil
+	e := &entry[T]{
+		Waiting:   Waiting[T]{Ticket: q.last, Item: it, Value: value},
+		objective: q.since(it.Objective),
+		latest:    q.since(it.Latest),
+		arrived:   q.since(it.Arrived),
+	}
+	q.waiting[e.Ticket] = e
+	if !it.Latest.IsZero() && e.latest < q.now {
+		q.expire(e)
+	} else {
+		q.place(e, q.account(it.Account))
+		q.times[slotArrived].insert(e.arrived, e)
+		if !it.Latest.IsZero() {
+			q.times[slotLatest].insert(e.latest, e)
+		}
+	}
+	var dropped []Waiting[T]
+	for len(q.waiting) > q.bound() {
+		last := q.lastEntry()
+		q.take(last)
+		dropped = append(dropped, last.Waiting)
+	}
+	return e.Ticket, dropped
+}
+
+func (q *Queue[T]) bound() int {
+	if q.Limits.MaxWaiting > 0 {
+		return q.Limits.MaxWaiting
+	}
+	return DefaultMaxWaiting
+}
+
+// checked replaces values of a request that are out of range.
+func checked(it Item, now time.Time) Item {
+	it.Priority = min(max(it.Priority, 0), levels-1)
+	it.Rank = min(max(it.Rank, 0), levels-1)
+	if it.Arrived.IsZero() || it.Arrived.After(now) {
+		it.Arrived = now
+	}
+	if !(it.Tokens > 0) || math.IsInf(it.Tokens, 1) {
+		it.Tokens = 0
+	}
+	it.Tokens = min(it.Tokens, maxTokens)
+	return it
+}
+
+// since returns a time as the queue keeps it; the zero time is before all others.
+func (q *Queue[T]) since(t time.Time) time.Duration {
+	if t.IsZero() {
+		return math.MinInt64
+	}
+	return t.Sub(q.base)
+}
+
+// take removes an entry from the queue.
+func (q *Queue[T]) take(e *entry[T]) {
+	delete(q.waiting, e.Ticket)
+	if e.flow != nil {
+		q.unlink(e)
+		return
+	}
+	end := len(q.expired) - 1
+	i := e.pos[slotLatest]
+	q.expired[i] = q.expired[end]
+	q.expired[i].pos[slotLatest] = i
+	q.expired[end] = nil
+	q.expired = q.expired[:end]
 }
 
 // Remove takes a request out, and reports whether it was waiting.
 func (q *Queue[T]) Remove(t Ticket) bool {
-	for i := range q.all {
-		if q.all[i].Ticket == t {
-			q.all = append(q.all[:i], q.all[i+1:]...)
-			return true
-		}
+	e := q.waiting[t]
+	if e == nil {
+		return false
 	}
-	return false
+	q.take(e)
+	return true
 }
 
-// Heads returns the first request at now of each class that may be started next, the best first.
-func (q *Queue[T]) Heads(time.Time) []Waiting[T] {
-	if len(q.all) == 0 {
+// Heads returns the first request at now of each class that may be started next, the best first; a
+// class is what has the same phase (started, in time, late), priority and rank.
+//
+// It addresses a large account's burst beside small accounts, and loads of urgent requests that
+// exceed the capacity: the request that has waited longest is first for one in eight admissions.
+func (q *Queue[T]) Heads(now time.Time) []Waiting[T] {
+	q.advance(now)
+	if q.times[slotArrived].len() == 0 {
 		return nil
 	}
-	return append([]Waiting[T](nil), q.all[0])
+	var found [maxHeads]*entry[T]
+	n := 0
+	if q.notAged >= agedEvery-1 {
+		_, found[0] = q.times[slotArrived].first()
+		n++
+	}
+	for c := q.nextClass(0); c != nil && n < maxHeads; c = q.nextClass(c.index + 1) {
+		_, f := c.next.first()
+		if e := f.head(); e != found[0] {
+			found[n] = e
+			n++
+		}
+	}
+	heads := make([]Waiting[T], n)
+	for i, e := range found[:n] {
+		heads[i] = e.Waiting
+	}
+	return heads
 }
 
-// Admit takes a request out to start it at now, and reports whether it was waiting.
-func (q *Queue[T]) Admit(_ time.Time, t Ticket) bool { return q.Remove(t) }
+// Admit takes a request out to start it at now, counts it for its account, and reports whether it
+// was waiting.
+func (q *Queue[T]) Admit(now time.Time, t Ticket) bool {
+	q.advance(now)
+	e := q.waiting[t]
+	if e == nil {
+		return false
+	}
+	q.notAged++
+	if aged := &q.times[slotArrived]; aged.len() > 0 {
+		if _, oldest := aged.first(); oldest == e {
+			q.notAged = 0
+		}
+	}
+	a := q.account(e.Item.Account)
+	q.take(e)
+	q.charge(a, e.cost())
+	return true
+}
 
 // Expire takes out and returns the requests that are of no use any more at now.
 func (q *Queue[T]) Expire(now time.Time) []Waiting[T] {
-	var out, kept []Waiting[T]
-	for _, w := range q.all {
-		if !w.Item.Latest.IsZero() && now.After(w.Item.Latest) {
-			out = append(out, w)
-		} else {
-			kept = append(kept, w)
-		}
+	q.advance(now)
+	if len(q.expired) == 0 {
+		return nil
+	}
+	out := make([]Waiting[T], len(q.expired))
+	for i, e := range q.expired {
+		delete(q.waiting, e.Ticket)
+		out[i] = e.Waiting
 	}
-	q.all = kept
+	q.expired = nil
 	return out
 }
 
-// Ahead returns the tokens of the waiting requests that go before a request at now.
-func (q *Queue[T]) Ahead(time.Time, Item) float64 {
+// Ahead returns the tokens of the waiting requests that go before a request that arrives at now.
+//
+// It is exact for other classes and for the request's account. Of other accounts in its class it
+// counts what brings their usage to that at which the request has its turn.
+func (q *Queue[T]) Ahead(now time.Time, it Item) float64 {
+	q.advance(now)
+	it = checked(it, now)
+	objective := q.since(it.Objective)
+	index := q.classIndex(it, objective)
+	sum := 0.0
+	c := q.nextClass(0)
+	for ; c != nil && c.index < index; c = q.nextClass(c.index + 1) {
+		sum += c.tokens
+	}
+	if c == nil || c.index != index {
+		return sum
+	}
+	e := &entry[T]{Waiting: Waiting[T]{Ticket: math.MaxUint64, Item: it}}
+	e.key = orderKey(index, objective, q.since(it.Arrived))
+	turn := 0.0
+	var own *flow[T]
+	if a := q.accounts[it.Account]; a != nil {
+		turn = a.usage * q.decay
+		if own = a.flow(c); own != nil {
+			tokens, cost := own.ahead(own.find(e))
+			sum += tokens
+			turn += cost
+		}
+	}
+	return sum + c.before(e, own, turn, q.decay)
+}
+
+// before returns the tokens of the flows of a class other than own that go before an entry whose
+// turn is at the given usage.
+func (c *class[T]) before(e *entry[T], own *flow[T], turn, decay float64) float64 {
+	flows := c.next.nodes
+	step := (len(flows) + maxExact - 1) / maxExact
 	sum := 0.0
-	for _, w := range q.all {
-		sum += w.Item.Tokens
+	for i := 0; i < len(flows); i += step {
+		f := flows[i].elem
+		if f == own {
+			continue
+		}
+		gap := turn - flows[i].key*decay
+		if gap > 0 || gap == 0 && f.head().before(e) {
+			sum += min(f.tokens, max(gap, f.head().Item.Tokens))
+		}
 	}
-	return sum
+	return sum * float64(step)
 }
 
 // Len returns the number of waiting requests.
-func (q *Queue[T]) Len() int { return len(q.all) }
+func (q *Queue[T]) Len() int { return len(q.waiting) }
 
-// Demand returns what waits at now and can still be in time, by priority.
-func (q *Queue[T]) Demand(time.Time) []Level { return nil }
+// Demand returns what waits at now and can still be in time, or has started, by priority.
+func (q *Queue[T]) Demand(now time.Time) []Level {
+	q.advance(now)
+	var sums [levels]Level
+	n := 0
+	for c := q.nextClass(0); c != nil && c.phase() < phaseLate; c = q.nextClass(c.index + 1) {
+		sum := &sums[c.priority()]
+		if sum.Requests == 0 {
+			n++
+		}
+		sum.Requests += c.requests
+		sum.Tokens += c.tokens
+	}
+	if n == 0 {
+		return nil
+	}
+	demand := make([]Level, 0, n)
+	for priority, sum := range sums {
+		if sum.Requests > 0 {
+			sum.Priority = priority
+			demand = append(demand, sum)
+		}
+	}
+	return demand
+}
