pkretry, pkedge: a request that the retry budget cannot let through in time is refused at once

The budget tells when it will allow a retry; a request beyond that is refused as not run, since its caller's next request needs no budget.

--- a/pkedge/room.go
+++ b/pkedge/room.go
@@ -185,16 +185,26 @@
 	r.held = nil
 	for _, w := range held {
 		switch {
-		case now.After(w.item.Latest):
-			r.finish(w, admission{err: r.refusal(now, w, causeBudget)})
 		case w.c.hasRetry(now):
 			r.enqueue(now, w)
 		default:
-			r.held = append(r.held, w)
+			r.hold(now, w)
 		}
 	}
 }
 
+// hold keeps a request out of the queue until the retry budget allows another send, or refuses it at once if
+// that will not be in time. Its caller may come back sooner, since the budget does not limit new requests.
+func (r *room) hold(now time.Time, w *waiter) {
+	c := w.c
+	_, inTime := c.budgets.of(c.service).RetryWait(now, c.retryLimits(now), w.item.Latest.Sub(now))
+	if !inTime && (!w.item.Started || now.After(w.item.Latest)) {
+		r.finish(w, admission{err: r.refusal(now, w, causeBudget)})
+		return
+	}
+	r.held = append(r.held, w)
+}
+
 // enqueue adds a request to the queue at now.
 func (r *room) enqueue(now time.Time, w *waiter) {
 	if r.queue.Len() == 0 {
@@ -232,7 +242,7 @@
 		if w.c.delivered > 0 && !w.c.chargeRetry() {
 			r.queue.Remove(w.ticket)
 			w.ticket = 0
-			r.held = append(r.held, w)
+			r.hold(now, w)
 			return true
 		}
 		if !w.c.takePermit(now, p.first()) {
@@ -361,7 +371,7 @@
 	waiting = r.queue.Len() + len(r.held)
 	w.c.rooms.waiting.Add(1)
 	if w.c.delivered > 0 && !w.c.hasRetry(now) {
-		r.held = append(r.held, w)
+		r.hold(now, w)
 		return waiting
 	}
 	ahead := r.ahead(now, w)
--- a/pkretry/budget.go
+++ b/pkretry/budget.go
@@ -106,6 +106,23 @@
 	return b.allows(now, l, retries)
 }
 
+// retryWaitStep is the precision of RetryWait.
+const retryWaitStep = 100 * time.Millisecond
+
+// RetryWait returns how long from now it takes until the budget allows a retry if none is made meanwhile, and
+// whether that is within the given time.
+func (b *Budget) RetryWait(now time.Time, l Limits, within time.Duration) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for wait := time.Duration(0); wait <= within; wait += retryWaitStep {
+		at := now.Add(wait)
+		if b.usageOf(at, l, b.number(at, l)).allows(at, l, 1) {
+			return wait, true
+		}
+	}
+	return 0, false
+}
+
 // Usage returns what the budget counts in the window that ends at now.
 func (b *Budget) Usage(now time.Time, l Limits) Usage {
 	b.mu.Lock()
@@ -114,7 +131,10 @@
 }
 
 func (b *Budget) allows(now time.Time, l Limits, n int) bool {
-	u := b.usage(now, l)
+	return b.usage(now, l).allows(now, l, n)
+}
+
+func (u Usage) allows(now time.Time, l Limits, n int) bool {
 	if u.Allowed < 1 && n == 1 {
 		return u.Retries == 0 && l.hasTurn(now, u.Allowed)
 	}
@@ -122,10 +142,14 @@
 }
 
 func (b *Budget) usage(now time.Time, l Limits) Usage {
-	current := b.bucket(now, l)
+	return b.usageOf(now, l, b.bucket(now, l).number)
+}
+
+// usageOf returns what the budget counts in the window that ends at now with the bucket of the given number.
+func (b *Budget) usageOf(now time.Time, l Limits, current int64) Usage {
 	var u Usage
 	for i := range b.buckets {
-		age := current.number - b.buckets[i].number
+		age := current - b.buckets[i].number
 		if age < bucketCount {
 			u.Requests += b.buckets[i].requests
 		}
@@ -150,15 +174,18 @@
 
 // bucket returns the current bucket.
 func (b *Budget) bucket(now time.Time, l Limits) *bucket {
-	length := max(l.Window/bucketCount, time.Millisecond)
 	if b.began.IsZero() {
 		b.began = now
 	}
-	// Buckets are numbered from one, since a zero bucket is unused.
-	number := 1 + int64(max(now.Sub(b.began), 0)/length)
+	number := b.number(now, l)
 	current := &b.buckets[number%keptBuckets]
 	if current.number != number {
 		*current = bucket{number: number}
 	}
 	return current
 }
+
+// number returns the number of the bucket at now; buckets are numbered from one, since a zero bucket is unused.
+func (b *Budget) number(now time.Time, l Limits) int64 {
+	return 1 + int64(max(now.Sub(b.began), 0)/max(l.Window/bucketCount, time.Millisecond))
+}
--- a/pkretry/budget_test.go
+++ b/pkretry/budget_test.go
@@ -78,3 +78,32 @@
 		assert.Assert(t, spent <= 20, "%d retries in 9.5 s, limit is 20", spent)
 	}
 }
+
+// Guards against holding a request for a retry that the budget will not allow in time, and against giving up on
+// one that it will: the wait must be when a retry is allowed if none is made meanwhile.
+func TestRetryWaitIsWhenARetryIsAllowed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_000_000, 0)
+		limits := Limits{Ratio: 0.2, Slack: 40, Window: 10 * time.Second, Share: pkrate.Share{Entries: rapid.IntRange(1, 8).Draw(t, "entries")}}
+		if rapid.Bool().Draw(t, "starting") {
+			limits.Started = now
+		}
+		var b Budget
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			b.RecordRequest(now, limits)
+			b.TryRetry(now, limits)
+		}
+		within := time.Duration(rapid.IntRange(0, 12_000).Draw(t, "within")) * time.Millisecond
+		wait, found := b.RetryWait(now, limits, within)
+		if !found {
+			wait = within + retryWaitStep
+		}
+		for early := time.Duration(0); early < wait && early <= within; early += retryWaitStep {
+			assert.Assert(t, !b.HasRetries(now.Add(early), limits, 1), "after %v, %v was told", early, wait)
+		}
+		if found {
+			assert.Assert(t, b.HasRetries(now.Add(wait), limits, 1), "after %v", wait)
+		}
+	})
+}
