pkedge: requests leave room for more urgent ones that wait at other entries

A queue that had been empty also waits for its dispatcher now: a request that came between the dispatcher's look at the number of waiting requests and its wait for an event stayed until the next event (found by synctest).

--- a/pkedge/room.go
+++ b/pkedge/room.go
@@ -307,9 +307,6 @@
 	return pkqueue.Reserved(demands, it.Priority, room/float64(s.Engine.Layers))
 }
 
-// othersDemand returns what waits at now for room in a pool at other entries.
-func (d *Daemon) othersDemand(time.Time, pkid.ServiceID) []pkqueue.Level { return nil }
-
 // queueItem describes the request for the queue of a pool.
 func (c *call) queueItem(now time.Time, s *pkconfig.Service, r *room) pkqueue.Item {
 	objective := c.route.LatencyObjective
@@ -369,7 +366,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	waiting = r.queue.Len() + len(r.held)
-	w.c.rooms.waiting.Add(1)
+	if w.c.rooms.waiting.Add(1) == 1 {
+		defer w.c.roomFreed() // the dispatcher looks at intervals only while requests wait
+	}
 	if w.c.delivered > 0 && !w.c.hasRetry(now) {
 		r.hold(now, w)
 		return waiting
@@ -441,6 +440,13 @@
 	return out
 }
 
+// demand returns what waits in the queue at now and can still be in time, by priority.
+func (r *room) demand(now time.Time) []pkqueue.Level {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.queue.Demand(now)
+}
+
 // recordStream records how long a stream took, and to its first event.
 func (r *room) recordStream(duration, firstEvent time.Duration) {
 	r.mu.Lock()
--- a/pkedge/room_test.go
+++ b/pkedge/room_test.go
@@ -14,6 +14,7 @@
 	"peridotknot.example/pkconfig"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pklayers"
+	"peridotknot.example/pkshare"
 	"peridotknot.example/pkstore"
 )
 
@@ -229,3 +230,28 @@
 		assert.Equal(t, p.queues(row.table, p.service), row.want, "%+v", row.mode)
 	}
 }
+
+// Guards against taking room at one entry for requests of low priority while urgent ones wait at another.
+func TestRequestLeavesRoomForMoreUrgentOnesElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newQueuedPool(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go p.dispatchRooms(ctx)
+		p.fill(t, 0.3)
+		p.receiveMessage(time.Now(), pkshare.Message{From: "other", Addr: "other", Sequence: 1, Demands: []pkshare.Demand{
+			{Service: "models", Priority: 0, Requests: 20, Tokens: float32(0.25 * p.full / 80)},
+		}})
+		out := make(chan waitResult, 2)
+		p.wait(ctx, out, p.call("overnight"))
+		assert.Equal(t, p.rooms.waiting.Load(), int64(1))
+		p.wait(ctx, out, p.call("urgent"))
+		got := <-out
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.name, "urgent")
+		got.path.release(p.call("urgent").estimatedTokens(p.service.Engine))
+		got = <-out // the other entry has fallen silent
+		assert.NilError(t, got.err)
+		assert.Assert(t, got.took >= 1400*time.Millisecond && got.took <= 1600*time.Millisecond, "%v", got.took)
+	})
+}
