--- /dev/null
+++ b/pkedge/queued.go
@@ -0,0 +1,196 @@
+package pkedge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"peridotknot.example/pkconfig"
+	"peridotknot.example/pkqueue"
+)
+
+const (
+	// defaultLatencyObjective applies to streams of routes without one, or with one beyond their timeout.
+	defaultLatencyObjective = time.Second
+	// minPatience, objectivesPatience and gapsPatience are how long callers wait for an event: the
+	// longest of minPatience and these multiples of the route's objectives.
+	minPatience        = 2 * time.Second
+	objectivesPatience = 4
+	gapsPatience       = 8
+)
+
+// Causes of refusals by a queue for room.
+const (
+	causeLate    = "late"    // the estimated wait exceeds what its caller waits
+	causeFull    = "full"    // the queue is full
+	causeExpired = "expired" // no room came in time
+	causeBudget  = "budget"  // an engine had refused it, and the retry budget allowed no other send in time
+)
+
+// queueRefusal is returned if a request is refused since it cannot have room in time.
+type queueRefusal struct {
+	cause string
+	// wait is the estimated wait, retryAfter when the caller should come back.
+	wait       time.Duration
+	retryAfter time.Duration
+}
+
+// Error returns the cause.
+func (e *queueRefusal) Error() string { return "no room in time: " + e.cause }
+
+func (e *queueRefusal) rejection() *rejection {
+	return &rejection{status: http.StatusServiceUnavailable, retryAfter: e.retryAfter, reason: "full"}
+}
+
+// hasRetry reports whether the retry budget allows another send of the request at now.
+func (c *call) hasRetry(now time.Time) bool {
+	return c.charged || c.budgets.of(c.service).HasRetries(now, c.retryLimits(now), 1)
+}
+
+// findPath returns a path for a waiting request at now. One that has waited for capacityTimeout may use engines
+// that are avoided for a failure that may be transient.
+func (w *waiter) findPath(now time.Time) (targetPath, bool) {
+	q := w.c.queuedQuery(now, w.service, w.item)
+	p, found := w.c.findPath(now, w.service, q)
+	if !found && now.Sub(w.since) >= capacityTimeout {
+		q.lastResort = true
+		p, found = w.c.findPath(now, w.service, q)
+	}
+	return p, found
+}
+
+// queuedQuery returns the query at now for a path of a request that may be queued.
+func (c *call) queuedQuery(now time.Time, s *pkconfig.Service, it pkqueue.Item) pathQuery {
+	sends := 0
+	if it.Started || c.runs > 0 {
+		sends = c.sends
+	}
+	q := c.newPathQuery(s, it.Tokens, sends)
+	if gap := c.route.GapObjective; q.maxCost > 0 && gap > 0 {
+		q.maxCost = maxTokenCost(gap, s.Engine)
+	}
+	if sends == 0 {
+		q.memoryShare -= c.reservedShare(now, s, it)
+	}
+	q.queued, q.unreported, q.place = true, c.unreported(now), c.placeAt(now)
+	return q
+}
+
+// reservedShare returns the share of a pool's room that a request leaves at now for more urgent ones that wait
+// at other entries.
+func (d *Daemon) reservedShare(now time.Time, s *pkconfig.Service, it pkqueue.Item) float64 {
+	demands := d.othersDemand(now, s.ID)
+	if len(demands) == 0 {
+		return 0
+	}
+	room := 0.0
+	for _, t := range d.liveEngines(now, s.ID, s.Engine) {
+		held := t.Held.Len()
+		room += s.Engine.KVCapacity(t.Kind, held) * float64(held)
+	}
+	return pkqueue.Reserved(demands, it.Priority, room/float64(s.Engine.Layers))
+}
+
+// queueItem describes the request for the queue of a pool.
+func (c *call) queueItem(now time.Time, s *pkconfig.Service, r *room) pkqueue.Item {
+	objective := c.route.LatencyObjective
+	if objective <= 0 || (c.route.Timeout > 0 && objective > c.route.Timeout) {
+		objective = defaultLatencyObjective
+	}
+	it := pkqueue.Item{
+		Started: c.headSent, Priority: c.route.Priority, Rank: c.route.Priority, Account: c.account, Arrived: c.began,
+		Objective: c.began.Add(objective), Tokens: c.estimatedTokens(s.Engine),
+	}
+	if a, found := c.table.AccountByID(c.account); found && a.Priority != nil {
+		it.Priority = *a.Priority
+	}
+	it.Latest = c.began.Add(max(minPatience, objectivesPatience*objective, gapsPatience*c.route.GapObjective))
+	if c.headSent {
+		it.Latest = now.Add(resumeTimeout)
+	}
+	if it.Latest.After(c.deadline) {
+		it.Latest = c.deadline
+	}
+	it.Latest = it.Latest.Add(-r.firstEventTime())
+	return it
+}
+
+// waitInQueue returns a path for the request whose load is reserved. If there is none, it waits in the
+// queue of the pool until its turn, and is refused at once if that would take too long.
+func (c *call) waitInQueue(ctx context.Context, s *pkconfig.Service) (targetPath, error) {
+	now, r := time.Now(), c.room(s.ID)
+	if c.delivered > 0 && !c.headSent {
+		c.requeued++
+	}
+	w := &waiter{c: c, service: s, item: c.queueItem(now, s, r), since: now, result: make(chan admission, 1)}
+	c.ahead = max(c.ahead, r.push(now, w))
+	defer func() {
+		took := time.Since(now)
+		c.waited += took
+		c.metrics.queueWait.Observe(took.Seconds())
+	}()
+	select {
+	case got := <-w.result:
+		return got.path, got.err
+	case <-ctx.Done():
+	}
+	if r.remove(w) {
+		return targetPath{}, ctx.Err()
+	}
+	if got := <-w.result; got.err == nil {
+		got.path.release(w.item.Tokens)
+		c.roomFreed()
+	}
+	return targetPath{}, ctx.Err()
+}
+
+// ahead returns the tokens of the requests that go at now before one that is not in the queue, here and at
+// other entries.
+func (r *room) ahead(now time.Time, w *waiter) float64 {
+	sum := r.queue.Ahead(now, w.item)
+	for _, level := range w.c.othersDemand(now, w.service.ID) {
+		if level.Priority <= w.item.Priority {
+			sum += level.Tokens
+		}
+	}
+	return sum
+}
+
+// estimate returns how long a request that the given tokens go before will wait from now, and whether that is
+// known.
+func (r *room) estimate(now time.Time, w *waiter, ahead float64) (time.Duration, bool) {
+	d, m := w.c.Daemon, w.service.Engine
+	turnover := pkqueue.Turnover{Duration: r.duration}
+	for _, t := range d.liveEngines(now, w.service.ID, m) {
+		turnover.InFlight += (t.OwnLoad().Tokens + t.PeerLoad().Tokens) / float64(m.Layers)
+	}
+	since := r.admittedAt
+	if r.waitingSince.After(since) {
+		since = r.waitingSince
+	}
+	turnover.Stalled = now.Sub(since)
+	return turnover.Wait(ahead)
+}
+
+// refusal returns the error for a request that is refused at now.
+func (r *room) refusal(now time.Time, w *waiter, cause string) error {
+	it := w.item
+	wait, _ := r.estimate(now, w, r.ahead(now, w))
+	out := &queueRefusal{cause: cause, wait: wait, retryAfter: pkqueue.RetryAfter(wait, w.c.deadline.Sub(now), rand.Float64())}
+	w.c.metrics.queueRefused.WithLabelValues(cause).Inc()
+	w.c.log.Info("request refused for lack of room", "request_id", w.c.req.Meta.ID, "account", it.Account, "priority", it.Priority, "rank", it.Rank,
+		"cause", cause, "waiting", r.queue.Len(), "waited_ms", now.Sub(w.since).Milliseconds(), "wait_ms", wait.Milliseconds(), "retry_after_ms", out.retryAfter.Milliseconds())
+	w.c.logShortage(now, w.c.req.Meta.ID, w.service, w.c.queuedQuery(now, w.service, it))
+	return out
+}
+
+// queueRejection returns the answer to a request that was refused for lack of room, or nil.
+func queueRejection(err error) *rejection {
+	var refused *queueRefusal
+	if errors.As(err, &refused) {
+		return refused.rejection()
+	}
+	return nil
+}
