--- a/pkedge/gossip.go
+++ b/pkedge/gossip.go
@@ -244,17 +244,18 @@
 		}
 	}
 	loads := d.gossip.table.PeerLoads(now, d.entryCount(now), own)
-	reported := loads
-	if d.unreported(now) > 0 {
-		reported = d.gossip.table.PeerLoads(now, 0, own)
-	}
+	var reported map[pkid.TargetID]pkreplica.Load
 	table := d.configs.Table()
 	for _, t := range all {
-		if d.queuesFor(table, t.Service) {
-			t.SetPeerLoad(reported[t.ID])
-		} else {
-			t.SetPeerLoad(loads[t.ID])
+		load := loads[t.ID]
+		if d.queuesFor(table, t.Service) && d.unreported(now) > 0 {
+			// Entries that have not reported are taken into account at the choice of a path.
+			if reported == nil {
+				reported = d.gossip.table.PeerLoads(now, 0, own)
+			}
+			load = reported[t.ID]
 		}
+		t.SetPeerLoad(load)
 	}
 	d.roomFreed()
 }
