pkshare: a lost catch-up of quarantined requests is repeated early

Both hubs send a catch-up at 1.2 s and at 2.4 s; all four are lost, at one loss in five. The next ones, at 3.6 s, arrive. In between, the hubs received three messages in which the entry's checksum was still that of before. Cause: after a catch-up, a hub waited catchUpRetry (1 s, with hubs 1.2 s) in any case, also where the entry's own messages showed that the catch-up had not arrived. Two losses at each hub then take up the three seconds. Change: a catch-up counts as lost once a message that came at least 150 ms after it has the checksum of before, and is repeated with the next message, up to three times while the difference lasts. Then, and without such a message, the pause is catchUpRetry as before. A peer whose set changes, or is the same at times, is sent no more than before. Configuration and list are unchanged. The state of quarantine catch-ups is in a type of its own. Messages have no new field.

--- a/pkshare/table.go
+++ b/pkshare/table.go
@@ -57,14 +57,11 @@
 	// than this entry's; zero while it has none.
 	configBehindSince time.Time
 	listBehindSince   time.Time
-	// quarantineChecksum is the peer's checksum of quarantined requests, quarantineDiffersSince is
-	// when it was first seen to differ from this entry's.
-	quarantineChecksum     pkquarantine.Checksum
-	quarantineDiffersSince time.Time
-	// configSentAt, listSentAt and quarantineSentAt are when the peer was last sent a catch-up.
-	configSentAt     time.Time
-	listSentAt       time.Time
-	quarantineSentAt time.Time
+	// quarantine is the difference between the peer's quarantined requests and this entry's.
+	quarantine quarantineSync
+	// configSentAt and listSentAt are when the peer was last sent a catch-up.
+	configSentAt time.Time
+	listSentAt   time.Time
 	// relays is set if the peer accepts relayed requests, impaired are the services whose targets it
 	// cannot reach.
 	relays   bool
@@ -129,7 +126,7 @@
 	if m.Following && !p.following {
 		p.followingSince = now
 	}
-	p.following, p.relaying, p.quarantineChecksum = m.Following, m.Relaying, m.QuarantineChecksum
+	p.following, p.relaying, p.quarantine.checksum = m.Following, m.Relaying, m.QuarantineChecksum
 	p.members, p.localEntries = m.Members, m.LocalEntries
 	p.relays, p.impaired, p.owns = m.Relays, m.Impaired, m.Owns
 	t.anyImpaired = t.anyImpaired || len(m.Impaired) > 0
@@ -256,22 +253,10 @@
 		p.listSentAt = now
 		out.List, out.After = true, p.list
 	}
-	out.Quarantine = p.quarantineDiffers(now, local.QuarantineChecksum)
+	out.Quarantine = p.quarantine.catchUpDue(now, p.lastReceivedAt, local.QuarantineChecksum)
 	return out
 }
 
-// quarantineDiffers reports whether a peer's quarantined requests have differed from this entry's
-// for some time. A zero checksum comes from a build without quarantine, which must not be sent the
-// cases again and again.
-func (p *peer) quarantineDiffers(now time.Time, sum pkquarantine.Checksum) bool {
-	differs := p.quarantineChecksum != 0 && p.quarantineChecksum != sum
-	if !sustained(now, &p.quarantineDiffersSince, differs, catchUpDelay) || now.Sub(p.quarantineSentAt) < catchUpRetry {
-		return false
-	}
-	p.quarantineSentAt = now
-	return true
-}
-
 // FollowedSince reports whether some live peer has watched the replica list without interruption
 // since before the given time, so that the store has been available to it throughout.
 func (t *Table) FollowedSince(now, since time.Time) bool {
@@ -345,7 +330,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if p := t.peers[to]; p != nil {
-		p.configSentAt, p.listSentAt, p.quarantineSentAt = time.Time{}, time.Time{}, time.Time{}
+		p.configSentAt, p.listSentAt, p.quarantine.sentAt = time.Time{}, time.Time{}, time.Time{}
 	}
 }
 
