pkedge: waiting requests search for paths once for all that ask for as much

Each of the first of up to six classes searched twice each 10 ms while requests waited. A search that failed now holds for all that ask for as much until room may be free, and polls come each 50 ms.

--- a/pkedge/queued.go
+++ b/pkedge/queued.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"peridotknot.example/pkconfig"
@@ -51,16 +52,36 @@
 
 // findPath returns a path for a waiting request at now. One that has waited for capacityTimeout may use engines
 // that are avoided for a failure that may be transient.
-func (w *waiter) findPath(now time.Time) (targetPath, bool) {
+func (r *room) findPath(now time.Time, w *waiter) (targetPath, bool) {
 	q := w.c.queuedQuery(now, w.service, w.item)
-	p, found := w.c.findPath(now, w.service, q)
+	p, found := r.search(now, w, q)
 	if !found && now.Sub(w.since) >= capacityTimeout {
 		q.lastResort = true
-		p, found = w.c.findPath(now, w.service, q)
+		p, found = r.search(now, w, q)
 	}
 	return p, found
 }
 
+// search returns a path for a query at now, unless one that asked for no more has found none since room was last
+// freed: many requests that wait would otherwise take all of a small VM's processor to find nothing.
+func (r *room) search(now time.Time, w *waiter, q pathQuery) (targetPath, bool) {
+	if slices.ContainsFunc(r.failed, q.asksAsMuchAs) {
+		return targetPath{}, false
+	}
+	p, found := w.c.findPath(now, w.service, q)
+	if !found {
+		r.failed = append(r.failed, q)
+	}
+	return p, found
+}
+
+// asksAsMuchAs reports whether each path for the query would also be one for the other, of the same pool and
+// entry.
+func (q pathQuery) asksAsMuchAs(other pathQuery) bool {
+	return q.tokens >= other.tokens && q.memoryShare <= other.memoryShare && (other.lastResort || !q.lastResort) &&
+		(other.maxCost == 0 || (q.maxCost > 0 && q.maxCost <= other.maxCost))
+}
+
 // queuedQuery returns the query at now for a path of a request that may be queued.
 func (c *call) queuedQuery(now time.Time, s *pkconfig.Service, it pkqueue.Item) pathQuery {
 	sends := 0
--- a/pkedge/room.go
+++ b/pkedge/room.go
@@ -13,8 +13,13 @@
 	"peridotknot.example/pktimer"
 )
 
-// durationWeight is the weight of a new sample in the moving averages of a pool's streams.
-const durationWeight = 0.1
+const (
+	// durationWeight is the weight of a new sample in the moving averages of a pool's streams.
+	durationWeight = 0.1
+	// roomPollInterval is how often waiting requests search for a path without an event that frees room: avoided
+	// targets are used again after a time. A search takes a millisecond on the smallest VMs.
+	roomPollInterval = 50 * time.Millisecond
+)
 
 // rooms are the queues for room in pools of engines.
 type rooms struct {
@@ -31,6 +36,8 @@
 	queue pkqueue.Queue[*waiter]
 	// held are requests that the retry budget keeps out of the queue.
 	held []*waiter
+	// failed are the searches for a path that found none since room was last freed.
+	failed []pathQuery
 	// admittedAt is when a request last got a path, waitingSince since when the queue is not empty.
 	admittedAt   time.Time
 	waitingSince time.Time
@@ -113,7 +120,7 @@
 				return
 			case <-d.rooms.wake:
 			}
-		} else if !pktimer.SleepOrWake(ctx, capacityPollInterval, d.rooms.wake) {
+		} else if !pktimer.SleepOrWake(ctx, roomPollInterval, d.rooms.wake) {
 			return
 		}
 		d.rooms.mu.Lock()
@@ -132,6 +139,7 @@
 func (r *room) dispatch(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.failed = r.failed[:0]
 	for _, w := range r.queue.Expire(now) {
 		r.finish(w.Value, admission{err: r.refusal(now, w.Value, causeExpired)})
 	}
@@ -200,7 +208,7 @@
 func (r *room) admitNext(now time.Time) bool {
 	for _, one := range r.queue.Heads(now) {
 		w := one.Value
-		p, found := w.findPath(now)
+		p, found := r.findPath(now, w)
 		if !found {
 			continue
 		}
--- a/pkedge/room_test.go
+++ b/pkedge/room_test.go
@@ -255,3 +255,18 @@
 		assert.Assert(t, got.took >= 1400*time.Millisecond && got.took <= 1600*time.Millisecond, "%v", got.took)
 	})
 }
+
+// Guards against searching a path for each waiting request whenever room may be free: an entry on a small VM
+// would spend all its processor time on that.
+func TestRequestsThatAskForMoreAreNotSearchedFor(t *testing.T) {
+	p := newQueuedPool(t)
+	p.fill(t, 0.9)
+	r := p.room("models")
+	now := time.Now()
+	for i := range 100 {
+		c := p.call([]string{"urgent", "usual", "overnight"}[i%3])
+		r.push(now, &waiter{c: c, service: p.service, item: c.queueItem(now, p.service, r), since: now, result: make(chan admission, 1)})
+	}
+	r.dispatch(now)
+	assert.Equal(t, len(r.failed), 1, "one search shows that all have to wait")
+}
