--- a/pkedge/gossip.go
+++ b/pkedge/gossip.go
@@ -382,7 +382,7 @@
 	standby := first && role == pkshare.Peer && d.gossip.withHubs.Load()
 	return d.gossip.table.CatchUpFor(now, to, pkshare.LocalState{
 		Self: d.settings.Entry, Config: m.Config, Version: m.Version, List: m.List, QuarantineChecksum: m.QuarantineChecksum,
-		Hub: role != pkshare.Peer || standby, Spoke: role == pkshare.Spoke || standby, Standby: !first,
+		Hub: role != pkshare.Peer || standby, Spoke: role == pkshare.Spoke || standby, Standby: !first && d.hearsFirstHub(now),
 	})
 }
 
@@ -478,6 +478,13 @@
 	return s.withHubs.Load() && s.designated.Load() && !s.first.Load() && first != nil && s.table.Follows(now, *first)
 }
 
+// hearsFirstHub reports whether the first hub of the data centre is heard from at now. While all entries start,
+// the other hub may serve theirs some hundred milliseconds before it.
+func (d *Daemon) hearsFirstHub(now time.Time) bool {
+	first := d.gossip.firstHub.Load()
+	return first != nil && d.gossip.table.Hears(now, *first)
+}
+
 // message returns the message to all peers at now.
 func (d *Daemon) message(now time.Time) pkshare.Message {
 	s := &d.gossip
--- a/pkedge/gossip_test.go
+++ b/pkedge/gossip_test.go
@@ -118,3 +118,26 @@
 		assert.Equal(t, loaded(), 300.0)
 	})
 }
+
+// Guards against a start of all entries that lasts until the first hub of a data centre runs, although the other
+// one has the configuration: it leaves the catch-up to the first one only while it hears from it.
+func TestSecondHubServesStartingEntriesWithoutTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, row := range []struct {
+			heard bool
+			want  bool
+		}{{false, true}, {true, false}} {
+			d := fleetDaemon("hub-2", 14)
+			first := pkid.EntryID("hub-1")
+			d.gossip.firstHub.Store(&first)
+			d.gossip.withHubs.Store(true)
+			d.gossip.designated.Store(true)
+			if row.heard {
+				d.receiveMessage(time.Now(), pkshare.Message{From: first, Addr: "hub-1", DataCenter: "a", Sequence: 1, Config: 7, Version: 7})
+			}
+			own := pkshare.Message{Config: 7, Version: 7}
+			got := d.catchUpFor(time.Now(), &own, "m-01", pkshare.Spoke)
+			assert.Equal(t, got.Config, row.want, "first hub heard from: %v", row.heard)
+		}
+	})
+}
--- a/pkshare/population.go
+++ b/pkshare/population.go
@@ -96,6 +96,14 @@
 	return p != nil && p.following && now.Sub(p.lastReceivedAt) < staleAfter
 }
 
+// Hears reports whether an entry is heard from at now.
+func (t *Table) Hears(now time.Time, id pkid.EntryID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[id]
+	return p != nil && now.Sub(p.lastReceivedAt) < staleAfter
+}
+
 // RemoteFollower reports whether a hub of another data centre follows the store at now.
 func (t *Table) RemoteFollower(now time.Time, dc pkid.DataCenter) bool {
 	t.mu.Lock()
