--- a/pkedge/room.go
+++ b/pkedge/room.go
@@ -182,6 +182,7 @@
 func (r *room) enqueue(now time.Time, w *waiter) {
 	if r.queue.Len() == 0 {
 		r.waitingSince = now
+		r.failed = r.failed[:0]
 	}
 	var dropped []pkqueue.Waiting[*waiter]
 	w.ticket, dropped = r.queue.Push(now, w.item, w)
