pkexplain: waits in queues for room, and how accounts are served

An operator could not tell from the logs why a caller was refused while others were served.

explain shows the wait of a request, its place, priority and account, a refusal in a sentence, and the requests of the same pool that were admitted meanwhile, those that came after it first. The summary lists the ten accounts and routes served worst. Streams whose callers left while they waited were left out of the summary and now count in it.

The priority of a request that was served is shown once the log line "request" has it; the pool is taken from the engines of its path until then.

--- a/peridotknot/explain.go
+++ b/peridotknot/explain.go
@@ -17,7 +17,7 @@
 // explainCommand explains the handling of a request, or summarizes all streams, from entry logs.
 type explainCommand struct {
 	Log        string        `long:"log" required:"yes" description:"log file of the entry that served the request, or - for standard input; with --summary the concatenated logs of all entries"`
-	Summary    bool          `long:"summary" description:"summarize all streams: late ones by cause and by time, and the share of streams that each engine serves"`
+	Summary    bool          `long:"summary" description:"summarize all streams: late ones by cause and by time, the share of streams that each engine serves, and the accounts and routes served worst"`
 	FirstEvent time.Duration `long:"first-event" default:"500ms" description:"with --summary: time to the first event above which a stream is late"`
 	Pause      time.Duration `long:"pause" default:"200ms" description:"with --summary: time between two events above which a stream is late"`
 	Span       time.Duration `long:"span" default:"2s" description:"with --summary: length of the interval that a line of the table covers"`
@@ -84,6 +84,11 @@
 			return err
 		}
 	}
+	if e.Wait != nil {
+		if err := e.Wait.WriteText(w); err != nil {
+			return err
+		}
+	}
 	if e.Unreadable > 0 {
 		_, err := fmt.Fprintf(w, "%d lines were not readable\n", e.Unreadable)
 		return err
--- a/pkexplain/explanation.go
+++ b/pkexplain/explanation.go
@@ -43,6 +43,8 @@
 // Explanation is the part of a log that explains one request.
 type Explanation struct {
 	Lines []Line
+	// Wait is nil if the request has not waited in the queue of a pool and was not refused there.
+	Wait *Wait
 	// Unreadable counts lines that could not be parsed.
 	Unreadable int
 }
@@ -60,6 +62,7 @@
 		return out, ErrUnknown
 	}
 	out.Lines = selectLines(all, requestLines, id)
+	out.Wait = findWait(all, requestLines)
 	return out, nil
 }
 
--- a/pkexplain/summary.go
+++ b/pkexplain/summary.go
@@ -66,6 +66,11 @@
 	Spans   []Span
 	// Engines are sorted by share, the largest first.
 	Engines []EngineShare
+	// Accounts and Routes are the worst served, of as many as AccountCount and RouteCount say.
+	Accounts     []Served
+	Routes       []Served
+	AccountCount int
+	RouteCount   int
 	// Unreadable counts lines that could not be parsed.
 	Unreadable int
 }
@@ -75,6 +80,12 @@
 	start  time.Time
 	cause  Cause
 	stages []stage
+	// answered is set if the answer was complete, in time or not.
+	answered bool
+	account  string
+	route    string
+	// waited is how long it waited for room.
+	waited time.Duration
 }
 
 // stage is one engine of a path.
@@ -113,13 +124,15 @@
 	for st, n := range engines {
 		out.Engines = append(out.Engines, EngineShare{Engine: st.engine, Where: st.dataCenter + " " + st.kind, Of: float64(n) / float64(out.Streams)})
 	}
+	out.Accounts, out.AccountCount = servedBy(streams, func(s stream) string { return s.account })
+	out.Routes, out.RouteCount = servedBy(streams, func(s stream) string { return s.route })
 	slices.SortFunc(out.Engines, func(a, b EngineShare) int {
 		return cmp.Or(cmp.Compare(b.Of, a.Of), cmp.Compare(a.Engine, b.Engine))
 	})
 	return out, nil
 }
 
-// parseStreams returns the streams that were sent to an engine or rejected.
+// parseStreams returns the streams that were sent to an engine, waited for room or were refused for lack of it.
 func parseStreams(all []Line, limits Thresholds) []stream {
 	rerouteCauses := map[string]Cause{}
 	for _, l := range all {
@@ -129,10 +142,16 @@
 	}
 	var out []stream
 	for _, l := range all {
-		if l.Message != "request" || l.value("kind") != "stream" || (l.value("path") == "" && l.value("outcome") != "full") {
+		if l.Message != requestMessage || l.value("kind") != "stream" {
 			continue
 		}
-		s := stream{start: startTime([]Line{l}), stages: parsePath(l.value("path"))}
+		if l.value("path") == "" && l.value("outcome") != string(refusedOutcome) && l.integer("waited_ms") <= 0 {
+			continue
+		}
+		s := stream{
+			start: startTime([]Line{l}), stages: parsePath(l.value("path")), answered: l.value("outcome") == "answered",
+			account: l.value("account"), route: l.value("route"), waited: l.millis("waited_ms"),
+		}
 		s.cause = s.classify(l, rerouteCauses[l.value("request_id")], limits)
 		out = append(out, s)
 	}
@@ -212,6 +231,8 @@
 	for _, e := range s.Engines[:min(maxEngines, len(s.Engines))] {
 		fmt.Fprintf(&b, "%5.2f  %s (%s)\n", e.Of, e.Engine, e.Where)
 	}
+	writeServed(&b, "accounts", s.Accounts, s.AccountCount)
+	writeServed(&b, "routes", s.Routes, s.RouteCount)
 	if s.Unreadable > 0 {
 		fmt.Fprintf(&b, "%d lines were not readable\n", s.Unreadable)
 	}
