pkedge: metrics of unused room by data centre

Whether a pool or one of its layers lacks memory was to be seen only from log lines on refused requests.

peridotknot_room_unused and peridotknot_layer_room_unused are computed from the loads of this entry and of the others when they are scraped, with the data centre as their only label. Memory of avoided engines does not count, as no request may use it. The log line on a refusal names the service, which peridotknot explain reads.

--- a/pkedge/metrics.go
+++ b/pkedge/metrics.go
@@ -62,7 +62,7 @@
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.requests, m.failed, m.orders, m.unusable, m.storeCalls, m.watchEnds, m.invalidHeaders, m.relayed, m.repeated, m.storeRestores, m.firstEvent, m.queueRefused, m.queueWait,
+	m.registry.MustRegister(m.requests, m.failed, m.orders, m.unusable, m.storeCalls, m.watchEnds, m.invalidHeaders, m.relayed, m.repeated, m.storeRestores, m.firstEvent, m.queueRefused, m.queueWait, newRoomCollector(d),
 		gauge("peridotknot_config_version", "Version of the configuration in force.", func() float64 {
 			if t := d.configs.Table(); t != nil {
 				return float64(t.Version)
--- a/pkedge/room.go
+++ b/pkedge/room.go
@@ -425,7 +425,7 @@
 	wait, _ := r.estimate(now, w, r.ahead(now, w))
 	out := &queueRefusal{cause: cause, wait: wait, retryAfter: pkqueue.RetryAfter(wait, w.c.deadline.Sub(now), rand.Float64())}
 	w.c.metrics.queueRefused.WithLabelValues(cause).Inc()
-	w.c.log.Info("request refused for lack of room", "request_id", w.c.req.Meta.ID, "account", it.Account, "priority", it.Priority, "rank", it.Rank,
+	w.c.log.Info("request refused for lack of room", "request_id", w.c.req.Meta.ID, "service", w.service.ID, "account", it.Account, "priority", it.Priority, "rank", it.Rank,
 		"cause", cause, "waiting", r.queue.Len(), "waited_ms", now.Sub(w.since).Milliseconds(), "wait_ms", wait.Milliseconds(), "retry_after_ms", out.retryAfter.Milliseconds())
 	w.c.logShortage(now, w.c.req.Meta.ID, w.service, w.c.queuedQuery(now, w.service, it))
 	return out
