--- a/pkedge/call.go
+++ b/pkedge/call.go
@@ -95,15 +95,15 @@
 	default:
 		outcome = "broken"
 	}
-	name, kind := "", ""
+	name, kind, rank := "", "", 0
 	if c.route != nil {
-		name, kind = c.route.Name, c.route.Kind.String()
+		name, kind, rank = c.route.Name, c.route.Kind.String(), c.route.Priority
 	}
 	c.metrics.requests.WithLabelValues(kind, outcome).Inc()
 	if c.relayed != nil {
 		c.metrics.relayed.WithLabelValues("received", outcome).Inc()
 	}
-	c.log.Info("request", "request_id", c.req.Meta.ID, "digest", c.traits.Request.String(), "parts", c.req.Meta.SharedParts, "route", name, "kind", kind, "account", c.account,
+	c.log.Info("request", "request_id", c.req.Meta.ID, "digest", c.traits.Request.String(), "parts", c.req.Meta.SharedParts, "route", name, "kind", kind, "account", c.account, "service", c.service, "priority", c.priority(), "rank", rank,
 		"outcome", outcome, "sends", c.sends, "runs", c.runs, "ms", took.Milliseconds(), "config", c.version(), "path", c.path, "first_ms", c.firstEvent.Milliseconds(), "events", c.events, "pause_ms", c.longestGap.Milliseconds(),
 		"mended", c.reroutes, "relays", c.relays, "relayed_by", c.relayedBy(), "waited_ms", c.waited.Milliseconds(), "ahead", c.ahead, "requeued", c.requeued, "error", err)
 	switch {
@@ -118,6 +118,17 @@
 	}
 }
 
+// priority returns the priority of the client account, or else that of the route.
+func (c *call) priority() int {
+	if c.route == nil {
+		return 0
+	}
+	if a, found := c.table.AccountByID(c.account); found && a.Priority != nil {
+		return *a.Priority
+	}
+	return c.route.Priority
+}
+
 // relayedBy returns the entry that has passed the request on; empty if it came from its caller.
 func (c *call) relayedBy() pkid.EntryID {
 	if c.relayed == nil {
--- a/pkedge/queued.go
+++ b/pkedge/queued.go
@@ -121,12 +121,9 @@
 		objective = defaultLatencyObjective
 	}
 	it := pkqueue.Item{
-		Started: c.headSent, Priority: c.route.Priority, Rank: c.route.Priority, Account: c.account, Arrived: c.began,
+		Started: c.headSent, Priority: c.priority(), Rank: c.route.Priority, Account: c.account, Arrived: c.began,
 		Objective: c.began.Add(objective), Tokens: c.estimatedTokens(s.Engine),
 	}
-	if a, found := c.table.AccountByID(c.account); found && a.Priority != nil {
-		it.Priority = *a.Priority
-	}
 	it.Latest = c.began.Add(max(minPatience, objectivesPatience*objective, gapsPatience*c.route.GapObjective))
 	if c.headSent {
 		it.Latest = now.Add(resumeTimeout)
@@ -201,7 +198,7 @@
 	wait, _ := r.estimate(now, w, r.ahead(now, w))
 	out := &queueRefusal{cause: cause, wait: wait, retryAfter: pkqueue.RetryAfter(wait, w.c.deadline.Sub(now), rand.Float64())}
 	w.c.metrics.queueRefused.WithLabelValues(cause).Inc()
-	w.c.log.Info("request refused for lack of room", "request_id", w.c.req.Meta.ID, "account", it.Account, "priority", it.Priority, "rank", it.Rank,
+	w.c.log.Info("request refused for lack of room", "request_id", w.c.req.Meta.ID, "service", w.service.ID, "account", it.Account, "priority", it.Priority, "rank", it.Rank,
 		"cause", cause, "waiting", r.queue.Len(), "waited_ms", now.Sub(w.since).Milliseconds(), "wait_ms", wait.Milliseconds(), "retry_after_ms", out.retryAfter.Milliseconds())
 	w.c.logShortage(now, w.c.req.Meta.ID, w.service, w.c.queuedQuery(now, w.service, it))
 	return out
