--- a/pkedge/queued.go
+++ b/pkedge/queued.go
@@ -20,6 +20,9 @@
 	minPatience        = 2 * time.Second
 	objectivesPatience = 4
 	gapsPatience       = 8
+	// stalledAfter is how long nobody must have been started for a pool to lack engines and not only room: a
+	// crashed engine is back, or replaced, after some seconds.
+	stalledAfter = time.Second
 )
 
 // Causes of refusals by a queue for room.
@@ -184,11 +187,7 @@
 	for _, t := range d.liveEngines(now, w.service.ID, m) {
 		turnover.InFlight += (t.OwnLoad().Tokens + t.PeerLoad().Tokens) / float64(m.Layers)
 	}
-	since := r.admittedAt
-	if r.waitingSince.After(since) {
-		since = r.waitingSince
-	}
-	turnover.Stalled = now.Sub(since)
+	turnover.Stalled = r.stalled(now)
 	return turnover.Wait(ahead)
 }
 
@@ -196,6 +195,11 @@
 func (r *room) refusal(now time.Time, w *waiter, cause string) error {
 	it := w.item
 	wait, _ := r.estimate(now, w, r.ahead(now, w))
+	// A request that has waited in vain shows that the wait is as long at least.
+	wait = max(wait, now.Sub(w.since))
+	if r.stalled(now) >= stalledAfter {
+		wait = max(wait, retryAfterFull)
+	}
 	out := &queueRefusal{cause: cause, wait: wait, retryAfter: pkqueue.RetryAfter(wait, w.c.deadline.Sub(now), rand.Float64())}
 	w.c.metrics.queueRefused.WithLabelValues(cause).Inc()
 	w.c.log.Info("request refused for lack of room", "request_id", w.c.req.Meta.ID, "service", w.service.ID, "account", it.Account, "priority", it.Priority, "rank", it.Rank,
--- a/pkedge/room.go
+++ b/pkedge/room.go
@@ -272,6 +272,17 @@
 	return true
 }
 
+// stalled returns how long at now no request was started although some waited.
+func (r *room) stalled(now time.Time) time.Duration {
+	if r.queue.Len() == 0 {
+		return 0
+	}
+	if r.admittedAt.After(r.waitingSince) {
+		return now.Sub(r.admittedAt)
+	}
+	return now.Sub(r.waitingSince)
+}
+
 // demand returns what waits in the queue at now and can still be in time, by priority.
 func (r *room) demand(now time.Time) []pkqueue.Level {
 	r.mu.Lock()
