--- a/pkedge/queued.go
+++ b/pkedge/queued.go
@@ -103,7 +103,7 @@
 }
 
 // reservedShare returns the share of a pool's room that a request leaves at now for more urgent ones that wait
-// at other entries.
+// at other entries. One that can no longer be in time leaves it for all that can.
 func (d *Daemon) reservedShare(now time.Time, s *pkconfig.Service, it pkqueue.Item) float64 {
 	demands := d.othersDemand(now, s.ID)
 	if len(demands) == 0 {
@@ -114,7 +114,11 @@
 		held := t.Held.Len()
 		room += s.Engine.KVCapacity(t.Kind, held) * float64(held)
 	}
-	return pkqueue.Reserved(demands, it.Priority, room/float64(s.Engine.Layers))
+	priority := it.Priority
+	if !now.Before(it.Objective) {
+		priority = pkqueue.LeastUrgent
+	}
+	return pkqueue.Reserved(demands, priority, room/float64(s.Engine.Layers))
 }
 
 // queueItem describes the request for the queue of a pool.
--- a/pkedge/room.go
+++ b/pkedge/room.go
@@ -157,10 +157,9 @@
 	held := r.held
 	r.held = nil
 	for _, w := range held {
-		switch {
-		case w.c.hasRetry(now):
+		if w.c.hasRetry(now) {
 			r.enqueue(now, w)
-		default:
+		} else {
 			r.hold(now, w)
 		}
 	}
--- a/pkedge/room_test.go
+++ b/pkedge/room_test.go
@@ -14,6 +14,7 @@
 	"peridotknot.example/pkconfig"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pklayers"
+	"peridotknot.example/pkqueue"
 	"peridotknot.example/pkshare"
 	"peridotknot.example/pkstore"
 )
@@ -242,6 +243,8 @@
 		p.receiveMessage(time.Now(), pkshare.Message{From: "other", Addr: "other", Sequence: 1, Demands: []pkshare.Demand{
 			{Service: "models", Priority: 0, Requests: 20, Tokens: float32(0.25 * p.full / 80)},
 		}})
+		late := pkqueue.Item{Objective: time.Now()}
+		assert.Assert(t, p.reservedShare(time.Now(), p.service, late) > 0, "those in time elsewhere go before it")
 		out := make(chan waitResult, 2)
 		p.wait(ctx, out, p.call("overnight"))
 		assert.Equal(t, p.rooms.waiting.Load(), int64(1))
--- a/pkqueue/order.go
+++ b/pkqueue/order.go
@@ -14,8 +14,11 @@
 	phases
 )
 
+// LeastUrgent is the priority of the least urgent requests; priorities and ranks beyond it count as it.
+const LeastUrgent = 9
+
 const (
-	levels   = 10 // priorities and ranks are 0 to 9
+	levels   = LeastUrgent + 1
 	nClasses = phases * levels * levels
 )
 
