--- a/pkedge/choose.go
+++ b/pkedge/choose.go
@@ -73,6 +73,9 @@
 	// lastResort also allows targets that are avoided for a possibly transient failure, since the
 	// request would be refused otherwise.
 	lastResort bool
+	// unreported is the number of other entries that are assumed to use as much of each engine as
+	// this one, since their loads are not known; zero if all are known.
+	unreported float64
 }
 
 // allows reports whether the path may use a target at now.
@@ -183,6 +186,9 @@
 	}
 	capacity := m.KVCapacity(t.Kind, held) * float64(held)
 	used := t.ExpectedMemory(now, senders) + q.tokens*float64(held)
+	if q.unreported > 0 {
+		used = t.PeerLoad().Tokens + (1+q.unreported)*(t.OwnLoad().Tokens+q.tokens*float64(held))
+	}
 	fill := used / capacity
 	if capacity <= 0 || fill > q.memoryShare {
 		return 0, false
