pkedge: a starting entry connects to its peers as soon as it knows them

The first list of members came some milliseconds after the first round of links and waited for the next one, 150 ms later, since links are updated each 100 ms at most; until then the entry asked for neither the configuration nor the list of replicas.

--- a/pkedge/gossip.go
+++ b/pkedge/gossip.go
@@ -312,7 +312,9 @@
 
 func (s *peerSender) updateLinks(ctx context.Context) {
 	now := time.Now()
-	if now.Sub(s.linkedAt) < minLinkInterval {
+	// The first list of members is not held up: a starting entry waits for it until it asks for the
+	// configuration and the list of replicas.
+	if now.Sub(s.linkedAt) < minLinkInterval && s.d.gossip.rolesKnown.Load() == s.d.members.isKnown() {
 		return
 	}
 	s.linkedAt = now
@@ -340,9 +342,7 @@
 // updatePeerLinks starts and ends links to match the peers known at now.
 func (d *Daemon) updatePeerLinks(ctx context.Context, now time.Time) {
 	s := &d.gossip
-	d.members.mu.Lock()
-	known := d.members.known
-	d.members.mu.Unlock()
+	known := d.members.isKnown()
 	wanted := d.roles(now)
 	if s.withHubs.Load() {
 		d.hubsSeenAt.CompareAndSwap(nil, &now)
--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -114,6 +114,13 @@
 	return d.members.count(now, d.gossip.table.HubMemberCount(now))
 }
 
+// isKnown reports whether the members were read from the store.
+func (m *members) isKnown() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.known
+}
+
 // senderCount returns the number of daemons that send requests to the targets of a service at now: those
 // that are cut off from them pass their requests on.
 func (d *Daemon) senderCount(now time.Time, s pkid.ServiceID) int {
