pkquarantine: crashes of a poison part reach all entries where nothing was served before

Trace: the entries together have all crashes of the poison part; no entry has. Each entry suspects up to a hundred parts, and a message holds six cases. Causes: (1) Another crash of a part that is quarantined here counted as sent three times, also if nothing of it had been sent, and came last. (2) Every entry repeated up to four times what it had heard, also where the sender sends to all. (3) A case was dropped after 2 s also if it was never sent, and was sent a second time only after all others had been sent once. (4) Corrections (a peer lacks a success) came last, so common parts stayed suspects. Change: (1) such a case keeps the number of messages that it was in. (2) Only hubs repeat what they hear, SetForwarding; others do once, and a peer's case that holds all that is known here counts as a message. (3) Cases with enough crashes for a quarantine are sent twice before others once, and wait up to 10 s to be sent at all. (4) Corrections go first in their turn. (5) A moment with at most 16 crashes does not keep a part back. Cost: an entry without hubs that does not hear the finder of a crash hears of it from others in one message each in place of four; what is quarantined is still caught up.

--- a/pkedge/gossip.go
+++ b/pkedge/gossip.go
@@ -413,6 +413,7 @@
 	others := slices.Collect(maps.Values(byAddr))
 	roles := d.gossip.table.Roles(now, self, others)
 	d.gossip.designated.Store(roles.Designated)
+	d.quarantine.table.SetForwarding(roles.Designated && d.gossip.withHubs.Load())
 	d.gossip.first.Store(roles.First)
 	d.gossip.firstHub.Store(&roles.FirstHub)
 	return roles.ByAddr
--- a/pkquarantine/case.go
+++ b/pkquarantine/case.go
@@ -233,6 +233,31 @@
 	return false
 }
 
+// isKnownTo reports whether a case of a peer holds all that the record does.
+func (r *record) isKnownTo(c Case) bool {
+	if r.knowsMoreThan(c) || (r.several && !c.Several) {
+		return false
+	}
+	return !slices.ContainsFunc(r.crashes, func(known crash) bool {
+		return !slices.ContainsFunc(c.Crashes, func(reported Crash) bool { return reported.Start == known.start })
+	})
+}
+
+// timesSentAfter returns how often the record counts as sent after a peer has sent a case to all entries; sent is
+// how often it was sent before, and changed is set if the case changed it. What is new in the case counts as sent
+// but for one message, for peers that do not hear the sender. A case that holds all that the record does counts as
+// a message with the record.
+func (r *record) timesSentAfter(c Case, sent int, changed bool) int {
+	switch {
+	case changed:
+		return min(sent, gossipCount-1)
+	case r.isKnownTo(c):
+		return sent + 1
+	default:
+		return sent
+	}
+}
+
 // isExpired reports whether the record can be dropped at now.
 func (r *record) isExpired(now time.Time) bool {
 	return len(r.crashes) == 0 || now.Sub(r.crashes[0].at) >= retention
--- a/pkquarantine/table.go
+++ b/pkquarantine/table.go
@@ -23,6 +23,9 @@
 	// gossipPeriod is how long a changed case is sent: longer than three messages between hubs
 	// take.
 	gossipPeriod = 2 * time.Second
+	// unsentPeriod is how long a changed case with enough crashes for a quarantine waits to be sent at all. Where
+	// replicas crash before anything has run well, an entry has a hundred suspected parts, and messages hold a few.
+	unsentPeriod = 10 * time.Second
 	// gossipCount is the number of messages in which a changed case is sent. Hubs forward only
 	// every second message, to two hubs, and one of those may be lost.
 	gossipCount = 4
@@ -33,8 +36,10 @@
 	// Phase is the place of this entry among all in [0, 1), by which they take turns.
 	Phase float64
 
-	mu    sync.Mutex
-	cases map[Digest]*record
+	mu sync.Mutex
+	// forwards is set if peers rely on this entry to learn what other entries have found.
+	forwards bool
+	cases    map[Digest]*record
 	// sound are parts that ran successfully at this entry.
 	sound soundParts
 	// quarantined are the quarantined traits and when the quarantine of each ends, and blame is what
@@ -132,10 +137,34 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range cases {
-		t.addCrashes(now, c, validCrashes(now, c))
-		if r := t.cases[c.Digest]; r != nil && r.knowsMoreThan(c) {
-			r.changedAt, r.timesSent, r.contradicted = now, 0, true
-		}
+		t.mergeCase(now, c)
+	}
+}
+
+// SetForwarding sets whether peers rely on this entry to learn what other entries have found, as the entries of a
+// data centre do on their hubs.
+func (t *Table) SetForwarding(forwards bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forwards = forwards
+}
+
+// mergeCase merges a case of another entry, which sends it to all entries unless they rely on hubs.
+func (t *Table) mergeCase(now time.Time, c Case) {
+	sent := gossipCount
+	if r := t.cases[c.Digest]; r != nil {
+		sent = r.timesSent
+	}
+	changed := t.addCrashes(now, c, validCrashes(now, c))
+	r := t.cases[c.Digest]
+	if r == nil {
+		return
+	}
+	if !t.forwards {
+		r.timesSent = r.timesSentAfter(c, sent, changed)
+	}
+	if r.knowsMoreThan(c) {
+		r.changedAt, r.timesSent, r.contradicted = now, 0, true
 	}
 }
 
@@ -163,7 +192,7 @@
 		t.insert(now, c.Digest, r)
 	}
 	counted, _ := r.countCrashes()
-	settled := now.Before(t.quarantined[c.Digest])
+	settled, sent := now.Before(t.quarantined[c.Digest]), r.timesSent
 	r.part = min(max(r.part, c.Part), maxPosition)
 	changed := false
 	for _, one := range crashes {
@@ -175,7 +204,7 @@
 		t.markChanged(now, r, counted)
 	}
 	if after, _ := r.countCrashes(); changed && settled && after >= counted {
-		r.timesSent = gossipCount - 1 // another crash of what is quarantined already hardly matters
+		r.timesSent = min(sent, gossipCount-1) // another crash hardly matters once the peers know of the others
 	}
 	return changed
 }
@@ -346,7 +375,8 @@
 
 // RecentChanges returns recently changed cases for one message, of requests and of parts in turn, since each
 // of many requests that run beside a poison part is a suspect. Of both, those sent least often come first,
-// so that every case is sent, and of those the ones that matter most.
+// so that every case is sent, and of those the ones that matter most. What other entries have sent is only
+// repeated if this entry forwards.
 func (t *Table) RecentChanges(now time.Time) []Case {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -370,10 +400,14 @@
 	t.quarantinedSet(now)
 	latest := blame{cases: t.cases, byAny: t.blame.byAny}
 	for d, r := range t.cases {
-		if r.timesSent >= gossipCount || now.Sub(r.changedAt) >= gossipPeriod {
+		age := now.Sub(r.changedAt)
+		if r.timesSent >= gossipCount || age >= unsentPeriod || (age >= gossipPeriod && r.timesSent > 0) {
 			continue
 		}
 		n, _ := t.rank(now, d, r)
+		if age >= gossipPeriod && n < CrashLimit {
+			continue
+		}
 		one := changedCase{digest: d, record: r, rank: n}
 		switch {
 		case !one.matters(&latest):
@@ -393,7 +427,7 @@
 	if counted == 0 || c.record.contradicted {
 		return true
 	}
-	return c.rank > 0 && (c.record.part == 0 || len(b.withoutOtherCauses(c.record.countedTimes())) > 0)
+	return c.rank > 0 && (c.record.part == 0 || c.hasOwnCause(b))
 }
 
 // changedCase is a case that is to be sent.
@@ -403,9 +437,27 @@
 	rank   int
 }
 
-// compare orders cases by how seldom they were sent, then those that matter most first, then the latest to
-// change.
+// turn returns the round in which a case is sent next. Cases that enough crashes count against for a quarantine are
+// sent twice before others are sent once, as one message may be lost and the number of cases in a message is
+// limited. So are cases that correct a peer.
+func (c changedCase) turn() int {
+	if c.rank >= CrashLimit || c.record.contradicted {
+		return c.record.timesSent
+	}
+	return c.record.timesSent + 1
+}
+
+// compare orders cases by their turns, then those that correct a peer first, then those that matter most, then the
+// latest to change. A correction ends the suspicion of a part at all entries, which leaves room for others.
 func (c changedCase) compare(o changedCase) int {
-	return cmp.Or(cmp.Compare(c.record.timesSent, o.record.timesSent), cmp.Compare(o.rank, c.rank),
-		o.record.changedAt.Compare(c.record.changedAt), cmp.Compare(c.digest, o.digest))
+	return cmp.Or(cmp.Compare(c.turn(), o.turn()), compareBool(o.record.contradicted, c.record.contradicted),
+		cmp.Compare(o.rank, c.rank), o.record.changedAt.Compare(c.record.changedAt), cmp.Compare(c.digest, o.digest))
+}
+
+// hasOwnCause reports whether a crash of a part may be due to it: most replicas that crashed at that moment ran
+// requests with the part, or so few crashed that peers may know of more requests with it.
+func (c changedCase) hasOwnCause(b *blame) bool {
+	times := c.record.countedTimes()
+	return len(b.withoutOtherCauses(times)) > 0 ||
+		slices.ContainsFunc(times, func(at time.Time) bool { return b.countAround(at, momentLength) <= maxCrashes })
 }
