pkedge: a stall of this process during a check of the links is no sign of a cut

What failed: found while TestEntryOfALargeFleetThatIsCutOffIsServed was traced. Beside busy processes, entries in order recorded their links as cut off (none of six targets reached) or lossy for 0.3 to 2.5 s, so that they passed back what others passed on to them. Cause: a probe has 100 ms. A process that does not run meanwhile finds the timeout and the answer due at the same time, and may handle the timeout first. Only probes of more than 200 ms counted as stalled, so stalls of 100 to 200 ms showed all targets as silent. Class: silence taken for evidence while this VM was not listening; the reroute loop and the liveness checks have guards of their own. Evidence: the process stopped for 110 ms while eight probes are pending gives cut_off, or lossy if half of them were answered before. Change: (1) silence does not count if the process has paused, or the timeout was late, by more than 0.15 of the timeout. (2) Such a check is repeated with 200 and 400 ms, since a VM short of processor time would have no result otherwise. Refused and reset connections count as before, and the bound of twice the timeout stays.

--- a/pkedge/links.go
+++ b/pkedge/links.go
@@ -20,9 +20,16 @@
 	// linkTimeout bounds a connection attempt of a check of the links. It is a few round trips
 	// between distant data centres.
 	linkTimeout = 100 * time.Millisecond
-	// followUpTimeout is the same for the follow-ups of a doubtful check. A packet that is lost is sent again
-	// after more than that.
-	followUpTimeout = linkTimeout / 2
+	// maxLinkTimeout is the same for the last repetition of a check during which this VM has stalled. A connection
+	// attempt whose packet is lost is sent again after a second, so that the loss still shows.
+	maxLinkTimeout = 4 * linkTimeout
+	// followUpShare is the share of the timeout of a check that its follow-ups have.
+	followUpShare = 0.5
+	// maxPauseShare is the share of the timeout of a probe from which a pause of this process, or a delay of the timeout
+	// itself, may have hidden an answer. With a quarter, links in order were still taken for lossy beside busy processes.
+	maxPauseShare = 0.15
+	// pauseTick is the resolution at which pauses are measured.
+	pauseTick = 2 * time.Millisecond
 	// startSampleSize is the number of targets of a service that a starting entry probes. A failure leads to a
 	// whole sample.
 	startSampleSize = 2
@@ -41,13 +48,20 @@
 	return d.links.Condition(s), err == nil
 }
 
-// errStalled is the result of a check that took too long, since this VM has stalled meanwhile.
-var errStalled = errors.New("check of the links took too long")
+// errStalled is the result of probes during which this VM has stalled, so that their silence shows nothing.
+var errStalled = errors.New("this VM has stalled during a check of the links")
 
-// checkLinks connects to a sample of the targets of a service and records the result.
+// checkLinks connects to a sample of the targets of a service and records the result. If this VM stalls
+// meanwhile, it starts again with twice the timeout: on a VM that is short of processor time for long, no
+// other check would have a result.
 func (d *Daemon) checkLinks(ctx context.Context, s pkid.ServiceID, suspect pkid.TargetID) error {
-	began := time.Now()
-	sample, err := d.sampleLinks(ctx, s, suspect)
+	began, timeout := time.Now(), linkTimeout
+	sample, err := d.sampleLinks(ctx, s, suspect, timeout)
+	for errors.Is(err, errStalled) && timeout < maxLinkTimeout {
+		d.log.Debug("check of the links is repeated", "service", s, "timeout_ms", timeout.Milliseconds(), "error", err)
+		timeout *= 2
+		sample, err = d.sampleLinks(ctx, s, suspect, timeout)
+	}
 	if err != nil {
 		return err
 	}
@@ -68,10 +82,10 @@
 
 // sampleLinks probes the links to some targets of a service, and again to those that are silent if that leaves a
 // doubt. Impaired links count as whole only by a sample that leaves nothing out.
-func (d *Daemon) sampleLinks(ctx context.Context, s pkid.ServiceID, suspect pkid.TargetID) (pkreach.Sample, error) {
+func (d *Daemon) sampleLinks(ctx context.Context, s pkid.ServiceID, suspect pkid.TargetID, timeout time.Duration) (pkreach.Sample, error) {
 	var sample pkreach.Sample
 	impaired := d.links.Impaired(s)
-	silent, err := d.probeLinks(ctx, d.linkSample(time.Now(), s, suspect), linkTimeout, func(_ *pkreplica.Target, err error, missing int) bool {
+	silent, err := d.probeLinks(ctx, d.linkSample(time.Now(), s, suspect), timeout, func(_ *pkreplica.Target, err error, missing int) bool {
 		switch {
 		case err == nil:
 			sample.Reached++
@@ -87,6 +101,7 @@
 	if !impaired && !sample.Doubtful() {
 		return sample, err
 	}
+	followUpTimeout := time.Duration(followUpShare * float64(timeout))
 	for attempt := 1; err == nil && len(silent) > 0 && attempt <= pkreach.FollowUps; attempt++ {
 		silent, err = d.probeLinks(ctx, silent, followUpTimeout, func(_ *pkreplica.Target, err error, _ int) bool {
 			if err == nil {
@@ -110,7 +125,8 @@
 
 // probeLinks probes the links to targets at the same time, and returns those that were silent until the timeout.
 // It passes each result, with the number of those still missing, to next until that returns false. The error
-// is that of ctx, or that this VM has stalled.
+// is that of ctx, or errStalled: both the timeout and the answers wait for a process that does not run, and the
+// timeout may be handled first.
 func (d *Daemon) probeLinks(ctx context.Context, targets []*pkreplica.Target, timeout time.Duration, next func(t *pkreplica.Target, err error, missing int) bool) ([]*pkreplica.Target, error) {
 	began := time.Now()
 	probeCtx, cancel := context.WithTimeout(ctx, timeout)
@@ -123,26 +139,63 @@
 	for _, t := range targets {
 		go func() { results <- result{target: t, err: d.probeLink(probeCtx, t)} }()
 	}
+	pauses := newPauseMeter()
+	defer pauses.stop()
 	var silent []*pkreplica.Target
-	for missing := len(targets) - 1; missing >= 0; missing-- {
-		one := <-results
+	settled := false
+	for missing := len(targets) - 1; missing >= 0 && !settled; missing-- {
+		one := receive(pauses, results)
 		if one.err != nil && !isConnError(one.err) {
 			silent = append(silent, one.target)
 		}
-		if !next(one.target, one.err, missing) {
-			break
-		}
+		settled = !next(one.target, one.err, missing)
 	}
+	maxPause, took := time.Duration(maxPauseShare*float64(timeout)), time.Since(began)
+	paused := !settled && len(silent) > 0 && (pauses.longest > maxPause || took > timeout+maxPause)
 	switch {
 	case ctx.Err() != nil:
 		return nil, ctx.Err()
-	case time.Since(began) > 2*timeout:
+	case paused || took > 2*timeout:
 		return nil, errStalled
 	default:
 		return silent, nil
 	}
 }
 
+// pauseMeter measures how long this process does not run.
+type pauseMeter struct {
+	ticker *time.Ticker
+	last   time.Time
+	// longest is the longest time between two ticks.
+	longest time.Duration
+}
+
+func newPauseMeter() *pauseMeter {
+	return &pauseMeter{ticker: time.NewTicker(pauseTick), last: time.Now()}
+}
+
+func (m *pauseMeter) stop() { m.ticker.Stop() }
+
+// update ends the pause in progress.
+func (m *pauseMeter) update() {
+	now := time.Now()
+	m.longest = max(m.longest, now.Sub(m.last))
+	m.last = now
+}
+
+// receive receives from a channel and measures pauses meanwhile.
+func receive[T any](m *pauseMeter, from <-chan T) T {
+	defer m.update()
+	for {
+		select {
+		case one := <-from:
+			return one
+		case <-m.ticker.C:
+			m.update()
+		}
+	}
+}
+
 // probeLink returns an error if a target cannot be reached. A link may accept a connection and reset it
 // once it is used; a target that is connected and does not answer in time is only busy.
 func (d *Daemon) probeLink(ctx context.Context, t *pkreplica.Target) error {
