pkedge: the test of a cut-off entry of a large fleet waits until all entries know the pool

Cause: of the test. The entry that served the lost stream refused it as full: it knew one engine with layers of six, as the list reached it 24 ms later. The test waited for a stream through the entry that is cut off only, and relays need the others. Change: the test waits for a stream through each entry. serveFor sends at least three streams from each of its four callers, so that "sent > 10" does not depend on speed; the time and all other checks stay, and the loop before the check now needs twelve streams served.

--- a/pkedge/cut_test.go
+++ b/pkedge/cut_test.go
@@ -43,16 +43,16 @@
 	return nodes, links
 }
 
-// serveFor sends streams to a node, several at a time, and returns how many there were and how many
-// were served whole.
+// serveFor sends streams to a node, several at a time, for a time and at least twelve of them. It returns how many
+// there were and how many were served whole.
 func (n *node) serveFor(t *testing.T, name string, d time.Duration) (sent, served int) {
 	t.Helper()
-	const atOnce, length = 4, 10
+	const atOnce, leastEach, length = 4, 3, 10
 	counts := make(chan [2]int, atOnce)
 	for k := range atOnce {
 		go func() {
 			var c [2]int
-			for began := time.Now(); time.Since(began) < d; c[0]++ {
+			for began := time.Now(); c[0] < leastEach || time.Since(began) < d; c[0]++ {
 				got := n.do(t, http.MethodPost, "/talk/1", fmt.Sprintf("%s-%d-%d", name, k, c[0]), platformtest.Key, length)
 				if got.err == nil && got.body == events(length) {
 					c[1]++
@@ -259,8 +259,8 @@
 	cutOff := nodes[entries-1]
 	for _, n := range nodes {
 		eventually(t, "all entries", func() bool { return n.isReady(t) && n.memberCount(t) >= entries })
+		n.waitForStream(t) // an entry that knows no path yet refuses what is passed on to it
 	}
-	cutOff.waitForStream(t)
 	links.Cut(platformtest.CutRefusing)
 	i := 0
 	eventually(t, "a stream through the entry that is cut off", func() bool {
