pkedge: a slow first event no longer stops a queue for good

The queue of a pool refused every request, with paths free, once the mean time to the first event exceeded the time that callers wait: the mean is subtracted from the latest start, so that each request had expired on arrival. No stream was started that could have corrected the mean. One slow first sample (2.5 s for callers that wait 2 s) was enough, and streams of one route with a longer objective had the same effect on the others.

The mean now shortens the time to start by half at most.

TestQueueStartsRequestsAfterSlowFirstEvents failed before with "no room in time: expired" and passes now; the room and queue tests pass with -race.

--- a/pkedge/queued.go
+++ b/pkedge/queued.go
@@ -127,14 +127,17 @@
 		Started: c.headSent, Priority: c.priority(), Rank: c.route.Priority, Account: c.account, Arrived: c.began,
 		Objective: c.began.Add(objective), Tokens: c.estimatedTokens(s.Engine),
 	}
-	it.Latest = c.began.Add(max(minPatience, objectivesPatience*objective, gapsPatience*c.route.GapObjective))
+	from := c.began
+	it.Latest = from.Add(max(minPatience, objectivesPatience*objective, gapsPatience*c.route.GapObjective))
 	if c.headSent {
-		it.Latest = now.Add(resumeTimeout)
+		from = now
+		it.Latest = from.Add(resumeTimeout)
 	}
 	if it.Latest.After(c.deadline) {
 		it.Latest = c.deadline
 	}
-	it.Latest = it.Latest.Add(-r.firstEventTime())
+	// Where first events take longer than a caller waits, no request would be started, and the mean never change.
+	it.Latest = it.Latest.Add(-min(r.firstEventTime(), max(it.Latest.Sub(from), 0)/2))
 	return it
 }
 
--- a/pkedge/room_test.go
+++ b/pkedge/room_test.go
@@ -270,3 +270,27 @@
 	r.dispatch(now)
 	assert.Equal(t, len(r.failed), 1, "one search shows that all have to wait")
 }
+
+// Guards against refusing all requests of a pool for good once its first events took longer than callers wait:
+// no stream would be started that could correct the mean.
+func TestQueueStartsRequestsAfterSlowFirstEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newQueuedPool(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go p.dispatchRooms(ctx)
+		p.room("models").recordStream(5*time.Second, 2500*time.Millisecond)
+		out := make(chan waitResult, 2)
+		p.wait(ctx, out, p.call("urgent"))
+		resumed := p.call("usual")
+		resumed.headSent = true
+		p.wait(ctx, out, resumed)
+		got := <-out
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.took, time.Duration(0))
+		got.path.release(p.call("urgent").estimatedTokens(p.service.Engine))
+		p.roomFreed()
+		got = <-out
+		assert.NilError(t, got.err)
+	})
+}
