pkedge: requests larger than the engines are refused at once

A request of a queued pool whose tokens exceed the largest share that any engine of some layer may be filled to waited until its latest start (2 s and more), and was the head of its class meanwhile: requests of the same priority and rank waited and expired behind it although engines were idle.

Nothing compared a request with the size of the engines. A request that is not started on arrival is now refused with cause "late" if no engine of a layer could hold it. Layers that no engine holds do not count, since they may get one.

TestQueueRefusesRequestsLargerThanTheEngines failed before (both requests expired after 2.05 s with an empty engine) and passes now; the room and queue tests pass with -race.

--- a/pkedge/queued.go
+++ b/pkedge/queued.go
@@ -27,7 +27,7 @@
 
 // Causes of refusals by a queue for room.
 const (
-	causeLate    = "late"    // the estimated wait exceeds what its caller waits
+	causeLate    = "late"    // the estimated wait exceeds what its caller waits, or no engine is large enough
 	causeFull    = "full"    // the queue is full
 	causeExpired = "expired" // no room came in time
 	causeBudget  = "budget"  // an engine had refused it, and the retry budget allowed no other send in time
@@ -87,10 +87,7 @@
 
 // queuedQuery returns the query at now for a path of a request that may be queued.
 func (c *call) queuedQuery(now time.Time, s *pkconfig.Service, it pkqueue.Item) pathQuery {
-	sends := 0
-	if it.Started || c.runs > 0 {
-		sends = c.sends
-	}
+	sends := c.countedSends(it)
 	q := c.newPathQuery(s, it.Tokens, sends)
 	if gap := c.route.GapObjective; q.maxCost > 0 && gap > 0 {
 		q.maxCost = maxTokenCost(gap, s.Engine)
@@ -102,6 +99,28 @@
 	return q
 }
 
+// countedSends returns the number of sends that let a request use more room: those of one that may have run.
+func (c *call) countedSends(it pkqueue.Item) int {
+	if it.Started || c.runs > 0 {
+		return c.sends
+	}
+	return 0
+}
+
+// canEverFit reports whether each layer that engines hold at now has one that could take the request if it had
+// nothing else to do. Layers that no engine holds may get one.
+func (c *call) canEverFit(now time.Time, s *pkconfig.Service, it pkqueue.Item) bool {
+	share := c.newPathQuery(s, it.Tokens, c.countedSends(it)).memoryShare
+	held, fits := make([]bool, s.Engine.Layers), make([]bool, s.Engine.Layers)
+	for _, t := range c.liveEngines(now, s.ID, s.Engine) {
+		fit := it.Tokens <= share*s.Engine.KVCapacity(t.Kind, t.Held.Len())
+		for l := t.Held.First; l < t.Held.End; l++ {
+			held[l], fits[l] = true, fits[l] || fit
+		}
+	}
+	return slices.Equal(held, fits)
+}
+
 // reservedShare returns the share of a pool's room that a request leaves at now for more urgent ones that wait
 // at other entries.
 func (d *Daemon) reservedShare(now time.Time, s *pkconfig.Service, it pkqueue.Item) float64 {
--- a/pkedge/room.go
+++ b/pkedge/room.go
@@ -251,7 +251,9 @@
 	if len(w.result) > 0 || w.ticket == 0 || w.item.Started {
 		return waiting
 	}
-	if wait, known := r.estimate(now, w, ahead); known && now.Add(wait).After(w.item.Latest) && r.queue.Remove(w.ticket) {
+	wait, known := r.estimate(now, w, ahead)
+	late := known && now.Add(wait).After(w.item.Latest) || !w.c.canEverFit(now, w.service, w.item)
+	if late && r.queue.Remove(w.ticket) {
 		r.finish(w, admission{err: r.refusal(now, w, causeLate)})
 	}
 	return waiting
--- a/pkedge/room_test.go
+++ b/pkedge/room_test.go
@@ -294,3 +294,26 @@
 		assert.NilError(t, got.err)
 	})
 }
+
+// Guards against holding a request that is larger than the engines, which no freed room helps, and against
+// letting it hold up those that go after it.
+func TestQueueRefusesRequestsLargerThanTheEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newQueuedPool(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go p.dispatchRooms(ctx)
+		out := make(chan waitResult, 2)
+		large := p.call("urgent")
+		large.req.Meta.PromptTokens = pkid.Tokens(0.95 * p.full / 80)
+		p.wait(ctx, out, large)
+		p.wait(ctx, out, p.call("urgent"))
+		got := <-out
+		var refused *queueRefusal
+		assert.Assert(t, errors.As(got.err, &refused))
+		assert.Equal(t, got.took, time.Duration(0))
+		got = <-out
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.took, time.Duration(0))
+	})
+}
