pkedge: queued requests are refused at once while their pool rests

While all engines of a layer had asked for rest, or were at their rate limit, a request of a queued pool waited for its whole time (2 s and more) and was then refused as "full" with a Retry-After of the wait. Pools without a queue refuse it at once, as "resting" or "rate_limited", with the Retry-After that the engines ask for.

waitInQueue did not ask poolBusy, unlike waitForPath. It now does so before a request is queued, and refuses it if the rest is longer than its time.

TestQueueRefusesRequestsWhileThePoolRests failed before ("expired" after 2.05 s for a rest of 10 s) and passes now; the room and queue tests pass with -race.

--- a/pkedge/queued.go
+++ b/pkedge/queued.go
@@ -168,6 +168,9 @@
 		c.requeued++
 	}
 	w := &waiter{c: c, service: s, item: c.queueItem(now, s, r), since: now, result: make(chan admission, 1)}
+	if err := c.poolBusy(now, s); err != nil && !c.headSent && now.Add(err.wait).After(w.item.Latest) {
+		return targetPath{}, err
+	}
 	c.ahead = max(c.ahead, r.push(now, w))
 	defer func() {
 		took := time.Since(now)
--- a/pkedge/room_test.go
+++ b/pkedge/room_test.go
@@ -317,3 +317,26 @@
 		assert.Equal(t, got.took, time.Duration(0))
 	})
 }
+
+// Guards against holding requests while all engines have asked for rest for longer than callers wait, and against
+// a Retry-After that does not follow what they asked for.
+func TestQueueRefusesRequestsWhileThePoolRests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newQueuedPool(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go p.dispatchRooms(ctx)
+		const rest = 10 * time.Second
+		p.started = time.Now()
+		p.target(t, p.engine).Rest(p.started.Add(rest))
+		p.lastRestEnd.Store(int64(rest))
+		out := make(chan waitResult, 1)
+		p.wait(ctx, out, p.call("urgent"))
+		got := <-out
+		var busy *busyError
+		assert.Assert(t, errors.As(got.err, &busy), "%v", got.err)
+		assert.Equal(t, got.took, time.Duration(0))
+		assert.Equal(t, busy.reason, reasonResting)
+		assert.Equal(t, busy.retryAfter, rest)
+	})
+}
