--- a/pkedge/queued.go
+++ b/pkedge/queued.go
@@ -27,7 +27,7 @@
 
 // Causes of refusals by a queue for room.
 const (
-	causeLate    = "late"    // the estimated wait exceeds what its caller waits
+	causeLate    = "late"    // the estimated wait exceeds what its caller waits, or no engine is large enough
 	causeFull    = "full"    // the queue is full
 	causeExpired = "expired" // no room came in time
 	causeBudget  = "budget"  // an engine had refused it, and the retry budget allowed no other send in time
@@ -87,10 +87,7 @@
 
 // queuedQuery returns the query at now for a path of a request that may be queued.
 func (c *call) queuedQuery(now time.Time, s *pkconfig.Service, it pkqueue.Item) pathQuery {
-	sends := 0
-	if it.Started || c.runs > 0 {
-		sends = c.sends
-	}
+	sends := c.countedSends(it)
 	q := c.newPathQuery(s, it.Tokens, sends)
 	if gap := c.route.GapObjective; q.maxCost > 0 && gap > 0 {
 		q.maxCost = maxTokenCost(gap, s.Engine)
@@ -102,6 +99,28 @@
 	return q
 }
 
+// countedSends returns the number of sends that let a request use more room: those of one that may have run.
+func (c *call) countedSends(it pkqueue.Item) int {
+	if it.Started || c.runs > 0 {
+		return c.sends
+	}
+	return 0
+}
+
+// canEverFit reports whether each layer that engines hold at now has one that could take the request if it had
+// nothing else to do. Layers that no engine holds may get one.
+func (c *call) canEverFit(now time.Time, s *pkconfig.Service, it pkqueue.Item) bool {
+	share := c.newPathQuery(s, it.Tokens, c.countedSends(it)).memoryShare
+	held, fits := make([]bool, s.Engine.Layers), make([]bool, s.Engine.Layers)
+	for _, t := range c.liveEngines(now, s.ID, s.Engine) {
+		fit := it.Tokens <= share*s.Engine.KVCapacity(t.Kind, t.Held.Len())
+		for l := t.Held.First; l < t.Held.End; l++ {
+			held[l], fits[l] = true, fits[l] || fit
+		}
+	}
+	return slices.Equal(held, fits)
+}
+
 // reservedShare returns the share of a pool's room that a request leaves at now for more urgent ones that wait
 // at other entries. One that can no longer be in time leaves it for all that can.
 func (d *Daemon) reservedShare(now time.Time, s *pkconfig.Service, it pkqueue.Item) float64 {
@@ -131,14 +150,17 @@
 		Started: c.headSent, Priority: c.priority(), Rank: c.route.Priority, Account: c.account, Arrived: c.began,
 		Objective: c.began.Add(objective), Tokens: c.estimatedTokens(s.Engine),
 	}
-	it.Latest = c.began.Add(max(minPatience, objectivesPatience*objective, gapsPatience*c.route.GapObjective))
+	from := c.began
+	it.Latest = from.Add(max(minPatience, objectivesPatience*objective, gapsPatience*c.route.GapObjective))
 	if c.headSent {
-		it.Latest = now.Add(resumeTimeout)
+		from = now
+		it.Latest = from.Add(resumeTimeout)
 	}
 	if it.Latest.After(c.deadline) {
 		it.Latest = c.deadline
 	}
-	it.Latest = it.Latest.Add(-r.firstEventTime())
+	// Where first events take longer than a caller waits, no request would be started, and the mean never change.
+	it.Latest = it.Latest.Add(-min(r.firstEventTime(), max(it.Latest.Sub(from), 0)/2))
 	return it
 }
 
@@ -150,6 +172,9 @@
 		c.requeued++
 	}
 	w := &waiter{c: c, service: s, item: c.queueItem(now, s, r), since: now, result: make(chan admission, 1)}
+	if err := c.poolBusy(now, s); err != nil && !c.headSent && now.Add(err.wait).After(w.item.Latest) {
+		return targetPath{}, err
+	}
 	c.ahead = max(c.ahead, r.push(now, w))
 	defer func() {
 		took := time.Since(now)
--- a/pkedge/room_test.go
+++ b/pkedge/room_test.go
@@ -273,3 +273,73 @@
 	r.dispatch(now)
 	assert.Equal(t, len(r.failed), 1, "one search shows that all have to wait")
 }
+
+// Guards against refusing all requests of a pool for good once its first events took longer than callers wait:
+// no stream would be started that could correct the mean.
+func TestQueueStartsRequestsAfterSlowFirstEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newQueuedPool(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go p.dispatchRooms(ctx)
+		p.room("models").recordStream(5*time.Second, 2500*time.Millisecond)
+		out := make(chan waitResult, 2)
+		p.wait(ctx, out, p.call("urgent"))
+		resumed := p.call("usual")
+		resumed.headSent = true
+		p.wait(ctx, out, resumed)
+		got := <-out
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.took, time.Duration(0))
+		got.path.release(p.call("urgent").estimatedTokens(p.service.Engine))
+		p.roomFreed()
+		got = <-out
+		assert.NilError(t, got.err)
+	})
+}
+
+// Guards against holding a request that is larger than the engines, which no freed room helps, and against
+// letting it hold up those that go after it.
+func TestQueueRefusesRequestsLargerThanTheEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newQueuedPool(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go p.dispatchRooms(ctx)
+		out := make(chan waitResult, 2)
+		large := p.call("urgent")
+		large.req.Meta.PromptTokens = pkid.Tokens(0.95 * p.full / 80)
+		p.wait(ctx, out, large)
+		p.wait(ctx, out, p.call("urgent"))
+		got := <-out
+		var refused *queueRefusal
+		assert.Assert(t, errors.As(got.err, &refused))
+		assert.Equal(t, got.took, time.Duration(0))
+		got = <-out
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.took, time.Duration(0))
+	})
+}
+
+// Guards against holding requests while all engines have asked for rest for longer than callers wait, and against
+// a Retry-After that does not follow what they asked for.
+func TestQueueRefusesRequestsWhileThePoolRests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newQueuedPool(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go p.dispatchRooms(ctx)
+		const rest = 10 * time.Second
+		p.started = time.Now()
+		p.target(t, p.engine).Rest(p.started.Add(rest))
+		p.lastRestEnd.Store(int64(rest))
+		out := make(chan waitResult, 1)
+		p.wait(ctx, out, p.call("urgent"))
+		got := <-out
+		var busy *busyError
+		assert.Assert(t, errors.As(got.err, &busy), "%v", got.err)
+		assert.Equal(t, got.took, time.Duration(0))
+		assert.Equal(t, busy.reason, reasonResting)
+		assert.Equal(t, busy.retryAfter, rest)
+	})
+}
