pkshare: entries report what waits for room of a pool

Cause: each entry orders its own waiting requests only. Where a burst reaches entries unevenly, one with less urgent requests takes the room that more urgent ones await elsewhere.

Change: messages hold the demand of their sender by service and priority (field 31), and sums that of their entries (field 7), complete in partial sums as well. A message of the run before the present one of its sender is ignored for 1.5 s after the last message of the present one: it would bring back demand and load that have ended. pkedge sends a changed demand with its next regular message; what waits there is not filled in yet.

--- a/pkedge/gossip.go
+++ b/pkedge/gossip.go
@@ -436,7 +436,7 @@
 	if rolesChanged(a, b) || a.Config != b.Config || a.Version != b.Version || a.List != b.List || a.QuarantineChecksum != b.QuarantineChecksum || len(a.Loads) != len(b.Loads) {
 		return true
 	}
-	if len(b.Suspects) > 0 || len(a.Cases) > 0 || len(b.Paces) > 0 || !pkrate.SameLimits(a.Limits, b.Limits) {
+	if len(b.Suspects) > 0 || len(a.Cases) > 0 || len(b.Paces) > 0 || !pkrate.SameLimits(a.Limits, b.Limits) || !slices.Equal(a.Demands, b.Demands) {
 		return true
 	}
 	for i := range a.Loads {
@@ -496,7 +496,7 @@
 	owns := d.actingRevision(now)
 	m.Owns = &owns
 	m.Sequence, m.Suspects = d.suspects(now)
-	m.Loads = d.ownLoads()
+	m.Loads, m.Demands = d.ownLoads(), d.ownDemands(now)
 	return m
 }
 
--- a/pkshare/hub.go
+++ b/pkshare/hub.go
@@ -186,7 +186,7 @@
 	return now.Sub(since) >= hubGrace
 }
 
-// Sum is the total load of several entries.
+// Sum is the total load and demand of several entries.
 type Sum struct {
 	// Global is set if the sum covers all entries; otherwise it covers those of the sender's data
 	// centre.
@@ -199,6 +199,8 @@
 	// tokens remove one. Earlier builds skip both fields and see no loads until the next full sum.
 	Partial bool   `cbor:"5,keyasint,omitempty"`
 	Changed []Load `cbor:"6,keyasint,omitempty"`
+	// Demands are few, and complete in partial sums as well.
+	Demands []Demand `cbor:"7,keyasint,omitempty"`
 }
 
 // Sums returns the sum over the entries of this one's data centre and the sum over all entries.
@@ -208,14 +210,17 @@
 	defer t.mu.Unlock()
 	a := newAccumulator()
 	a.add(1, own.Loads, own.Flows)
+	a.demands.add(own.Demands)
 	for _, p := range t.peers {
 		if now.Sub(p.lastReceivedAt) < staleAfter && p.sum == nil && p.dataCenter == own.DataCenter {
 			a.add(1, p.loads, p.flows)
+			a.demands.add(p.demands)
 		}
 	}
 	local = a.sum(false)
 	for _, p := range t.remoteSums(now) {
 		a.add(p.sum.Entries, p.sum.Loads, p.sum.Flows)
+		a.demands.add(p.sum.Demands)
 	}
 	return local, a.sum(true)
 }
@@ -308,15 +313,16 @@
 	t.lastSent = m
 }
 
-// accumulator adds up the loads and flows of entries.
+// accumulator adds up the loads, flows and demands of entries.
 type accumulator struct {
 	entries int
 	loads   map[pkid.TargetID]Load
 	flows   map[[2]pkid.DataCenter]float32
+	demands demandSums
 }
 
 func newAccumulator() *accumulator {
-	return &accumulator{loads: map[pkid.TargetID]Load{}, flows: map[[2]pkid.DataCenter]float32{}}
+	return &accumulator{loads: map[pkid.TargetID]Load{}, flows: map[[2]pkid.DataCenter]float32{}, demands: demandSums{}}
 }
 
 func (a *accumulator) add(entries int, loads []Load, flows []Flow) {
@@ -361,7 +367,7 @@
 
 // sum returns the totals in a fixed order.
 func (a *accumulator) sum(all bool) Sum {
-	out := Sum{Global: all, Entries: a.entries}
+	out := Sum{Global: all, Entries: a.entries, Demands: a.demands.list()}
 	for _, l := range a.loads {
 		out.Loads = append(out.Loads, l)
 	}
--- a/pkshare/message.go
+++ b/pkshare/message.go
@@ -76,10 +76,12 @@
 	// Owns is the revision of the owner's key by which the sender owns the pools and has lately compared
 	// what their engines hold with the plan; zero if it does neither, nil from builds that don't tell.
 	Owns *pkstore.Revision `cbor:"30,keyasint,omitempty"`
+	// Demands are what waits at the sender, by service and priority; none from earlier builds.
+	Demands []Demand `cbor:"31,keyasint,omitempty"`
 	// DataCenter and ProcessorShare are those of the sender.
 	DataCenter     pkid.DataCenter `cbor:"12,keyasint,omitempty"`
 	ProcessorShare float32         `cbor:"14,keyasint,omitempty"`
-	// Sum is what a hub sends in place of its own loads and flows.
+	// Sum is what a hub sends in place of its own loads, flows and demands.
 	Sum *Sum `cbor:"13,keyasint,omitempty"`
 }
 
--- a/pkshare/table.go
+++ b/pkshare/table.go
@@ -40,8 +40,10 @@
 
 // peer is the state that one other entry last reported.
 type peer struct {
-	addr           string
-	run            uint64
+	addr string
+	run  uint64
+	// endedRun is the run before this one.
+	endedRun       uint64
 	sequence       uint64
 	lastReceivedAt time.Time
 	config         pkstore.Revision
@@ -49,6 +51,7 @@
 	list           pkstore.Revision
 	loads          []Load
 	flows          []Flow
+	demands        []Demand
 	// sum is set where the peer sent its message as a hub.
 	sum            *Sum
 	dataCenter     pkid.DataCenter
@@ -113,7 +116,11 @@
 		return false
 	}
 	if p.run != m.Run {
-		*p = peer{}
+		// A late message of the run that ended would bring back what waited and ran there.
+		if p.endedRun == m.Run && now.Sub(p.lastReceivedAt) < staleAfter {
+			return false
+		}
+		*p = peer{endedRun: p.run}
 	}
 	if m.Sum != nil && m.Sum.Partial {
 		full := *m.Sum
@@ -125,7 +132,8 @@
 		m.Sum = &full
 	}
 	p.addr, p.run, p.sequence, p.lastReceivedAt = m.Addr, m.Run, m.Sequence, now
-	p.config, p.version, p.list, p.loads, p.flows = m.Config, m.Version, m.List, m.Loads, m.Flows
+	p.config, p.version, p.list = m.Config, m.Version, m.List
+	p.loads, p.flows, p.demands = m.Loads, m.Flows, m.Demands
 	if m.Following && !p.following {
 		p.followingSince = now
 	}
