--- a/pkedge/broadcast.go
+++ b/pkedge/broadcast.go
@@ -140,7 +140,7 @@
 	if !found {
 		return m
 	}
-	m.Loads, m.Flows, m.Sum = nil, nil, &sum.Delta
+	m.Loads, m.Flows, m.Demands, m.Sum = nil, nil, nil, &sum.Delta
 	if form.full {
 		m.Sum = &sum.Full
 	}
