pkedge: an entry that knows the limit of a target from another need not be told by the target

Cause: of the test. It sent requests one after another through each entry until the limited target got one. Entry n-2 had the limit from n-0 16 ms after that was told, before its own first request. It had no permit then, sent that request to the other target, measured that as faster than the 20 ms assumed for a target without measurements, and sent 1,883 requests in 20 s there and none to the limited one. The bound is counted from when all entries know the limit, by whichever way. Change: the first entry is told by the target as before. Each then gets requests until its metric shows a limited target. That is checked for all entries now; before, a request that had reached the target was enough. The bound on arrivals and the rest are unchanged, and TestPeersLearnOfALimit and TestHubsRelayTheLimitOfATarget hold what entries learn from others. Left: an entry that sends few requests at a time never tries a target that it has not measured while another answers in under 20 ms.

--- a/pkedge/limits_test.go
+++ b/pkedge/limits_test.go
@@ -49,6 +49,18 @@
 	})
 }
 
+// learnLimit sends requests through an entry until it knows the limit of a target, from a response or from another
+// entry. One that has learned it from another may find the other targets faster, and never send to that target.
+func learnLimit(t *testing.T, n *node, send func(n *node, id string) reply) {
+	t.Helper()
+	i := 0
+	eventually(t, "the limit at the entry", func() bool {
+		i++
+		assert.Equal(t, send(n, fmt.Sprintf("learn-%s-%d", n.CallersAddr(), i)).status, http.StatusOK)
+		return n.metric(t, "peridotknot_rate_limited_targets") == "1"
+	})
+}
+
 // tellFirstEngine makes an engine say something in its responses, and sends streams until it is the
 // first engine of one.
 func tellFirstEngine(t *testing.T, n *node, engines map[string]*platformtest.Replica, say func(e *platformtest.Replica, on bool), send func(n *node, id string) reply) *platformtest.Replica {
@@ -107,8 +119,9 @@
 			nodes := startEntries(t, w, entries)
 			send := readRequest(t)
 			limited.SetRateLimit(fmt.Sprint(namedLimit))
+			tellLimit(t, nodes[0], limited, send)
 			for _, n := range nodes {
-				tellLimit(t, n, limited, send)
+				learnLimit(t, n, send)
 			}
 			began, before := time.Now(), limited.Arrivals()
 			const atOnce, each = 20, 10
