pkedge, pkreplica: a stream that has started goes on once silent engines answer again

Seen by callers: an answer that breaks off after 1.5 s without an event, while the engines it needs have served others for a second again. The first engines of the four streams are at times all three that hold the first layers, and hold still for 1 s. Their liveness checks find them dead one by one. A stream leaves one for another that is found dead in the same millisecond, and then has no path at all. An engine found dead is avoided for 4 s (suspectTTL), whatever it does, and a stream waits 1.5 s (resumeTimeout). Streams that had kept their paths got events from these engines again about 1 s before the other one broke off. Class: a mark for silence that outlives the silence. Change: while a stream that has started waits for a path, engines of its pool that are avoided for silence are asked for a report, each at most every 200 ms and within the 40 ms of a liveness check. One that answers is used again and no longer reported to other entries as silent, which would refute and distrust this one. Engines whose process has ended stay avoided. Streams that have not started wait and are refused as before. No bound has changed.

--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -168,6 +168,9 @@
 		if err := c.poolBusy(now, s); err != nil && !c.headSent && now.Add(err.wait).After(until) {
 			return targetPath{}, err
 		}
+		if c.headSent {
+			c.recheckSilent(ctx, now, s.ID)
+		}
 		select {
 		case <-ctx.Done():
 			return targetPath{}, ctx.Err()
--- a/pkreplica/target.go
+++ b/pkreplica/target.go
@@ -296,6 +296,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.backoffUntil, t.failures = time.Time{}, 0
+	t.endSilenceLocked(now)
+}
+
+// EndSilence uses the target again at now if it is avoided for having been silent, since it has answered.
+func (t *Target) EndSilence(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.endSilenceLocked(now)
+}
+
+// endSilenceLocked ends the mark of a silent target; the caller holds the lock.
+func (t *Target) endSilenceLocked(now time.Time) {
 	if now.Before(t.goneUntil) || !now.Before(t.deadUntil) {
 		return
 	}
@@ -305,6 +317,13 @@
 	t.deadUntil = time.Time{}
 }
 
+// IsSilent reports whether the target is considered dead at now for having been silent only.
+func (t *Target) IsSilent(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.ended && !t.displaced && now.Before(t.deadUntil) && !now.Before(t.goneUntil)
+}
+
 // MarkGone avoids the target from now until a time because its process has ended.
 func (t *Target) MarkGone(now, until time.Time) {
 	t.MarkDead(now, until)
