--- a/pkedge/queued.go
+++ b/pkedge/queued.go
@@ -181,10 +181,8 @@
 		c.waited += took
 		c.metrics.queueWait.Observe(took.Seconds())
 	}()
-	select {
-	case got := <-w.result:
+	if got, ended := c.awaitTurn(ctx, w); ended {
 		return got.path, got.err
-	case <-ctx.Done():
 	}
 	if r.remove(w) {
 		return targetPath{}, ctx.Err()
@@ -196,6 +194,27 @@
 	return targetPath{}, ctx.Err()
 }
 
+// awaitTurn waits for the end of a wait, and reports whether it came before that of ctx. Meanwhile engines that are
+// avoided for silence are asked on behalf of a stream that has started.
+func (c *call) awaitTurn(ctx context.Context, w *waiter) (admission, bool) {
+	var tick <-chan time.Time
+	if w.item.Started {
+		ticker := time.NewTicker(roomPollInterval)
+		defer ticker.Stop()
+		tick = ticker.C
+	}
+	for {
+		select {
+		case got := <-w.result:
+			return got, true
+		case <-ctx.Done():
+			return admission{}, false
+		case now := <-tick:
+			c.recheckSilent(ctx, now, w.service.ID)
+		}
+	}
+}
+
 // ahead returns the tokens of the requests that go at now before one that is not in the queue, here and at
 // other entries.
 func (r *room) ahead(now time.Time, w *waiter) float64 {
