--- a/pkedge/queued.go
+++ b/pkedge/queued.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -255,12 +254,3 @@
 	w.c.logShortage(now, w.c.req.Meta.ID, w.service, w.c.queuedQuery(now, w.service, it))
 	return out
 }
-
-// queueRejection returns the answer to a request that was refused for lack of room, or nil.
-func queueRejection(err error) *rejection {
-	var refused *queueRefusal
-	if errors.As(err, &refused) {
-		return refused.rejection()
-	}
-	return nil
-}
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -73,16 +73,29 @@
 	if c.headSent {
 		return fmt.Errorf("stream broke off after %d events: %w", state.events, cause)
 	}
-	if verdict == pkverdict.NotRun && errors.Is(cause, errProbation) {
-		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterProbation, reason: "probation"}
-	}
-	if rej := queueRejection(cause); rej != nil && verdict == pkverdict.NotRun {
+	if rej := c.refusalOf(ctx, verdict, cause); rej != nil {
 		return rej
 	}
-	if verdict == pkverdict.NotRun && ctx.Err() == nil && errors.Is(cause, errNoCapacity) {
+	return c.finalError(ctx, verdict, cause)
+}
+
+// refusalOf returns the answer to a stream that was refused before it was sent, or nil; verdict is that of its
+// sends, cause why it is not sent.
+func (c *call) refusalOf(ctx context.Context, verdict pkverdict.Verdict, cause error) *rejection {
+	if verdict != pkverdict.NotRun {
+		return nil
+	}
+	var queued *queueRefusal
+	switch {
+	case errors.Is(cause, errProbation):
+		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterProbation, reason: "probation"}
+	case errors.As(cause, &queued):
+		return queued.rejection()
+	case ctx.Err() == nil && errors.Is(cause, errNoCapacity):
 		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterFull, reason: "full"}
+	default:
+		return nil
 	}
-	return c.finalError(ctx, verdict, cause)
 }
 
 // maySendStream reports whether another send is allowed, and charges a retry to the retry budget. Requests that
