pkedge: a queued retry is charged once, also with impaired links

While the links of an entry were impaired and no other entry could take the request, or the request had itself been passed on, a retry of a queued request was charged before it was queued and again when its turn came. With one retry left in the budget it was refused with cause "budget". A retry for which the links became impaired after the check was passed on without being charged.

The choice between the two charges depended on the condition of the links, which says neither that the request will be passed on nor that it won't. Now queued requests are charged where they are passed on, or when their turn comes. The cause of the failure before is kept if the budget allows no relay.

TestQueueChargesARetryOnceWithImpairedLinks failed before (refused, cause "budget") and passes now; TestQueueChargesARetryThatIsPassedOn guards the relay's charge. The room and queue tests pass with -race.

--- a/pkedge/room_test.go
+++ b/pkedge/room_test.go
@@ -14,8 +14,10 @@
 	"peridotknot.example/pkconfig"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pklayers"
+	"peridotknot.example/pkreach"
 	"peridotknot.example/pkshare"
 	"peridotknot.example/pkstore"
+	"peridotknot.example/pkverdict"
 )
 
 // rankedConfig has routes of three priorities to one pool.
@@ -340,3 +342,40 @@
 		assert.Equal(t, busy.retryAfter, rest)
 	})
 }
+
+// Guards against charging a retry twice, once before the request is queued and once when its turn comes, while
+// the links of the entry are impaired and no other entry can take the request.
+func TestQueueChargesARetryOnceWithImpairedLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newQueuedPool(t)
+		setRetryBudget(p.Daemon, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go p.dispatchRooms(ctx)
+		p.links.Record(time.Now(), "models", pkreach.Sample{Reached: 4, Failed: 4, Silent: 4, Answered: 8, Lost: 6})
+		assert.Assert(t, p.links.Impaired("models"))
+		c := p.call("urgent")
+		c.delivered, c.sends = 1, 1
+		assert.Assert(t, c.maySendStream(ctx, true, pkverdict.NotRun))
+		out := make(chan waitResult, 1)
+		p.wait(ctx, out, c)
+		got := <-out
+		assert.NilError(t, got.err)
+		usage := p.budgets.of("models").Usage(time.Now(), p.retryLimits(time.Now()))
+		assert.Equal(t, usage.Retries, 1.0)
+	})
+}
+
+// Guards against passing a queued request on beyond the retry budget: it does not wait for its turn then.
+func TestQueueChargesARetryThatIsPassedOn(t *testing.T) {
+	p := newQueuedPool(t)
+	setRetryBudget(p.Daemon, 0)
+	p.links.Record(time.Now(), "models", pkreach.Sample{Reached: 4, Failed: 4, Silent: 4, Answered: 8, Lost: 6})
+	p.receiveMessage(time.Now(), pkshare.Message{From: "other", Addr: "other", Sequence: 1, Relays: true})
+	assert.Equal(t, len(p.relayCandidates(time.Now(), "models")), 1)
+	c := p.call("urgent")
+	c.delivered, c.sends = 1, 1
+	result := c.sendStream(t.Context(), p.service, pkverdict.NotRun, &streamState{})
+	assert.Assert(t, result.last && result.err == nil, "%+v", result)
+	assert.Equal(t, c.relays, 0)
+}
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -1,6 +1,7 @@
 package pkedge
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -62,7 +63,7 @@
 		if result.final {
 			return result.err
 		}
-		verdict, cause = result.verdict, result.err
+		verdict, cause = result.verdict, cmp.Or(result.err, cause)
 		if result.last {
 			break
 		}
@@ -83,9 +84,9 @@
 }
 
 // maySendStream reports whether another send is allowed, and charges a retry to the retry budget. Requests that
-// are queued for room are charged for a retry when their turn comes.
+// are queued for room are charged for a retry when their turn comes, or when they are passed on.
 func (c *call) maySendStream(ctx context.Context, queued bool, verdict pkverdict.Verdict) bool {
-	if queued && !c.links.Impaired(c.service) {
+	if queued {
 		return c.delivered == 0 || c.mayRetry(verdict)
 	}
 	return c.maySend(verdict) || c.waitForBudget(ctx, verdict)
@@ -99,6 +100,9 @@
 	}
 	if r, cutOff := c.tryRelay(time.Now()); cutOff {
 		defer r.end()
+		if c.queues(c.table, s) && !c.maySend(verdict) && !c.waitForBudget(ctx, verdict) {
+			return sendResult{verdict: verdict, last: true}
+		}
 		return c.relayResult(r, verdict, c.relayStream(ctx, r, state))
 	}
 	p, err := c.waitForPath(ctx, s)
