pkedge: requests without an objective wait no longer than their callers

A request of a route without a latency objective could wait in the queue for 4 s, and was refused on arrival only for an estimated wait beyond that. Its caller waits 2 s for an event (or 8 gap objectives).

The time that callers wait was taken from the default objective, which only orders such requests. It is now taken from the objectives of the route.

TestQueueHoldsRequestsWithoutAnObjectiveForAsLongAsCallersWait failed before (4 s) and passes now; the room and queue tests pass with -race.

--- a/pkedge/queued.go
+++ b/pkedge/queued.go
@@ -147,7 +147,7 @@
 		Objective: c.began.Add(objective), Tokens: c.estimatedTokens(s.Engine),
 	}
 	from := c.began
-	it.Latest = from.Add(max(minPatience, objectivesPatience*objective, gapsPatience*c.route.GapObjective))
+	it.Latest = from.Add(max(minPatience, objectivesPatience*c.route.LatencyObjective, gapsPatience*c.route.GapObjective))
 	if c.headSent {
 		from = now
 		it.Latest = from.Add(resumeTimeout)
--- a/pkedge/room_test.go
+++ b/pkedge/room_test.go
@@ -379,3 +379,16 @@
 	assert.Assert(t, result.last && result.err == nil, "%+v", result)
 	assert.Equal(t, c.relays, 0)
 }
+
+// Guards against holding requests of routes without an objective beyond the 2 s that their callers wait: the
+// objective that orders them is not what their callers know.
+func TestQueueHoldsRequestsWithoutAnObjectiveForAsLongAsCallersWait(t *testing.T) {
+	p := newQueuedPool(t)
+	c := p.call("urgent")
+	route := *c.route
+	route.LatencyObjective, route.GapObjective = 0, 0
+	c.route = &route
+	it := c.queueItem(c.began, p.service, p.room("models"))
+	assert.Equal(t, it.Objective.Sub(c.began), defaultLatencyObjective)
+	assert.Equal(t, it.Latest.Sub(c.began), minPatience)
+}
