--- a/pkedge/call.go
+++ b/pkedge/call.go
@@ -63,6 +63,8 @@
 	reroutes int
 	// waited is how long the request waited in queues for room, ahead the number of requests that it found there,
 	// requeued how often it came back from an engine that refused it.
+	// It was queued first at queuedAt.
+	queuedAt time.Time
 	waited   time.Duration
 	ahead    int
 	requeued int
--- a/pkedge/queued.go
+++ b/pkedge/queued.go
@@ -77,8 +77,8 @@
 	return p, found
 }
 
-// asksAsMuchAs reports whether each path for the query would also be one for the other, of the same pool and
-// entry.
+// asksAsMuchAs reports whether each path for the query would also be one for the other, so that there is none if the
+// other found none. Both are for whole paths of one pool from this entry; urgency changes costs, not what fits.
 func (q pathQuery) asksAsMuchAs(other pathQuery) bool {
 	return q.tokens >= other.tokens && q.memoryShare <= other.memoryShare && (other.lastResort || !q.lastResort) &&
 		(other.maxCost == 0 || (q.maxCost > 0 && q.maxCost <= other.maxCost))
@@ -149,8 +149,12 @@
 		Started: c.headSent, Priority: c.priority(), Rank: c.route.Priority, Account: c.account, Arrived: c.began,
 		Objective: c.began.Add(objective), Tokens: c.estimatedTokens(s.Engine),
 	}
-	from := c.began
-	it.Latest = from.Add(max(minPatience, objectivesPatience*objective, gapsPatience*c.route.GapObjective))
+	// Callers wait for an event once they have sent their request.
+	if c.queuedAt.IsZero() {
+		c.queuedAt = now
+	}
+	from := c.queuedAt
+	it.Latest = from.Add(max(minPatience, objectivesPatience*c.route.LatencyObjective, gapsPatience*c.route.GapObjective))
 	if c.headSent {
 		from = now
 		it.Latest = from.Add(resumeTimeout)
--- a/pkedge/replicas.go
+++ b/pkedge/replicas.go
@@ -65,6 +65,7 @@
 		d.Conns.CloseIdle(addr)
 	}
 	d.streams.wakeUp()
+	d.roomFreed()
 }
 
 func (d *Daemon) logReplica(one pkreplica.Record, at pkstore.Revision, source string) {
--- a/pkedge/reroute.go
+++ b/pkedge/reroute.go
@@ -221,5 +221,6 @@
 	a.path = next
 	a.lastEventAt = time.Now()
 	a.rerouting = false
+	d.roomFreed()
 	return true
 }
--- a/pkedge/room.go
+++ b/pkedge/room.go
@@ -99,6 +99,11 @@
 	return found && d.queues(table, s)
 }
 
+// queuesAny reports whether requests are queued for room in some pool; table may be nil.
+func (d *Daemon) queuesAny(table *pkconfig.Table) bool {
+	return table != nil && slices.ContainsFunc(table.Services, func(s pkconfig.Service) bool { return d.queues(table, &s) })
+}
+
 // roomFreed has the queues look for paths, since some room may be free.
 func (d *Daemon) roomFreed() {
 	if d.rooms.waiting.Load() == 0 {
@@ -170,6 +175,10 @@
 func (r *room) hold(now time.Time, w *waiter) {
 	c := w.c
 	_, inTime := c.budgets.of(c.service).RetryWait(now, c.retryLimits(now), w.item.Latest.Sub(now))
+	if len(r.held) >= r.queue.Limits.Bound() && !w.item.Started {
+		r.finish(w, admission{err: r.refusal(now, w, causeFull)})
+		return
+	}
 	if !inTime && (!w.item.Started || now.After(w.item.Latest)) {
 		r.finish(w, admission{err: r.refusal(now, w, causeBudget)})
 		return
@@ -219,6 +228,7 @@
 			return true
 		}
 		if !w.c.takePermit(now, p.first()) {
+			// Another request took the last permit; a retry that was charged is kept for the next try.
 			w.c.charged = w.c.delivered > 0
 			continue
 		}
--- a/pkqueue/queue.go
+++ b/pkqueue/queue.go
@@ -117,7 +117,7 @@
 		}
 	}
 	var dropped []Waiting[T]
-	for len(q.waiting) > q.bound() {
+	for len(q.waiting) > q.Limits.Bound() {
 		last := q.lastEntry()
 		dropped = append(dropped, last.Waiting)
 		q.take(last)
@@ -125,9 +125,10 @@
 	return e.Ticket, dropped
 }
 
-func (q *Queue[T]) bound() int {
-	if q.Limits.MaxWaiting > 0 {
-		return q.Limits.MaxWaiting
+// Bound returns the largest number of waiting requests.
+func (l Limits) Bound() int {
+	if l.MaxWaiting > 0 {
+		return l.MaxWaiting
 	}
 	return DefaultMaxWaiting
 }
@@ -164,7 +165,7 @@
 // take removes an entry from the queue.
 func (q *Queue[T]) take(e *entry[T]) {
 	q.forget(e)
-	if q.ranked && len(q.waiting) < q.bound()/2 {
+	if q.ranked && len(q.waiting) < q.Limits.Bound()/2 {
 		q.unrank()
 	}
 	if e.flow != nil {
