pkedge: an owner whose orders fail checks its links

What failed: TestAnOwnerThatIsCutOffIsReplaced ("layers ordered by another owner" not within 20 s) at times beside load. Cause: a fault of the product. A cut shows by failed streams or by the connections that monitor engines, which only designated entries hold. Beside load the third of the entries, which is not designated, at times writes the owner's key first. Cut off without streams it read "connection refused" for each report and tried again every 600 ms, never checked its links, told the others that it acts, and kept the key. Change: an owner that cannot read the report of an engine which it has an order for checks its links, at most once in lostCheckInterval. Found cut off, it gives up the key as before. The timeout of the order does not bound the check.

--- a/pkedge/cut_test.go
+++ b/pkedge/cut_test.go
@@ -26,21 +26,33 @@
 	t.Helper()
 	nodes, links := make([]*node, entries), make([]*platformtest.Links, entries)
 	for i := range nodes {
-		links[i] = new(platformtest.Links)
-		nodes[i] = startLinked(t, pkedge.Settings{
-			Entry: pkid.EntryID(fmt.Sprintf("n-%d", i)), DataCenter: "a", Store: w.Store.Addr(),
-			Listen: pkedge.Listen{Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: "127.0.0.1:0"},
-			Stop:   pkedge.Stop{GraceS: 4},
-			Retry:  pkedge.Retry{Ratio: 0.2, WindowS: 1, Slack: 400},
-		}, links[i])
+		nodes[i], links[i] = startCuttableNode(t, w, i)
 	}
+	waitForAll(t, nodes)
+	return nodes, links
+}
+
+// startCuttableNode starts an entry whose links can be cut.
+func startCuttableNode(t *testing.T, w *platformtest.Platform, i int) (*node, *platformtest.Links) {
+	t.Helper()
+	links := new(platformtest.Links)
+	return startLinked(t, pkedge.Settings{
+		Entry: pkid.EntryID(fmt.Sprintf("n-%d", i)), DataCenter: "a", Store: w.Store.Addr(),
+		Listen: pkedge.Listen{Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: "127.0.0.1:0"},
+		Stop:   pkedge.Stop{GraceS: 4},
+		Retry:  pkedge.Retry{Ratio: 0.2, WindowS: 1, Slack: 400},
+	}, links), links
+}
+
+// waitForAll waits until each entry serves streams and counts all of them.
+func waitForAll(t *testing.T, nodes []*node) {
+	t.Helper()
 	for _, n := range nodes {
 		n.waitForStream(t)
 		eventually(t, "all entries", func() bool {
-			return n.memberCount(t) == entries && n.metric(t, "peridotknot_peers") == fmt.Sprint(entries-1)
+			return n.memberCount(t) == len(nodes) && n.metric(t, "peridotknot_peers") == fmt.Sprint(len(nodes)-1)
 		})
 	}
-	return nodes, links
 }
 
 // serveFor sends streams to a node, several at a time, for a time and at least twelve of them. It returns how many
@@ -157,6 +169,26 @@
 	assert.Assert(t, string(w.Store.Value(platform.OwnPrefix+"owner")) != owner)
 }
 
+// Guards against engines that get no layers because the owner of the pools, which is neither designated in its data
+// centre nor serves any streams, sends its orders in vain and does not notice that it is cut off.
+func TestAnOwnerThatIsCutOffAndServesNobodyIsReplaced(t *testing.T) {
+	t.Parallel()
+	w, _ := newPool(t)
+	owner, links := startCuttableNode(t, w, 2)
+	owner.waitForStream(t) // alone it becomes the owner
+	nodes := []*node{owner}
+	for i := range 2 { // two entries that come before it are designated
+		n, _ := startCuttableNode(t, w, i)
+		nodes = append(nodes, n)
+	}
+	waitForAll(t, nodes)
+	assert.Equal(t, string(w.Store.Value(platform.OwnPrefix+"owner")), "n-2")
+	links.Cut(platformtest.CutRefusing)
+	fresh := w.Add(platformtest.Pool, "i-new", "a")
+	eventually(t, "layers ordered by another owner", func() bool { _, end := fresh.HeldLayers(); return end > 0 })
+	assert.Assert(t, string(w.Store.Value(platform.OwnPrefix+"owner")) != "n-2")
+}
+
 // Guards against an entry whose links lose packets that takes engines for dead, one after the other, and refuses its
 // callers, while another entry reaches all of them.
 func TestCallersOfAnEntryWhoseLinksLosePacketsAreServed(t *testing.T) {
--- a/pkedge/own.go
+++ b/pkedge/own.go
@@ -118,13 +118,18 @@
 	}
 }
 
-// orderEngine reads an engine's report and sends it an order while this daemon's lease is valid.
+// orderEngine reads an engine's report and sends it an order while this daemon's lease is valid. If the report
+// cannot be read, it checks the links: an owner that is neither designated nor serves streams has no other
+// connections to engines that would show a cut.
 func (d *Daemon) orderEngine(ctx context.Context, task pkowner.Task) pkowner.Outcome {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	report, err := d.readReport(ctx, task.Target)
+	report, err := d.readReport(orderCtx, task.Target)
 	if err != nil {
 		d.log.Warn("engine report was not read, no order sent", "target", task.Target.ID, "error", err)
+		if s := task.Target.Service; !d.links.CheckedWithin(time.Now(), s, lostCheckInterval) {
+			d.linkCondition(ctx, s, task.Target.ID)
+		}
 		return pkowner.Rejected
 	}
 	d.recordActed(time.Now())
@@ -140,7 +145,7 @@
 	if !may {
 		return pkowner.Rejected
 	}
-	out, err := d.Engines.Place(ctx, task.Target.Addr, pkowner.Order{Layers: task.Layers, Fence: fence, ExpectedOrders: report.AcceptedOrders})
+	out, err := d.Engines.Place(orderCtx, task.Target.Addr, pkowner.Order{Layers: task.Layers, Fence: fence, ExpectedOrders: report.AcceptedOrders})
 	d.log.Info("engine ordered to hold layers", "target", task.Target.ID, "first", task.Layers.First, "end", task.Layers.End,
 		"held_first", report.Held.First, "held_end", report.Held.End, "orders", report.AcceptedOrders, "fence", fence,
 		"outcome", out.String(), "error", err)
--- a/pkedge/ownership_test.go
+++ b/pkedge/ownership_test.go
@@ -12,6 +12,7 @@
 	"peridotknot.example/pkconfig"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pklayers"
+	"peridotknot.example/pkowner"
 	"peridotknot.example/pkreach"
 	"peridotknot.example/pkshare"
 	"peridotknot.example/pkstore"
@@ -107,6 +108,31 @@
 	})
 }
 
+// Guards against pools that nobody orders because their owner sends no streams and takes each order that fails for a
+// fault of the engine: it must check its links, and find them in order where only that engine fails.
+func TestAnOwnerWhoseOrderFailsChecksItsLinks(t *testing.T) {
+	for name, row := range map[string]struct {
+		reachable []string
+		want      pkreach.Condition
+	}{
+		"cut off":       {want: pkreach.CutOff},
+		"failed engine": {reachable: allButA, want: pkreach.Whole},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d, engines := twelveEngines(t, row.reachable...)
+				for range 3 {
+					got := d.orderEngine(t.Context(), pkowner.Task{Target: d.target(t, "a"), Layers: pkid.Range{End: 40}})
+					assert.Equal(t, got, pkowner.Rejected)
+				}
+				assert.Equal(t, d.links.Condition("models"), row.want)
+				assert.Assert(t, d.links.CheckedWithin(time.Now(), "models", time.Minute))
+				assert.Assert(t, engines.probes.Load() < 3*pkreach.SampleSize, "%d probes", engines.probes.Load())
+			})
+		})
+	}
+}
+
 // Guards against a write of the owner's key in each round by an owner whose key has ended with its lease, and that has
 // not read of it: what a write meets is known.
 func TestAnOwnerWhoseKeyIsGoneWritesItOnce(t *testing.T) {
