pkedge: a stream is not sent again before a crash that would quarantine it is found

What failed: TestRequestThatCrashesEnginesIsQuarantinedBesideImpairedLinks/lossy (5 engines crashed, at most 4 are allowed) at times. Cause: a fault of the product. A crash is found 27 to 616 ms after the send that it interrupted, and a call may send again after 2 ms. So a request that has crashed two engines crashed two more by one call, before the first counted. Change: before each send of a stream, while the known crashes and the interrupted sends of the request at this entry together reach the limit, the call waits for their check: at most crashWindow, or resumeTimeout once its answer has started. Without a known crash nothing waits, as interrupted sends are then more likely a fault of the links. Tests: TestSuspectedRequestIsNotSentAgainBeforeItsCrashIsFound, one entry and 12 engines, demands exactly three crashes. Not excluded: two entries that send within the time in which a crash reaches the other may still crash two engines each.

--- a/pkedge/poison_test.go
+++ b/pkedge/poison_test.go
@@ -249,6 +249,26 @@
 	}
 }
 
+// Guards against a request that crashes a fourth engine by the second send of one call, before the crash that it caused
+// by the first one is found: none may be sent between.
+func TestSuspectedRequestIsNotSentAgainBeforeItsCrashIsFound(t *testing.T) {
+	t.Parallel()
+	w, _ := newPool(t)
+	for i := range 6 { // enough paths for a second send of each call
+		w.Add(platformtest.Pool, fmt.Sprintf("more-%d", i), "a")
+	}
+	n := start(t, w, "one")
+	p := &poisonRequest{w: w, service: platformtest.Pool, uri: "/talk/poison", tokens: 5}
+	w.Poison(p.uri)
+	for i := 0; n.metric(t, quarantinedMetric) != "1"; i++ {
+		assert.Assert(t, i < 4, "not quarantined after %d crashes", len(w.CrashedReplicas()))
+		n.waitForStream(t)
+		p.send(t, n)
+		eventually(t, "a crash that counts", func() bool { return n.metric(t, "peridotknot_suspected_requests") != "0" })
+	}
+	assert.Equal(t, len(w.CrashedReplicas()), 3)
+}
+
 // Guards against a request that crashes three engines more after each restart of all entries: crashes before the third
 // were known to their processes alone.
 func TestCrashesCountAcrossARestartOfAllEntries(t *testing.T) {
--- a/pkedge/quarantine.go
+++ b/pkedge/quarantine.go
@@ -54,6 +54,8 @@
 	mu sync.Mutex
 	// interrupted are sends whose replica may have crashed.
 	interrupted []interruptedSend
+	// checked are those of them that are being checked.
+	checked []interruptedSend
 	// completed are streams that ended early enough for their target to crash of them yet.
 	completed []completedStream
 	// unsaved are the latest crashes that this entry found, by trait, that the store is not known to
@@ -208,7 +210,7 @@
 	q := &d.quarantine
 	q.mu.Lock()
 	all := q.interrupted
-	q.interrupted = nil
+	q.interrupted, q.checked = nil, all
 	q.mu.Unlock()
 	var pending []interruptedSend
 	var probes []*pkreplica.Target
@@ -226,7 +228,7 @@
 		}
 	}
 	q.mu.Lock()
-	q.interrupted = append(pending, q.interrupted...)
+	q.interrupted, q.checked = append(pending, q.interrupted...), nil
 	q.mu.Unlock()
 	return probes
 }
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -101,6 +101,7 @@
 		defer r.end()
 		return c.relayResult(r, verdict, c.relayStream(ctx, r, state))
 	}
+	c.awaitCrashCheck(ctx)
 	p, err := c.waitForPath(ctx, s)
 	if err == nil {
 		if err = c.admitSuspect(time.Now()); err != nil && p.reserved {
