--- a/pkedge/unframed_test.go
+++ b/pkedge/unframed_test.go
@@ -48,6 +48,7 @@
 	eventually(t, "a call", func() bool {
 		return n.do(t, http.MethodGet, "/read/1", "warm", platformtest.Key, 0).status == http.StatusOK
 	})
+	n.waitForRetries(t)
 	w.SetNextBehaviors(platformtest.CrashInBody)
 	got := n.do(t, http.MethodGet, "/read/1", "idempotent", platformtest.Key, 0)
 	assert.NilError(t, got.err)
