--- a/pkedge/gossip_test.go
+++ b/pkedge/gossip_test.go
@@ -120,7 +120,7 @@
 }
 
 // Guards against a start of all entries that lasts until the first hub of a data centre runs, although the other
-// one has the configuration: it leaves the catch-up to the first one only while it hears from it.
+// one has the configuration: it leaves the catch-up to the first one only while that one sends messages.
 func TestSecondHubServesStartingEntriesWithoutTheFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		for _, row := range []struct {
--- a/pkedge/links.go
+++ b/pkedge/links.go
@@ -28,7 +28,7 @@
 	// maxPauseShare is the share of the timeout of a probe from which a pause of this process, or a delay of the timeout
 	// itself, may have hidden an answer. With a quarter, links in order were still taken for lossy beside busy processes.
 	maxPauseShare = 0.15
-	// pauseTick is the resolution at which pauses are measured.
+	// pauseTick is the shortest pause of this process that counts.
 	pauseTick = 2 * time.Millisecond
 	// startSampleSize is the number of targets of a service that a starting entry probes. A failure leads to a
 	// whole sample.
--- a/pkedge/settings.go
+++ b/pkedge/settings.go
@@ -56,7 +56,7 @@
 	Slack   float64 `yaml:"slack"`
 }
 
-// QueueMode says for which pools of engines requests are queued for room.
+// QueueMode selects the pools of engines whose requests are queued for room.
 type QueueMode string
 
 // Modes of the queue for room.
--- a/pkexplain/wait.go
+++ b/pkexplain/wait.go
@@ -50,7 +50,7 @@
 
 // Refusal is why a request was refused for lack of room.
 type Refusal struct {
-	// Cause is as in the log, Reason says it in a sentence.
+	// Cause is as in the log, Reason is a sentence for it.
 	Cause  string
 	Reason string
 	// Waiting is the number of requests in the queue after the refusal.
--- a/pkexplain/wait_test.go
+++ b/pkexplain/wait_test.go
@@ -94,7 +94,7 @@
 	}
 }
 
-// Guards against a refusal that is told of a later request with the same ID, as a caller that retries may send it.
+// Guards against a refusal that is shown for a later request with the same ID, as a caller that retries may send it.
 func TestRefusalOfAnEarlierRequestWithTheSameIDIsNotShown(t *testing.T) {
 	later := strings.ReplaceAll(queueLog, `"request_id":"admitted later"`, `"request_id":"refused"`)
 	w := waitOf(t, refusalLog("late", 0, 3100, 100)+later, "refused")
--- a/pkqueue/timeline.go
+++ b/pkqueue/timeline.go
@@ -11,7 +11,7 @@
 // middle would touch the memory of an entry on each level, which took most of the time of a decision
 // with 10,000 waiting.
 type timeline[T any] struct {
-	// inTime says that only requests that are in time belong here.
+	// inTime is set if only requests that are in time belong here.
 	inTime bool
 	events []event[T]
 }
--- a/pkshare/demand_fleet_test.go
+++ b/pkshare/demand_fleet_test.go
@@ -183,7 +183,7 @@
 }
 
 // Guards against room that stays reserved for requests which have been served: two hub intervals
-// after the message that says so, no entry may count them, and nothing more is sent of them.
+// after the message that reports it, no entry may count them, and nothing more is sent of them.
 func TestEndedDemandIsCleared(t *testing.T) {
 	for _, size := range fleetSizes() {
 		f := newDemandFleet(size.dataCenters, size.each)
--- a/pkshare/quarantine_test.go
+++ b/pkshare/quarantine_test.go
@@ -10,7 +10,7 @@
 )
 
 // catchUpTimes returns the times since start at which a peer is sent a catch-up of quarantined requests.
-// The peer and this entry send a message each interval; checksum returns what the peer's message says.
+// The peer and this entry send a message each interval; checksum returns the one in the peer's message.
 func catchUpTimes(interval, span time.Duration, checksum func(at time.Duration) pkquarantine.Checksum) []time.Duration {
 	var table Table
 	var out []time.Duration
--- a/pkwarmup/replay_test.go
+++ b/pkwarmup/replay_test.go
@@ -43,7 +43,7 @@
 	mute bool
 }
 
-// outcome is what a replay has measured.
+// outcome is the result of a replay.
 type outcome struct {
 	// mostBlind is the largest number of requests at the target that were started by entries without
 	// reports, mostAtBlind the largest number of all requests at the target when one of them was.
