--- a/pkedge/gossip.go
+++ b/pkedge/gossip.go
@@ -134,7 +134,8 @@
 	d.recordEra(now, max(m.Config, m.List), "peer "+string(m.From))
 	d.receiveConfig(m)
 	if m.Candidates != nil {
-		d.members.applyCandidates(m.DataCenter, m.Candidates)
+		members := d.members.applyCandidates(m.DataCenter, m.Candidates)
+		d.log.Info("members known", "source", "peer "+string(m.From), "members", members)
 	}
 	if m.StoreRecoveredAgoMS > 0 {
 		d.roster.MarkPeerStoreAvailable(now.Add(-time.Duration(m.StoreRecoveredAgoMS) * time.Millisecond))
--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -176,6 +176,7 @@
 		m.apply(now, strings.TrimPrefix(one.Key, d.OwnPrefix), pkstore.Event{Item: one})
 	}
 	d.logOwner(before, "list", at)
+	d.log.Info("members known", "source", "list", "members", len(m.peers), "known_to", at.String())
 	d.gossip.updateLinks()
 }
 
@@ -326,8 +327,9 @@
 	m.sizes[dc] = savedSize{entries: n, revision: ev.Item.Revision}
 }
 
-// applyCandidates replaces the members of a data centre by those that a hub reported.
-func (m *members) applyCandidates(dc pkid.DataCenter, candidates []pkshare.Member) {
+// applyCandidates replaces the members of a data centre by those that a hub reported, and returns how many members
+// are known.
+func (m *members) applyCandidates(dc pkid.DataCenter, candidates []pkshare.Member) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.candidates = candidates
@@ -340,6 +342,7 @@
 			m.peers[one.ID] = one
 		}
 	}
+	return len(m.peers)
 }
 
 // knowsOthers reports whether another entry than this one is registered.
--- a/pkedge/relay.go
+++ b/pkedge/relay.go
@@ -34,8 +34,10 @@
 	if c.relayed != nil || c.relays >= maxRelays || !c.links.Impaired(c.service) {
 		return relay{}, false
 	}
-	peer, found := c.relayPeers.Choose(now, c.relayCandidates(now, c.service))
+	candidates := c.relayCandidates(now, c.service)
+	peer, found := c.relayPeers.Choose(now, candidates)
 	if !found {
+		c.log.Info("no entry to pass a request on to", "request_id", c.req.Meta.ID, "service", c.service, "candidates", len(candidates), "relays", c.relays)
 		return relay{}, false
 	}
 	return relay{peer: peer, end: c.relayPeers.Begin(peer.ID)}, true
