--- a/pkedge/cut_test.go
+++ b/pkedge/cut_test.go
@@ -289,10 +289,7 @@
 		}
 	}
 	cutOff := nodes[entries-1]
-	for _, n := range nodes {
-		eventually(t, "all entries", func() bool { return n.isReady(t) && n.memberCount(t) >= entries })
-		n.waitForStream(t) // an entry that knows no path yet refuses what is passed on to it
-	}
+	waitForFleet(t, nodes)
 	links.Cut(platformtest.CutRefusing)
 	i := 0
 	eventually(t, "a stream through the entry that is cut off", func() bool {
@@ -310,3 +307,64 @@
 	}
 	assert.Assert(t, serving > 2, "%d entries have served requests for it", serving)
 }
+
+// waitForFleet waits until each entry of a large fleet serves streams and knows of all others.
+func waitForFleet(t *testing.T, nodes []*node) {
+	t.Helper()
+	for _, n := range nodes {
+		eventually(t, "all entries", func() bool { return n.isReady(t) && n.memberCount(t) >= len(nodes) })
+		n.waitForStream(t) // an entry that knows no path yet refuses what is passed on to it
+	}
+}
+
+// Guards against entries that are cut off together and pass their requests on to one another, though others stand by:
+// those are known to the hubs, which may be cut off as well.
+func TestCallersAreServedWhereMostOfALargeFleetIsCutOff(t *testing.T) {
+	const registered = 13
+	for name, row := range map[string]struct {
+		cutOff, near, far int
+	}{
+		"all registered entries": {cutOff: registered, near: 4},
+		"most entries":           {cutOff: 10, near: 5},
+		"a whole data centre":    {cutOff: registered + 1, far: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, _ := newPool(t)
+			nodes, links := make([]*node, row.cutOff+row.near+row.far), make([]*platformtest.Links, row.cutOff)
+			for i := range nodes {
+				s := pkedge.Settings{
+					Entry: pkid.EntryID(fmt.Sprintf("n-%02d", i)), DataCenter: "a", Store: w.Store.Addr(),
+					Listen: pkedge.Listen{Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: "127.0.0.1:0"},
+					Stop:   pkedge.Stop{GraceS: 1},
+					Retry:  pkedge.Retry{Ratio: 0.2, WindowS: 1, Slack: 400},
+				}
+				if i >= row.cutOff+row.near {
+					s.DataCenter = "b"
+				}
+				if i < row.cutOff {
+					links[i] = new(platformtest.Links)
+					nodes[i] = startLinked(t, s, links[i])
+				} else {
+					nodes[i] = startWith(t, s)
+				}
+			}
+			waitForFleet(t, nodes)
+			for _, l := range links {
+				l.Cut(platformtest.CutResetting)
+			}
+			sent, served := 0, 0
+			for round := range 4 {
+				for i := range links {
+					for k := range 3 {
+						got := nodes[i].do(t, http.MethodPost, "/talk/1", fmt.Sprintf("cut-%d-%d-%d", round, i, k), platformtest.Key, 10)
+						sent++
+						if got.err == nil && got.body == events(10) {
+							served++
+						}
+					}
+				}
+			}
+			assert.Assert(t, served >= sent-sent/20, "%d of %d served", served, sent)
+		})
+	}
+}
--- a/pkedge/gossip_test.go
+++ b/pkedge/gossip_test.go
@@ -141,3 +141,33 @@
 		}
 	})
 }
+
+// Guards against entries that never learn who is registered, since a hub counted its members' change as reported in a
+// round in which it sent no message.
+func TestEntriesLearnOfMembersThatChangeBetweenMessages(t *testing.T) {
+	d := fleetDaemon("hub", 14)
+	d.gossip.withHubs.Store(true)
+	now := time.Now()
+	spoke := d.gossip.peerLinks["m-00"]
+	for _, l := range d.gossip.peerLinks {
+		l.role = pkshare.Spoke
+	}
+	learned := map[pkid.EntryID]bool{}
+	receive := func() {
+		for len(spoke.out) > 0 {
+			m, err := pkpeer.Decode[pkshare.Message]((<-spoke.out).raw)
+			assert.NilError(t, err)
+			for _, one := range m.Candidates {
+				learned[one.ID] = !one.Unregistered
+			}
+		}
+	}
+	d.broadcast(now, d.message(now), true, true)
+	receive()
+	d.members.applyCandidates("a", []pkshare.Member{{ID: "m-05", Addr: "m-05", DataCenter: "a"}})
+	d.broadcast(now, d.message(now), false, false)
+	receive()
+	d.broadcast(now, d.message(now), true, true)
+	receive()
+	assert.Assert(t, learned["m-05"])
+}
