pkedge: hubs report a change of the members to each entry

The hub compared its candidates with those of the last round, not with what each entry was sent: a change in a round without a message was never reported. Each link now holds what its peer was sent; a message that was replaced in the queue is followed by a full one, as before.

--- a/pkedge/broadcast.go
+++ b/pkedge/broadcast.go
@@ -23,7 +23,7 @@
 	for _, one := range s.table.Members(now) {
 		ids[one.Addr] = one.ID
 	}
-	candidates, newCandidates := d.candidates(now)
+	candidates := d.candidates(now)
 	encoded := map[messageForm]outgoing{}
 	for addr, l := range s.peerLinks {
 		newConn := l.newConn.Swap(false)
@@ -31,49 +31,48 @@
 			s.table.Reconnected(ids[addr])
 		}
 		form := messageForm{role: l.role, full: newConn || l.incomplete, catchUp: d.catchUpFor(now, &m, ids[addr], l.role)}
+		form.candidates = l.role == pkshare.Spoke && (form.full || (due && !slices.Equal(candidates, l.candidates)))
 		sumDue := due && l.role != pkshare.Peer
 		if !changed && !newConn && !sumDue && !form.isCatchUp() {
 			continue
 		}
 		if _, found := encoded[form]; !found {
 			one := sums.message(m, form)
-			if form.full || newCandidates {
+			if form.candidates {
 				one.Candidates = candidates
 			}
 			encoded[form] = d.encodeForm(now, one, form)
 		}
 		l.enqueue(encoded[form])
+		if form.candidates {
+			l.candidates = candidates
+		}
 	}
 }
 
 // encodeForm returns an encoded message with what its form needs.
 func (d *Daemon) encodeForm(now time.Time, m pkshare.Message, form messageForm) outgoing {
-	if form.role != pkshare.Spoke {
-		m.Candidates = nil
-	}
 	d.fillCatchUp(now, &m, form.catchUp, form.role)
 	return outgoing{raw: d.encode(m), catchUp: form.isCatchUp()}
 }
 
 // candidates returns the entries of this data centre that are to be registered, if this entry is a
-// hub, and whether they have changed since the last call.
-func (d *Daemon) candidates(now time.Time) (candidates []pkshare.Member, changed bool) {
-	s := &d.gossip
-	if !s.sendsSums() {
-		return nil, false
+// hub.
+func (d *Daemon) candidates(now time.Time) []pkshare.Member {
+	if !d.gossip.sendsSums() {
+		return nil
 	}
-	candidates = s.table.Candidates(now, d.selfAt(now), d.members.list())
-	changed = !slices.Equal(candidates, s.sentCandidates)
-	s.sentCandidates = candidates
-	return candidates, changed
+	return d.gossip.table.Candidates(now, d.selfAt(now), d.members.list())
 }
 
 // messageForm selects the variant of a message for a peer link: by the peer's role, with full sums
-// or only their changes, and with what the peer lacks, which is the same for entries that start together.
+// or only their changes, with or without the candidates, and with what the peer lacks, which is the same for entries
+// that start together.
 type messageForm struct {
-	role    pkshare.Role
-	full    bool
-	catchUp pkshare.CatchUp
+	role       pkshare.Role
+	full       bool
+	candidates bool
+	catchUp    pkshare.CatchUp
 }
 
 func (f messageForm) isCatchUp() bool { return f.catchUp != pkshare.CatchUp{} }
--- a/pkedge/gossip.go
+++ b/pkedge/gossip.go
@@ -65,10 +65,8 @@
 	firstHub atomic.Pointer[pkid.EntryID]
 	// rolesKnown is set once the roles were determined from the members in the store.
 	rolesKnown atomic.Bool
-	// sentCandidates are the candidates that the last messages held, packed is the configuration as
-	// it was last sent; only sendToPeers uses both.
-	sentCandidates []pkshare.Member
-	packed         pkstore.Item
+	// packed is the configuration as it was last sent; only sendToPeers uses it.
+	packed pkstore.Item
 	// linked are the addresses that have peer links.
 	linked atomic.Pointer[map[string]bool]
 	// linksChanged is set if the peer links must be updated before the next round.
--- a/pkedge/peerlink.go
+++ b/pkedge/peerlink.go
@@ -31,6 +31,8 @@
 	newConn atomic.Bool
 	// incomplete is set if the peer may have missed a message; only sendToPeers uses it.
 	incomplete bool
+	// candidates are those that the peer was last sent; only sendToPeers uses it.
+	candidates []pkshare.Member
 }
 
 // outgoing is an encoded message.
