--- a/pkedge/gossip.go
+++ b/pkedge/gossip.go
@@ -515,7 +515,7 @@
 		From: d.settings.Entry, Addr: s.addr, Run: s.run, List: d.roster.At(),
 		DataCenter: d.settings.DataCenter, ProcessorShare: float32(d.settings.ProcessorShare),
 		Following: d.followsStore(now),
-		Relays:    s.addr != "" && !d.stopping.Load(), Impaired: d.links.ImpairedServices(),
+		Relays:    s.addr != "" && d.isReady(), Impaired: d.links.ImpairedServices(),
 		Cases: d.quarantine.table.RecentChanges(now), QuarantineChecksum: d.quarantine.table.Checksum(now),
 		Paces:  d.paces.Observations(now),
 		Limits: d.limits.Observations(now, s.withHubs.Load() && s.designated.Load()),
--- a/pkedge/gossip_test.go
+++ b/pkedge/gossip_test.go
@@ -10,9 +10,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"peridotknot.example/pkconfig"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkpeer"
 	"peridotknot.example/pkshare"
+	"peridotknot.example/pkstore"
 )
 
 // fleetDaemon returns a daemon with peers in its data centre, whose peer links are not connected.
@@ -171,3 +173,18 @@
 	receive()
 	assert.Assert(t, learned["m-05"])
 }
+
+// Guards against requests passed on to an entry that starts or stops: it refuses them at once, and who refuses has the
+// fewest in progress.
+func TestOnlyReadyEntriesOfferToServeForOthers(t *testing.T) {
+	d := fleetDaemon("starting", 2)
+	d.gossip.addr = "starting"
+	offers := func() bool { return d.message(time.Now()).Relays }
+	assert.Assert(t, !offers())
+	assert.Assert(t, d.configs.Adopt(pkconfig.Config{Version: 1}, pkstore.Item{Revision: 1}))
+	d.listed.Store(true)
+	d.linksChecked.Store(true)
+	assert.Assert(t, offers())
+	d.stopping.Store(true)
+	assert.Assert(t, !offers())
+}
