--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -175,6 +175,9 @@
 		}
 		m.apply(now, strings.TrimPrefix(one.Key, d.OwnPrefix), pkstore.Event{Item: one})
 	}
+	if d.gossip.table.ServedByHub(now) {
+		m.usePeers(d.settings.DataCenter, m.candidates) // the list may be older than what the hub has reported
+	}
 	d.logOwner(before, "list", at)
 	d.log.Info("members known", "source", "list", "members", len(m.peers), "known_to", at.String())
 	d.gossip.updateLinks()
@@ -333,6 +336,16 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.candidates = candidates
+	m.usePeers(dc, candidates)
+	return len(m.peers)
+}
+
+// usePeers replaces the members of a data centre by the registered ones that a hub reported, if one did; the caller
+// holds mu.
+func (m *members) usePeers(dc pkid.DataCenter, candidates []pkshare.Member) {
+	if candidates == nil {
+		return
+	}
 	maps.DeleteFunc(m.peers, func(_ pkid.EntryID, one pkshare.Member) bool { return one.DataCenter == dc })
 	if m.peers == nil {
 		m.peers = map[pkid.EntryID]pkshare.Member{}
@@ -342,7 +355,6 @@
 			m.peers[one.ID] = one
 		}
 	}
-	return len(m.peers)
 }
 
 // knowsOthers reports whether another entry than this one is registered.
--- a/pkedge/members_test.go
+++ b/pkedge/members_test.go
@@ -216,3 +216,20 @@
 	d.members.reportedCount = 1
 	assert.Equal(t, d.senderCount(now, "models"), 1)
 }
+
+// Guards against an entry that knows nobody since a list read at its start, some seconds old, has replaced the members
+// that its hub reported meanwhile.
+func TestAnOlderListDoesNotReplaceTheMembersThatAHubReported(t *testing.T) {
+	d, _ := poolDaemon()
+	d.settings.Entry, d.settings.DataCenter = "own", "a"
+	now := time.Now()
+	d.receiveMessage(now, pkshare.Message{
+		From: "hub", DataCenter: "a", Sequence: 1, Following: true, Members: 78, Sum: &pkshare.Sum{Global: true},
+		Candidates: []pkshare.Member{{ID: "hub", Addr: "hub", DataCenter: "a"}, {ID: "m-1", Addr: "m-1", DataCenter: "a"}},
+	})
+	assert.Equal(t, len(d.members.list()), 2)
+	d.replaceMembers(now, nil, 1)
+	assert.Equal(t, len(d.members.list()), 2)
+	d.replaceMembers(now.Add(time.Minute), nil, 2)
+	assert.Equal(t, len(d.members.list()), 0, "no hub serves it any more")
+}
