pkrelay, pkedge: an entry that refuses relayed requests gets no more than its share

A refusal counts like a request in progress for a second. TestEntryThatRefusesGetsNoMoreThanItsShare: 398 of 400 requests went to such an entry of three before, now at most its third.

--- a/pkedge/relay.go
+++ b/pkedge/relay.go
@@ -105,6 +105,8 @@
 	case passedBack:
 		outcome = "passed_back"
 		c.relayPeers.Avoid(now, r.peer.ID)
+	default:
+		c.relayPeers.Refused(now, r.peer.ID)
 	}
 	c.metrics.relayed.WithLabelValues("sent", outcome).Inc()
 	return resp, c.relayError(resp, err)
--- a/pkrelay/peers.go
+++ b/pkrelay/peers.go
@@ -14,6 +14,8 @@
 	// with each time in a row, up to maxAvoidTime.
 	avoidTime    = time.Second
 	maxAvoidTime = 8 * avoidTime
+	// refusalMemory is how long a request that an entry has refused counts like one in progress there.
+	refusalMemory = time.Second
 )
 
 // Peer is an entry that accepts relayed requests.
@@ -37,6 +39,8 @@
 	mu       sync.Mutex
 	inFlight map[pkid.EntryID]int
 	avoided  map[pkid.EntryID]avoidance
+	// refused holds when entries have refused requests for their callers.
+	refused map[pkid.EntryID][]time.Time
 }
 
 // Choose returns the entry for a request at now: one of those with the fewest requests of this entry
@@ -51,8 +55,10 @@
 	if len(usable) == 0 {
 		return Peer{}, false
 	}
-	fewest := p.inFlight[slices.MinFunc(usable, func(a, b Peer) int { return p.inFlight[a.ID] - p.inFlight[b.ID] }).ID]
-	usable = slices.DeleteFunc(usable, func(one Peer) bool { return p.inFlight[one.ID] > fewest })
+	p.forgetRefusals(now)
+	load := func(one Peer) int { return p.inFlight[one.ID] + len(p.refused[one.ID]) }
+	fewest := load(slices.MinFunc(usable, func(a, b Peer) int { return load(a) - load(b) }))
+	usable = slices.DeleteFunc(usable, func(one Peer) bool { return load(one) > fewest })
 	return usable[rand.N(len(usable))], true
 }
 
@@ -102,6 +108,29 @@
 	p.avoided[id] = one
 }
 
+// Refused records that an entry has refused a request at now. Who refuses at once would always have the fewest in
+// progress.
+func (p *Peers) Refused(now time.Time, id pkid.EntryID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refused == nil {
+		p.refused = map[pkid.EntryID][]time.Time{}
+	}
+	p.refused[id] = append(p.refused[id], now)
+}
+
+// forgetRefusals forgets the refusals that no longer count at now; the caller holds mu.
+func (p *Peers) forgetRefusals(now time.Time) {
+	for id, at := range p.refused {
+		at = slices.DeleteFunc(at, func(one time.Time) bool { return now.Sub(one) >= refusalMemory })
+		if len(at) == 0 {
+			delete(p.refused, id)
+		} else {
+			p.refused[id] = at
+		}
+	}
+}
+
 // Served records that an entry has served a request.
 func (p *Peers) Served(id pkid.EntryID) {
 	p.mu.Lock()
--- a/pkrelay/peers_test.go
+++ b/pkrelay/peers_test.go
@@ -105,3 +105,29 @@
 	_, found := p.Choose(end.Add(avoidTime), candidates)
 	assert.Assert(t, found, "it has served since")
 }
+
+// Guards against an entry that refuses requests for their callers and gets all that follow, since it has none in progress.
+func TestEntryThatRefusesGetsNoMoreThanItsShare(t *testing.T) {
+	const requests = 400
+	var p Peers
+	candidates := []Peer{{ID: "sheds", Near: true, Confirmed: true}, {ID: "one", Near: true, Confirmed: true}, {ID: "two", Near: true, Confirmed: true}}
+	refused := 0
+	var ends []func()
+	for i := range requests {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		one, found := p.Choose(now, candidates)
+		assert.Assert(t, found)
+		end := p.Begin(one.ID)
+		if one.ID == "sheds" {
+			refused++
+			end()
+			p.Refused(now, one.ID)
+			continue
+		}
+		if ends = append(ends, end); len(ends) > 60 { // each takes 0.9 s
+			ends[0]()
+			ends = ends[1:]
+		}
+	}
+	assert.Assert(t, refused <= requests/3+requests/20, "%d of %d refused", refused, requests)
+}
