--- a/pkedge/relay.go
+++ b/pkedge/relay.go
@@ -66,8 +66,11 @@
 	return now.Before(until) && c.links.CutOff(c.service) && c.gossip.withHubs.Load() && !c.gossip.table.HelpReported(now)
 }
 
-// isCutOff reports whether the request has been sent in vain and has no way left to the targets.
-func (c *call) isCutOff() bool { return c.sends >= maxCutOffSends && c.links.CutOff(c.service) }
+// isCutOff reports whether the request has been sent in vain, has no way left to the targets and can be refused as not
+// run.
+func (c *call) isCutOff() bool {
+	return c.sends >= maxCutOffSends && !c.mayNotBeRefused() && c.links.CutOff(c.service)
+}
 
 // relayCandidates returns the other entries whose links to the targets of a service may be whole at now.
 func (d *Daemon) relayCandidates(now time.Time, s pkid.ServiceID) []pkrelay.Peer {
