--- a/pkedge/broadcast.go
+++ b/pkedge/broadcast.go
@@ -1,7 +1,6 @@
 package pkedge
 
 import (
-	"slices"
 	"time"
 
 	"peridotknot.example/pkid"
@@ -32,10 +31,10 @@
 			s.table.Reconnected(ids[addr])
 		}
 		form := messageForm{role: l.role, full: newConn || l.incomplete, catchUp: d.catchUpFor(now, &m, ids[addr], l.role)}
-		form.candidates = l.role == pkshare.Spoke && (form.full || (due && !slices.Equal(candidates, l.candidates)))
+		form.candidates = l.candidatesDue(due, form.full, candidates)
 		form.helpSample = l.nextHelpSample(now, due, form.full, impaired[ids[addr]])
 		sumDue := due && l.role != pkshare.Peer
-		if !changed && !newConn && !sumDue && form.helpSample == 0 && !form.isCatchUp() {
+		if !changed && !newConn && !sumDue && !form.isUrgent() {
 			continue
 		}
 		if _, found := encoded[form]; !found {
@@ -83,6 +82,9 @@
 
 func (f messageForm) isCatchUp() bool { return f.catchUp != pkshare.CatchUp{} }
 
+// isUrgent reports whether the message is sent even if none is due.
+func (f messageForm) isUrgent() bool { return f.helpSample > 0 || f.isCatchUp() }
+
 // addConfig adds a configuration to a message. Hubs send it compressed, since each change goes to a
 // hundred entries; entries of earlier releases follow it themselves.
 func (d *Daemon) addConfig(m *pkshare.Message, item pkstore.Item, role pkshare.Role) {
--- a/pkedge/metrics.go
+++ b/pkedge/metrics.go
@@ -59,9 +59,6 @@
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 		}),
 	}
-	gauge := func(name, help string, value func() float64) prometheus.Collector {
-		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
-	}
 	m.registry.MustRegister(m.requests, m.failed, m.orders, m.unusable, m.storeCalls, m.watchEnds, m.invalidHeaders, m.relayed, m.repeated, m.storeRestores, m.firstEvent, m.queueRefused, m.queueWait, newRoomCollector(d),
 		gauge("peridotknot_config_version", "Version of the configuration in force.", func() float64 {
 			if t := d.configs.Table(); t != nil {
@@ -71,10 +68,6 @@
 		}),
 		gauge("peridotknot_list_revision", "Revision that the list of replicas is known up to, within the store's era.", func() float64 { return float64(d.roster.At().Number()) }),
 		gauge("peridotknot_store_era", "Era of the store that the list of replicas is known of; it rises when the store comes back from an older copy.", func() float64 { return float64(d.roster.At().Era()) }),
-		gauge("peridotknot_peers", "Other entries that are heard of.", func() float64 { return float64(d.gossip.table.LivePeerCount(time.Now())) }),
-		gauge("peridotknot_members", "Entries that share what is bounded over all.", func() float64 { return float64(d.entryCount(time.Now())) }),
-		gauge("peridotknot_members_listed", "Entries that this one knows by name, from the store or a hub.", func() float64 { return float64(len(d.members.list())) }),
-		gauge("peridotknot_helpers", "Entries in order that a hub has reported for requests to be passed on to.", func() float64 { return float64(d.gossip.table.HelperCount(time.Now())) }),
 		gauge("peridotknot_retries_in_window", "Retries of all services that this process counts in the window of the retry budget.", func() float64 { return d.retryUsage().Retries }),
 		gauge("peridotknot_retries_allowed", "Retries that the retry budget allows this process in the window, over the services that have had requests.", func() float64 { return d.retryUsage().Allowed }),
 		gauge("peridotknot_targets_avoided", "Targets that are passed over for failures.", func() float64 { return float64(d.avoided(time.Now())) }),
@@ -95,9 +88,25 @@
 		gauge("peridotknot_waiting_requests", "Requests in the queues for room.", func() float64 { return float64(d.rooms.waiting.Load()) }),
 		gauge("peridotknot_active_requests", "Requests in progress.", func() float64 { return float64(d.active.Load()) }),
 	)
+	m.registry.MustRegister(fleetGauges(d)...)
 	return m
 }
 
+// gauge returns a metric with the present value of something.
+func gauge(name, help string, value func() float64) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
+}
+
+// fleetGauges returns the metrics of what this entry knows of the others.
+func fleetGauges(d *Daemon) []prometheus.Collector {
+	return []prometheus.Collector{
+		gauge("peridotknot_peers", "Other entries that are heard of.", func() float64 { return float64(d.gossip.table.LivePeerCount(time.Now())) }),
+		gauge("peridotknot_members", "Entries that share what is bounded over all.", func() float64 { return float64(d.entryCount(time.Now())) }),
+		gauge("peridotknot_members_listed", "Entries that this one knows by name, from the store or a hub.", func() float64 { return float64(len(d.members.list())) }),
+		gauge("peridotknot_helpers", "Entries in order that a hub has reported for requests to be passed on to.", func() float64 { return float64(d.gossip.table.HelperCount(time.Now())) }),
+	}
+}
+
 // retryUsage returns the present sums of the retry budgets.
 func (d *Daemon) retryUsage() pkretry.Usage {
 	now := time.Now()
--- a/pkedge/peerlink.go
+++ b/pkedge/peerlink.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +48,12 @@
 	catchUp bool
 }
 
+// candidatesDue reports whether a message for the peer is to hold the candidates: those that the peer was sent have
+// changed and a message is due, or the peer may have missed the last message.
+func (l *peerLink) candidatesDue(due, again bool, candidates []pkshare.Member) bool {
+	return l.role == pkshare.Spoke && (again || (due && !slices.Equal(candidates, l.candidates)))
+}
+
 // nextHelpSample returns which sample of the helpers a message for the peer at now reports, and records it as sent; zero
 // if none. Hubs of other data centres and impaired entries that this one serves are sent helpers every HelpInterval,
 // the latter at once when they become impaired; again is set if the peer may have missed the last message.
--- a/pkshare/help.go
+++ b/pkshare/help.go
@@ -56,11 +56,14 @@
 // counts reports whether the report still counts at now.
 func (h reportedHelper) counts(now time.Time) bool { return now.Sub(h.at) < helpTTL }
 
-// applyHelp records at now what a hub reports of helpers.
-func (t *Table) applyHelp(now time.Time, help *Help) {
+// applyHelp records at now what a peer, a hub, reports of helpers.
+func (t *Table) applyHelp(now time.Time, from *peer, help *Help) {
 	if help == nil {
 		return
 	}
+	if help.Wanted {
+		from.wantedHelpAt = now
+	}
 	t.helpReportedAt = now
 	for id, one := range t.helpers {
 		if !one.counts(now) {
--- a/pkshare/table.go
+++ b/pkshare/table.go
@@ -142,10 +142,7 @@
 	p.following, p.relaying, p.quarantine.checksum = m.Following, m.Relaying, m.QuarantineChecksum
 	p.members, p.localEntries = m.Members, m.LocalEntries
 	p.relays, p.impaired, p.owns = m.Relays, m.Impaired, m.Owns
-	if m.Help != nil && m.Help.Wanted {
-		p.wantedHelpAt = now
-	}
-	t.applyHelp(now, m.Help)
+	t.applyHelp(now, p, m.Help)
 	t.anyImpaired = t.anyImpaired || len(m.Impaired) > 0
 	p.sum, p.dataCenter, p.processorShare = m.Sum, m.DataCenter, float64(m.ProcessorShare)
 	return true
