--- a/pkshare/help.go
+++ b/pkshare/help.go
@@ -142,7 +142,7 @@
 		}
 		return &Help{Helpers: sampleHelpers(local)}
 	case RemoteHub:
-		wanted := t.helpWanted(now)
+		wanted := t.isAskedForHelp(now)
 		if !scarce && !wanted {
 			return nil
 		}
@@ -194,8 +194,8 @@
 	return out
 }
 
-// helpWanted reports whether the hub of another data centre asks for helpers at now.
-func (t *Table) helpWanted(now time.Time) bool {
+// isAskedForHelp reports whether the hub of another data centre asks for helpers at now.
+func (t *Table) isAskedForHelp(now time.Time) bool {
 	for _, p := range t.peers {
 		if p.wantsHelp(now) {
 			return true
