--- a/pkedge/links.go
+++ b/pkedge/links.go
@@ -115,9 +115,17 @@
 	if !impaired && !sample.Doubtful() {
 		return sample, err
 	}
-	followUpTimeout := time.Duration(followUpShare * float64(timeout))
+	if err == nil {
+		err = d.followUp(ctx, &sample, silent, time.Duration(followUpShare*float64(timeout)))
+	}
+	return sample, err
+}
+
+// followUp probes the links to the targets of a sample that were silent again.
+func (d *Daemon) followUp(ctx context.Context, sample *pkreach.Sample, silent []*pkreplica.Target, timeout time.Duration) error {
+	var err error
 	for attempt := 1; err == nil && len(silent) > 0 && attempt <= pkreach.FollowUps; attempt++ {
-		silent, err = d.probeLinks(ctx, silent, followUpTimeout, func(_ *pkreplica.Target, err error, _ int) bool {
+		silent, err = d.probeLinks(ctx, silent, timeout, func(_ *pkreplica.Target, err error, _ int) bool {
 			if err == nil || errors.Is(err, errUnanswered) {
 				sample.Answered++
 				sample.Lost += attempt
@@ -125,7 +133,7 @@
 			return true
 		})
 	}
-	return sample, err
+	return err
 }
 
 // forgetSilence uses the targets of a service again at now that are avoided for what the links explain.
