--- a/review/_case/main.go
+++ b/review/_case/main.go
@@ -27,6 +27,7 @@
 	"reload-in-stop": playReloadInStop,
 	"longer-grace":   playLongerGrace,
 	"raised-limits":  playRaisedLimits,
+	"last-tenant":    playLastTenant,
 }
 
 // run is one play of a case.
