--- a/review/_case/client.go
+++ b/review/_case/client.go
@@ -31,9 +31,11 @@
 	}}
 }
 
-// send sends a request to an entry and reads its answer.
-func send(c *http.Client, e *entry, method, path, id string, budget time.Duration, header map[string]string, body string) answer {
-	out := answer{id: id, sentAt: time.Now()}
+// send sends a request to an entry, reads its answer and writes both to the record.
+func (r *run) send(c *http.Client, e *entry, method, path, id string, budget time.Duration, header map[string]string, body string) (out answer) {
+	out = answer{id: id, sentAt: time.Now()}
+	defer func() { r.logAnswer(out) }()
+	r.logf("request %s is sent to %s: %s %s", id, e.fields.name, method, path)
 	ctx, cancel := context.WithTimeout(context.Background(), budget)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.fields.front+path, strings.NewReader(body))
