pksignal: signals never end a daemon with the requests that it serves

Hypotheses: the default action of SIGHUP, settings read again in a stop, or any second signal. Evidence: the process ends by "signal: hangup" and without the line "stopped"; a second SIGTERM or SIGINT cuts nothing; the file had not changed. Cause: the loop that reads the settings gave SIGHUP back to the system as soon as the stop began. Class: a signal that is received for a part of the process's life only.

The same cause elsewhere, found by sending ten series of signals to each entry daemon while it serves, stops and has no store, and a hangup before its settings are read (real processes): peridotknotd never received SIGHUP and ended by it at any time; both ended by one before their settings were read.

Change: pksignal receives the signals from the first statement of main to the end of the process, in all daemons; what each does in which stage is a function without I/O. The log has a line for each signal. The settings are checked during a stop as well.

What remains is the time before main begins, in which the process serves nobody.

--- a/peridotknot-edge/main.go
+++ b/peridotknot-edge/main.go
@@ -2,13 +2,9 @@
 package main
 
 import (
-	"bytes"
-	"context"
 	"errors"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -18,6 +14,7 @@
 	"peridotknot.example/pkedge"
 	"peridotknot.example/pkforward"
 	"peridotknot.example/pklog"
+	"peridotknot.example/pksignal"
 	"peridotknot.example/pkversion"
 	"peridotknot.example/platform"
 )
@@ -31,11 +28,12 @@
 	// is for memory outside of the Go runtime, such as socket buffers.
 	memoryShare = 0.6
 	bytesPerMB  = 1 << 20
+	// reloadInterval is how often the settings file is checked for changes that come without a signal.
+	reloadInterval = 2 * time.Second
 )
 
-func serve(s pkedge.Settings, file string) (err error) {
-	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer cancel()
+func serve(process pkcli.Daemon[pkedge.Settings]) (err error) {
+	s := process.Settings
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * bytesPerMB))
 	}
@@ -58,43 +56,17 @@
 		return err
 	}
 	log.Info("serving", "version", pkversion.Text(), "entry", s.Entry, "data_center", s.DataCenter, "callers", d.CallersAddr(), "ready", d.ReadyAddr())
-	go reload(ctx, file, d, log)
-	return d.Run(ctx)
+	reload := func() { reload(process.File, d, log) }
+	return process.Signals.Run(pksignal.Options{Log: log, Reload: reload, ReloadInterval: reloadInterval}, d.Run)
 }
 
-// reloadInterval is how often the settings file is checked for changes that come without a signal.
-const reloadInterval = 2 * time.Second
-
-// reload rereads the settings file on SIGHUP and at regular intervals until ctx ends. If the file is
-// missing or invalid, the current settings stay in force.
-func reload(ctx context.Context, file string, d *pkedge.Daemon, log hclog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	tick := time.NewTicker(reloadInterval)
-	defer tick.Stop()
-	last, err := os.ReadFile(file)
+// reload applies the settings file if it has changed. If it is missing or invalid, the current settings stay in force.
+func reload(file *pkcli.SettingsFile[pkedge.Settings], d *pkedge.Daemon, log hclog.Logger) {
+	s, changed, err := file.ReadChanged()
 	if err != nil {
-		log.Warn("settings file is not readable", "error", err)
+		log.Error("invalid settings file, keeping the current settings", "error", err)
 	}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-			log.Info("received SIGHUP, checking the settings file")
-		case <-tick.C:
-		}
-		raw, err := os.ReadFile(file)
-		if err != nil || bytes.Equal(raw, last) {
-			continue
-		}
-		last = raw
-		s, err := pkedge.ParseSettings(file, raw)
-		if err != nil {
-			log.Error("invalid settings file, keeping the current settings", "error", err)
-			continue
-		}
+	if changed {
 		d.Reload(s)
 	}
 }
--- a/peridotknot-standin/main.go
+++ b/peridotknot-standin/main.go
@@ -3,27 +3,27 @@
 package main
 
 import (
+	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/hashicorp/go-hclog"
 
 	"peridotknot.example/pkcli"
+	"peridotknot.example/pksignal"
 	"peridotknot.example/pkstandin"
 )
 
 func main() { os.Exit(pkcli.RunDaemon("", pkstandin.ParseSettings, serve)) }
 
-func serve(s pkstandin.Settings, _ string) error {
-	env, err := pkstandin.Start(s)
+func serve(process pkcli.Daemon[pkstandin.Settings]) error {
+	env, err := pkstandin.Start(process.Settings)
 	if err != nil {
 		return err
 	}
 	hclog.Default().Info("stand-ins started", "store", env.StoreAddr(), "platform", env.PlatformAddr(), "admin", env.AdminAddr())
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
-	<-stop
-	env.Close()
-	return nil
+	return process.Signals.Run(pksignal.Options{Log: hclog.Default()}, func(ctx context.Context) error {
+		<-ctx.Done()
+		env.Close()
+		return nil
+	})
 }
--- a/peridotknotd/main.go
+++ b/peridotknotd/main.go
@@ -6,8 +6,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -19,6 +17,7 @@
 	"peridotknot.example/pkcli"
 	"peridotknot.example/pkdaemon"
 	"peridotknot.example/pkentry"
+	"peridotknot.example/pksignal"
 	"peridotknot.example/pkversion"
 )
 
@@ -27,16 +26,15 @@
 
 func main() { os.Exit(pkcli.RunDaemon("", pkentry.ParseSettings, serve)) }
 
-func serve(s pkentry.Settings, _ string) error {
-	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer cancel()
+func serve(process pkcli.Daemon[pkentry.Settings]) error {
+	s := process.Settings
 	log := hclog.New(&hclog.LoggerOptions{
 		Name:       "peridotknotd",
 		Level:      hclog.LevelFromString(s.Log.Level),
 		JSONFormat: s.Log.Format == pkentry.LogJSON,
 		Output:     os.Stderr,
 	})
-	tracer, flush, err := newTracer(ctx, s.Trace)
+	tracer, flush, err := newTracer(context.Background(), s.Trace)
 	if err != nil {
 		return err
 	}
@@ -46,7 +44,7 @@
 		return err
 	}
 	log.Info("serving", "version", pkversion.Text(), "callers", e.CallersAddr(), "admin", e.AdminAddr())
-	return e.Run(ctx)
+	return process.Signals.Run(pksignal.Options{Log: log}, e.Run)
 }
 
 // newTracer returns a tracer that exports to the OTLP endpoint of the settings, if there is one, and
--- a/pkcli/parse.go
+++ b/pkcli/parse.go
@@ -48,15 +48,6 @@
 	return ExitOK, false
 }
 
-// ReadSettings reads the settings file and calls parse with its content.
-func (c Common) ReadSettings(parse func(file string, body []byte) error) error {
-	raw, err := os.ReadFile(c.Settings)
-	if err != nil {
-		return fmt.Errorf("--settings: %w", err)
-	}
-	return parse(c.Settings, raw)
-}
-
 // IsHelp reports whether err is the result of a request for help.
 func IsHelp(err error) bool {
 	var flagErr *flags.Error
