pkcli: settings that change while a daemon starts apply

Found beside the hangups: the loop that checks the settings file took what it read first as the settings in force, so a change between the start's read and that one was never applied, not by SIGHUP either. Class: a state compared with a later reading of the same thing in place of the one that was used. TestSettingsThatChangeDuringAStartApply failed before (not applied within 20 s).

--- a/peridotknot/process_test.go
+++ b/peridotknot/process_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -66,6 +68,8 @@
 	file   string
 	log    processLog
 	exited chan struct{}
+	// output is the end of the process's output that the log is read from.
+	output *os.File
 }
 
 // startProcess starts a program without waiting for it.
@@ -95,10 +99,19 @@
 func (p *process) start(t *testing.T, program string) {
 	t.Helper()
 	p.cmd = exec.Command(program, "--settings", p.file)
-	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
-	assert.NilError(t, p.cmd.Start())
+	output, input, err := os.Pipe()
+	assert.NilError(t, err)
+	p.output = output
+	p.cmd.Stdout, p.cmd.Stderr = input, input
+	assert.NilError(t, errors.Join(p.cmd.Start(), input.Close()))
+	var read sync.WaitGroup
+	read.Go(func() {
+		_, _ = io.Copy(&p.log, output) // ends with the process, or where a test closes it
+	})
 	go func() {
 		_ = p.cmd.Wait() // ProcessState has the result
+		read.Wait()
+		_ = output.Close() // a test may have closed it
 		close(p.exited)
 	}()
 	t.Cleanup(func() {
@@ -118,6 +131,12 @@
 	assert.NilError(t, os.Rename(next, p.file))
 }
 
+// closeLog closes the pipe that the process writes its output to.
+func (p *process) closeLog(t *testing.T) {
+	t.Helper()
+	assert.NilError(t, p.output.Close())
+}
+
 // signal sends a signal; the process may have ended.
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
--- a/peridotknot/signals_test.go
+++ b/peridotknot/signals_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -48,6 +49,11 @@
 	return strings.Join(names, ",")
 }
 
+var requests atomic.Int64
+
+// requestID returns the ID of a new request.
+func requestID() string { return fmt.Sprintf("request-%d", requests.Add(1)) }
+
 // deployment is a daemon with the systems around it.
 type deployment struct {
 	program string
@@ -60,7 +66,7 @@
 	callers, ready, readyPath string
 	// request sends a request whose answer takes about a second, calls begun once a target runs it, and returns an
 	// error unless the answer is whole.
-	request func(addr string, begun func()) error
+	request func(t *testing.T, addr string, begun func()) error
 }
 
 // awaitReady waits until a process is ready and returns its address for callers.
@@ -96,12 +102,12 @@
 			}, "\n")
 		},
 		store: w.Store.Addr(), serving: "serving", callers: "callers", ready: "ready", readyPath: "/readiness",
-		request: func(addr string, begun func()) error {
+		request: func(t *testing.T, addr string, begun func()) error {
 			eventually(t, "a path", func() bool {
-				status, _, err := stream(addr, "warm", 1)
+				status, _, err := stream(addr, requestID(), 1)
 				return err == nil && status == http.StatusOK
 			})
-			id := "long-" + addr
+			id := requestID()
 			ended := make(chan error, 1)
 			go func() {
 				status, body, err := stream(addr, id, events)
@@ -140,8 +146,8 @@
 			}, "\n")
 		},
 		store: env.StoreAddr(), serving: "serving", callers: "callers", ready: "admin", readyPath: "/readyz",
-		request: func(addr string, begun func()) error {
-			id := "call-" + addr
+		request: func(t *testing.T, addr string, begun func()) error {
+			id := requestID()
 			ended := make(chan error, 1)
 			go func() {
 				req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+addr+"/services/voting/records/1", http.NoBody)
@@ -218,7 +224,7 @@
 				t.Parallel()
 				p := startProcess(t, d.program, d.settings(d.store))
 				addr := d.awaitReady(t, p)
-				assert.NilError(t, d.request(addr, func() { sendSeries(t, p, signals) }))
+				assert.NilError(t, d.request(t, addr, func() { sendSeries(t, p, signals) }))
 				p.awaitExit(t)
 			})
 		}
@@ -258,3 +264,19 @@
 		})
 	}
 }
+
+// Guards against settings that change while a daemon starts, before it checks the file for changes, and never apply.
+func TestSettingsThatChangeDuringAStartApply(t *testing.T) {
+	d := deployments(t)["peridotknot-edge"]
+	p, feed := startUnread(t, d.program)
+	before := d.settings(d.store)
+	p.writeSettings(t, strings.Replace(before, "slack: 200", "slack: 300", 1))
+	feed(before)
+	d.awaitReady(t, p)
+	eventually(t, "the change", func() bool {
+		lines := p.log.lines("settings reloaded")
+		return len(lines) > 0 && lines[0]["retry_slack"] == 300.0
+	})
+	p.signal(syscall.SIGTERM)
+	p.awaitExit(t)
+}
--- a/pkcli/settings.go
+++ b/pkcli/settings.go
@@ -10,7 +10,7 @@
 type SettingsFile[S any] struct {
 	path  string
 	parse func(file string, body []byte) (S, error)
-	// body is the content at the last check for changes; nil before the first.
+	// body is the content at the last read.
 	body []byte
 	// unreadable is set if the last read failed.
 	unreadable bool
@@ -23,10 +23,11 @@
 		var none S
 		return none, fmt.Errorf("--settings: %w", err)
 	}
+	f.body = body
 	return f.parse(f.path, body)
 }
 
-// ReadChanged reads the file and reports whether it has changed since the last call. It returns the error of a changed
+// ReadChanged reads the file and reports whether it has changed since the last read. It returns the error of a changed
 // file once.
 func (f *SettingsFile[S]) ReadChanged() (s S, changed bool, err error) {
 	body, err := os.ReadFile(f.path)
@@ -38,8 +39,7 @@
 		return s, false, err
 	}
 	f.unreadable = false
-	if f.body == nil || bytes.Equal(body, f.body) {
-		f.body = body
+	if bytes.Equal(body, f.body) {
 		return s, false, nil
 	}
 	f.body = body
