pksignal: a daemon outlives the reader of its log

Found while looking for other signals that keep their default action: once the reader of a daemon's output is gone, its next log line raises SIGPIPE, and Go ends the process with all requests in progress. TestLogWithoutAReader failed before for both entry daemons (EOF in the answer of peridotknotd; no stream was served by peridotknot-edge); it passes with SIGPIPE received.

--- a/peridotknot/signals_test.go
+++ b/peridotknot/signals_test.go
@@ -280,3 +280,18 @@
 	p.signal(syscall.SIGTERM)
 	p.awaitExit(t)
 }
+
+// Guards against a daemon that ends when the reader of its log is gone.
+func TestLogWithoutAReader(t *testing.T) {
+	for name, d := range deployments(t) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := startProcess(t, d.program, d.settings(d.store))
+			addr := d.awaitReady(t, p)
+			p.closeLog(t)
+			assert.NilError(t, d.request(t, addr, func() { p.signal(syscall.SIGHUP) }))
+			assert.NilError(t, d.request(t, addr, func() { p.signal(syscall.SIGTERM) }))
+			p.awaitExit(t)
+		})
+	}
+}
--- a/pksignal/receiver.go
+++ b/pksignal/receiver.go
@@ -17,6 +17,8 @@
 type Receiver struct {
 	// Each kind of signal has a channel of its own, so that repeated hangups cannot displace a stop.
 	hangups, stops chan os.Signal
+	// brokenPipes takes the signals of writes to an output without a reader, whose errors are enough.
+	brokenPipes chan os.Signal
 }
 
 // Listen returns a Receiver that receives all further signals of the process.
@@ -24,11 +26,12 @@
 	r := newReceiver()
 	signal.Notify(r.hangups, syscall.SIGHUP)
 	signal.Notify(r.stops, syscall.SIGINT, syscall.SIGTERM)
+	signal.Notify(r.brokenPipes, syscall.SIGPIPE)
 	return r
 }
 
 func newReceiver() *Receiver {
-	return &Receiver{hangups: make(chan os.Signal, 1), stops: make(chan os.Signal, 1)}
+	return &Receiver{hangups: make(chan os.Signal, 1), stops: make(chan os.Signal, 1), brokenPipes: make(chan os.Signal, 1)}
 }
 
 // Options are how a daemon handles signals.
