pkstop, pkedge: a longer grace period applies while running

Cause: Reload took over retry and seeds only, and a stop went by the settings of the start. Now stop applies at once, and pkstop decides the course of a stop without I/O. A longer grace period extends a stop in progress; a shorter one does not, as its requests were accepted for the longer.

--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -30,7 +30,6 @@
 	"peridotknot.example/pkretry"
 	"peridotknot.example/pkshare"
 	"peridotknot.example/pkstore"
-	"peridotknot.example/pktimer"
 	"peridotknot.example/pkwait"
 )
 
@@ -63,9 +62,10 @@
 	settings Settings
 	// place is this entry's place in the order in which entries take turns.
 	place float64
-	// retry and seeds are the settings that can change while the daemon runs.
+	// retry, seeds and stop are the settings that can change while the daemon runs.
 	retry   atomic.Pointer[Retry]
 	seeds   atomic.Pointer[[]string]
+	stop    atomic.Pointer[Stop]
 	log     hclog.Logger
 	metrics *metrics
 
@@ -152,6 +152,7 @@
 	d.quarantine.table.Phase = d.place
 	d.retry.Store(&s.Retry)
 	d.seeds.Store(&s.Seeds)
+	d.stop.Store(&s.Stop)
 	d.streams.wake = make(chan struct{}, 1)
 	d.rooms.wake = make(chan struct{}, 1)
 	d.refusalCauses = make(chan refusalCause, maxRefusalCauses)
@@ -171,17 +172,19 @@
 	return d, nil
 }
 
-// Reload applies changed settings to a running daemon. Retry and Seeds take effect at once. If
-// another setting has changed, a warning is logged and the change takes effect after a restart.
+// Reload applies changed settings to a running daemon. Retry, Seeds and Stop take effect at once; a
+// stop in progress may only become longer. If another setting has changed, a warning is logged and
+// the change takes effect after a restart.
 func (d *Daemon) Reload(s Settings) {
 	d.retry.Store(&s.Retry)
 	d.seeds.Store(&s.Seeds)
+	d.stop.Store(&s.Stop)
 	started := d.settings
-	started.Retry, started.Seeds = s.Retry, s.Seeds
+	started.Retry, started.Seeds, started.Stop = s.Retry, s.Seeds, s.Stop
 	if !reflect.DeepEqual(started, s) {
-		d.log.Warn("changed settings other than retry and seeds are ignored until a restart")
+		d.log.Warn("changed settings other than retry, seeds and stop are ignored until a restart")
 	}
-	d.log.Info("settings reloaded", "retry_ratio", s.Retry.Ratio, "retry_slack", s.Retry.Slack, "seeds", len(s.Seeds))
+	d.log.Info("settings reloaded", "retry_ratio", s.Retry.Ratio, "retry_slack", s.Retry.Slack, "seeds", len(s.Seeds), "grace_s", s.Stop.GraceS)
 }
 
 // CallersAddr returns the listen address for callers.
@@ -227,43 +230,8 @@
 	return nil
 }
 
-const (
-	// readHeaderTimeout bounds reading the headers of requests from the platform and from peers.
-	readHeaderTimeout = 2 * time.Second
-	// drainListenTime is how long a stopping daemon keeps accepting connections: the load balancer
-	// removes it after two failed readiness checks a second apart.
-	drainListenTime = 3 * time.Second
-	// stopMargin is the part of the grace period left for the process to exit by itself.
-	stopMargin = 700 * time.Millisecond
-	// relayedPollInterval is how often a stopping daemon looks for relayed requests in progress.
-	relayedPollInterval = 20 * time.Millisecond
-)
-
-// waitAndStop waits for the end of ctx and stops gracefully. The daemon reports that it is not
-// ready but accepts requests for drainListenTime, since the load balancer keeps sending them. Then
-// it closes the listener and idle connections, and waits for requests in progress until the grace
-// period ends.
-func (d *Daemon) waitAndStop(ctx context.Context, s *callerServer) error {
-	<-ctx.Done()
-	began := time.Now()
-	d.stopping.Store(true)
-	grace := max(seconds(d.settings.Stop.GraceS)-stopMargin, 0)
-	d.log.Info("stopping", "grace_s", d.settings.Stop.GraceS, "active", d.active.Load())
-	ctx = context.WithoutCancel(ctx)
-	d.revokeLease(ctx)
-	pktimer.Sleep(ctx, min(drainListenTime, grace)-time.Since(began))
-	drainCtx, cancel := context.WithTimeout(ctx, grace-time.Since(began))
-	defer cancel()
-	err := s.shutdown(drainCtx)
-	for d.relayedActive.Load() > 0 && pktimer.Sleep(drainCtx, relayedPollInterval) {
-		continue // the entries that have passed these requests on wait for them
-	}
-	d.log.Info("stopped", "active", d.active.Load(), "after", time.Since(began).String())
-	if errors.Is(err, context.DeadlineExceeded) {
-		return nil
-	}
-	return err
-}
+// readHeaderTimeout bounds reading the headers of requests from the platform and from peers.
+const readHeaderTimeout = 2 * time.Second
 
 func (d *Daemon) readinessHandler() http.Handler {
 	mux := http.NewServeMux()
--- /dev/null
+++ b/pkstop/schedule.go
@@ -0,0 +1,36 @@
+package pkstop
+
+import "time"
+
+const (
+	// acceptTime is how long a stopping daemon accepts connections: the load balancer removes it after two failed
+	// readiness checks a second apart.
+	acceptTime = 3 * time.Second
+	// exitMargin is the part of the grace period that is left for the process to exit by itself.
+	exitMargin = 700 * time.Millisecond
+)
+
+// Schedule is the course of one stop.
+type Schedule struct {
+	// Began is when the daemon was told to stop.
+	Began time.Time
+	// Grace is the time from Began after which the platform kills the process.
+	Grace time.Duration
+}
+
+// Extend returns the schedule with a grace period that has changed during the stop. A shorter one does not apply, since
+// requests were accepted for the one in force when the stop began.
+func (s Schedule) Extend(grace time.Duration) Schedule {
+	s.Grace = max(s.Grace, grace)
+	return s
+}
+
+// AcceptsUntil returns when the daemon closes its listener and idle connections.
+func (s Schedule) AcceptsUntil() time.Time {
+	return s.Began.Add(min(acceptTime, s.serveTime()))
+}
+
+// EndsAt returns when requests still in progress are broken off.
+func (s Schedule) EndsAt() time.Time { return s.Began.Add(s.serveTime()) }
+
+func (s Schedule) serveTime() time.Duration { return max(s.Grace-exitMargin, 0) }
