pkserver, pkedge: limits on headers and idle connections follow the configuration

Cause: the server of callers copied the limits once, 2 s after the start at the latest. Same class as the grace period. pkserver lets a new server with the new limits accept from the same listener; connections of before end once they have no request in progress. A first form that called Shutdown on the former server dropped requests that were just read (EOF in TestChangesOfLimitsLoseNoConnection in nearly each run), so keep-alive is turned off in its place. Without a configuration long headers get 503, as all requests do.

--- a/pkedge/callerserver.go
+++ b/pkedge/callerserver.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"peridotknot.example/pkconfig"
+	"peridotknot.example/pkserver"
 	"peridotknot.example/pkverdict"
 )
 
@@ -25,22 +26,45 @@
 	defaultTimeout = 60 * time.Second
 )
 
-// defaultLimits apply while no configuration is known.
-var defaultLimits = pkconfig.Limits{HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+// defaultLimits apply while no configuration is known. Requests are refused with 503 then, and their headers may be as
+// long as a configuration might allow, since 431 would be final.
+var defaultLimits = pkconfig.Limits{HeaderBytes: http.DefaultMaxHeaderBytes, BodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 
 // callerServer serves the HTTP requests of callers.
 type callerServer struct {
-	d  *Daemon
+	d      *Daemon
+	server pkserver.Server
+	// mu guards the order in which limits are applied.
 	mu sync.Mutex
-	// server is nil until the limits are known.
-	server *http.Server
-	closed bool
 }
 
-func newCallerServer(d *Daemon) *callerServer { return &callerServer{d: d} }
+func newCallerServer(d *Daemon) *callerServer {
+	s := &callerServer{d: d}
+	s.server.Handler = http.HandlerFunc(s.serve)
+	s.server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, callerConnKey{}, conn)
+	}
+	s.server.ErrorLog = d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
+	s.applyLimits()
+	return s
+}
+
+// applyLimits applies the limits of the configuration in force.
+func (s *callerServer) applyLimits() {
+	s.mu.Lock() // a configuration may come into force meanwhile
+	defer s.mu.Unlock()
+	l := defaultLimits
+	if table := s.d.configs.Table(); table != nil {
+		l = table.Limits
+	}
+	err := s.server.SetLimits(pkserver.Limits{HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout})
+	if err != nil {
+		s.d.log.Error("new limits on headers and connections are not applied", "error", err)
+	}
+}
 
-// run serves callers until ctx ends. It waits up to configTimeout for the first configuration,
-// which sets the server's limits; connections queue in the listener meanwhile.
+// run serves callers until ctx ends. It waits up to configTimeout for the first configuration;
+// connections queue in the listener meanwhile.
 func (s *callerServer) run(ctx context.Context) error {
 	wait := time.NewTimer(configTimeout)
 	defer wait.Stop()
@@ -48,28 +72,8 @@
 	case <-s.d.configured:
 	case <-wait.C:
 	case <-ctx.Done():
-		return nil
+		return s.d.callers.Close()
 	}
-	limits := defaultLimits
-	if table := s.d.configs.Table(); table != nil {
-		limits = table.Limits
-	}
-	s.mu.Lock()
-	if s.closed {
-		s.mu.Unlock()
-		return nil
-	}
-	s.server = &http.Server{
-		Handler:           http.HandlerFunc(s.serve),
-		ReadHeaderTimeout: limits.HeaderTimeout,
-		IdleTimeout:       limits.IdleTimeout,
-		MaxHeaderBytes:    limits.HeaderBytes,
-		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, callerConnKey{}, conn)
-		},
-		ErrorLog: s.d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-	}
-	s.mu.Unlock()
 	return untilDone(ctx, s.server.Serve(s.d.callers))
 }
 
@@ -88,27 +92,6 @@
 	}
 }
 
-func (s *callerServer) close() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closed = true
-	if s.server == nil {
-		_ = s.d.callers.Close() // nothing was accepted from it
-		return
-	}
-	_ = s.server.Close() // requests had until the end of the grace period
-}
-
-func (s *callerServer) shutdown(ctx context.Context) error {
-	s.mu.Lock()
-	server := s.server
-	s.mu.Unlock()
-	if server == nil {
-		return nil
-	}
-	return server.Shutdown(ctx)
-}
-
 func (s *callerServer) serve(w http.ResponseWriter, r *http.Request) {
 	d := s.d
 	d.active.Add(1)
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -28,6 +28,7 @@
 	"peridotknot.example/pkrelay"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkretry"
+	"peridotknot.example/pkserver"
 	"peridotknot.example/pkshare"
 	"peridotknot.example/pkstore"
 	"peridotknot.example/pkwait"
@@ -129,7 +130,8 @@
 	// hubsSeenAt is when this daemon first knew that the fleet uses hubs; nil before.
 	hubsSeenAt atomic.Pointer[time.Time]
 
-	callers net.Listener
+	callers *net.TCPListener
+	server  *callerServer
 	ready   net.Listener
 
 	// configured is closed once a configuration is in force.
@@ -160,9 +162,10 @@
 	d.metrics = newMetrics(d)
 	d.relayClient = pkrelay.NewClient(pkconn.DefaultOptions())
 	var err error
-	if d.callers, err = net.Listen("tcp", s.Listen.Callers); err != nil {
+	if d.callers, err = pkserver.Listen(s.Listen.Callers); err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
+	d.server = newCallerServer(d)
 	if d.ready, err = net.Listen("tcp", s.Listen.Ready); err != nil {
 		return nil, errors.Join(fmt.Errorf("listen for readiness: %w", err), d.callers.Close())
 	}
@@ -204,11 +207,10 @@
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	defer func() { _ = d.relayClient.Close() }() // idle connections only
-	server := newCallerServer(d)
 	readiness := &http.Server{Handler: d.readinessHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	var g run.Group
-	g.Add(func() error { return d.waitAndStop(ctx, server) }, func(error) { cancel() })
-	g.Add(func() error { return server.run(inner) }, func(error) { server.close() })
+	g.Add(func() error { return d.waitAndStop(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return d.server.run(inner) }, func(error) { _ = d.server.server.Close() }) // requests had until the end of the grace period
 	g.Add(func() error { return untilDone(inner, readiness.Serve(d.ready)) }, func(error) { _ = readiness.Close() })
 	if d.gossip.listener != nil {
 		peers := &http.Server{Handler: d.peersHandler(inner), ReadHeaderTimeout: readHeaderTimeout}
--- a/pkedge/stop.go
+++ b/pkedge/stop.go
@@ -16,7 +16,7 @@
 // ready but accepts requests for a while, since the load balancer keeps sending them. Then
 // it closes the listener and idle connections, and waits for requests in progress until the grace
 // period ends.
-func (d *Daemon) waitAndStop(ctx context.Context, s *callerServer) error {
+func (d *Daemon) waitAndStop(ctx context.Context) error {
 	<-ctx.Done()
 	schedule := pkstop.Schedule{Began: time.Now(), Grace: d.grace()}
 	d.stopping.Store(true)
@@ -29,7 +29,7 @@
 	}()
 	d.revokeLease(drain)
 	pktimer.Sleep(drain, time.Until(schedule.AcceptsUntil()))
-	err := s.shutdown(drain)
+	err := d.server.server.Shutdown(drain)
 	for d.relayedActive.Load() > 0 && pktimer.Sleep(drain, relayedPollInterval) {
 		continue // the entries that have passed these requests on wait for them
 	}
--- /dev/null
+++ b/pkserver/listener.go
@@ -0,0 +1,58 @@
+package pkserver
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// Listen listens on a TCP address.
+func Listen(addr string) (*net.TCPListener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	tcp, isTCP := l.(*net.TCPListener)
+	if !isTCP {
+		return nil, errors.Join(fmt.Errorf("%s: not a TCP listener: %T", addr, l), l.Close())
+	}
+	return tcp, nil
+}
+
+// errRetired is the error of Accept once a listener is retired.
+var errRetired = errors.New("another server accepts the connections")
+
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// sharedListener is one server's use of a TCP listener. It can be retired, which ends Accept without closing the
+// TCP listener or losing a connection.
+type sharedListener struct {
+	*net.TCPListener
+	retired atomic.Bool
+}
+
+// Accept returns the next connection, or errRetired once the listener is retired.
+func (l *sharedListener) Accept() (net.Conn, error) {
+	conn, err := l.TCPListener.Accept()
+	if err != nil && l.retired.Load() {
+		return nil, errRetired
+	}
+	return conn, err
+}
+
+// Close closes the TCP listener unless this use of it is retired.
+func (l *sharedListener) Close() error {
+	if l.retired.Load() {
+		return nil
+	}
+	return l.TCPListener.Close()
+}
+
+// retire makes Accept return errRetired. The TCP listener accepts again once its deadline is reset.
+func (l *sharedListener) retire() error {
+	l.retired.Store(true)
+	return l.SetDeadline(longAgo)
+}
