pkforward, pkconn: a refusal that comes twice does not answer the next send

Cause: a refused stream goes to the same first engine again, with its id, over the same connection; the second copy of the refusal bears that id and was taken for the response, so that the send counted as not run and the request was sent a third time. Class: an id that no longer tells two exchanges on one connection apart. A connection now remembers the last eight requests refused over it; one of these closes it before anything is written and takes another, so the verdict stays certain.

--- a/pkconn/conn.go
+++ b/pkconn/conn.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"peridotknot.example/pkid"
 )
 
 // Conn is a connection that counts the bytes written to it.
@@ -20,10 +23,37 @@
 	// onClose is called once when the connection is closed.
 	onClose   func()
 	closeOnce sync.Once
+	closed    atomic.Bool
+
+	mu sync.Mutex
+	// answered are the latest requests for which AddAnswered was called.
+	answered []pkid.RequestID
+}
+
+// maxAnswered is how many answered requests a connection remembers: a surplus response comes before those of later
+// requests, so it is found soon.
+const maxAnswered = 8
+
+// AddAnswered records that a response to a request came over the connection. A second one may still come, and would be
+// taken for the response if the request were sent again over it.
+func (c *Conn) AddAnswered(id pkid.RequestID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.answered) == maxAnswered {
+		c.answered = slices.Delete(c.answered, 0, 1)
+	}
+	c.answered = append(c.answered, id)
+}
+
+func (c *Conn) hasAnswered(id pkid.RequestID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.answered, id)
 }
 
 // Close closes the connection and removes it from its registry.
 func (c *Conn) Close() error {
+	c.closed.Store(true)
 	err := c.Conn.Close()
 	c.closeOnce.Do(func() {
 		if c.onClose != nil {
@@ -35,6 +65,9 @@
 
 // Write writes to the connection and counts the bytes.
 func (c *Conn) Write(p []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
 	// Counted first, since a write that fails may have sent a part of p.
 	c.written.Add(int64(len(p)))
 	return c.Conn.Write(p)
--- a/pkconn/transport.go
+++ b/pkconn/transport.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"sync/atomic"
 
+	"peridotknot.example/pkid"
 	"peridotknot.example/pkverdict"
 )
 
@@ -57,7 +58,12 @@
 
 // Tracker observes one exchange to determine its verdict; the zero value is ready to use.
 type Tracker struct {
-	conn atomic.Pointer[Conn]
+	// Request is the ID of the request, if it has one. A connection over which that was answered before is closed and
+	// the exchange fails; see HasAvoided.
+	Request pkid.RequestID
+
+	avoided atomic.Bool
+	conn    atomic.Pointer[Conn]
 	// startWritten is the byte count of the connection at the start of the exchange.
 	startWritten atomic.Int64
 	// untracked is set if the connection does not count its bytes.
@@ -82,8 +88,16 @@
 	c.busy.Store(true)
 	t.startWritten.Store(c.written.Load())
 	t.conn.Store(c)
+	if t.Request != "" && c.hasAnswered(t.Request) {
+		t.avoided.Store(true)
+		_ = c.Close() // its writes fail either way
+	}
 }
 
+// HasAvoided reports whether nothing was sent since the request had been answered over the connection before. What came
+// as a response then is none.
+func (t *Tracker) HasAvoided() bool { return t.avoided.Load() }
+
 // putIdle records that the connection was returned to the pool.
 func (t *Tracker) putIdle(err error) {
 	if c := t.conn.Load(); c != nil && err == nil {
--- a/pkforward/sender.go
+++ b/pkforward/sender.go
@@ -69,25 +69,9 @@
 // *pkverdict.Error. If the target did not run the request, Do returns both the head and
 // an error with the reason pkverdict.ReasonRefused.
 func (s *Sender) Do(ctx context.Context, addr string, r *Request, out SendOptions) (*Response, error) {
-	var tracker pkconn.Tracker
-	req, err := s.request(tracker.Trace(ctx), addr, r, out)
+	response, err := s.exchange(ctx, addr, r, out)
 	if err != nil {
-		return nil, &pkverdict.Error{Verdict: pkverdict.NotRun, Reason: pkverdict.ReasonRefused, Err: err}
-	}
-	resp, err := s.transport.RoundTrip(req)
-	if err != nil {
-		progress := tracker.Progress()
-		reason := pkverdict.ReasonTargetLost
-		if !progress.Connected {
-			reason = pkverdict.ReasonUnreachable
-		}
-		return nil, &pkverdict.Error{Verdict: pkverdict.Decide(progress), Reason: reason, Err: err}
-	}
-	response := &Response{
-		ResponseMeta: s.dialect.ParseResponse(resp.StatusCode, resp.Header),
-		Status:       resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength,
-		Delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
-		resp:      resp, conn: tracker.Conn(),
+		return nil, err
 	}
 	if response.ID != r.Meta.ID {
 		// A surplus response of a target is read as the response to the next request on the
@@ -96,12 +80,52 @@
 		return nil, &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: errWrongRequest}
 	}
 	if response.NotRun {
+		if response.conn != nil {
+			response.conn.AddAnswered(r.Meta.ID)
+		}
 		response.drain()
 		return response, &pkverdict.Error{Verdict: pkverdict.NotRun, Reason: pkverdict.ReasonRefused, Err: fmt.Errorf("target did not run the request: status %d", response.Status)}
 	}
 	return response, nil
 }
 
+// exchange sends a request and returns the head of the response, over a connection on which the request was not
+// refused before: a second copy of that refusal would be taken for the response.
+func (s *Sender) exchange(ctx context.Context, addr string, r *Request, out SendOptions) (*Response, error) {
+	for {
+		tracker := pkconn.Tracker{Request: r.Meta.ID}
+		req, err := s.request(tracker.Trace(ctx), addr, r, out)
+		if err != nil {
+			return nil, &pkverdict.Error{Verdict: pkverdict.NotRun, Reason: pkverdict.ReasonRefused, Err: err}
+		}
+		resp, err := s.transport.RoundTrip(req)
+		if tracker.HasAvoided() {
+			if err == nil {
+				_ = resp.Body.Close() // its connection is closed
+			}
+			continue
+		}
+		if err == nil {
+			return s.response(resp, tracker.Conn()), nil
+		}
+		progress := tracker.Progress()
+		reason := pkverdict.ReasonTargetLost
+		if !progress.Connected {
+			reason = pkverdict.ReasonUnreachable
+		}
+		return nil, &pkverdict.Error{Verdict: pkverdict.Decide(progress), Reason: reason, Err: err}
+	}
+}
+
+func (s *Sender) response(resp *http.Response, conn *pkconn.Conn) *Response {
+	return &Response{
+		ResponseMeta: s.dialect.ParseResponse(resp.StatusCode, resp.Header),
+		Status:       resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength,
+		Delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+		resp:      resp, conn: conn,
+	}
+}
+
 // closeConn closes the connection of a response, even if the body is empty and the connection is
 // back in the pool already.
 func (r *Response) closeConn() {
