pkedge: the body of a leaving target is complete only if that still runs

Cause: the check that the target still runs at the end of such a body left out leaving targets, on the thought that these end by themselves; the end of their process ends a body as well. They are checked now. TestUnframedAnswerOfAReplicaThatEndsWhileItDrains failed before (200 with half a body) and passes.

--- a/pkedge/bodyend.go
+++ b/pkedge/bodyend.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"syscall"
-	"time"
 
 	"peridotknot.example/pkforward"
 	"peridotknot.example/pkreplica"
@@ -14,9 +13,9 @@
 
 // checkBodyEnd returns an error if the body of a response that was read to its end may lack a part: it has
 // neither a length nor chunks, and its target is gone. The end of such a body is that of the connection, which
-// a crash ends as well. A target that drains ends by itself after its last response.
+// the end of the target's process ends as well, also while it drains.
 func (c *call) checkBodyEnd(ctx context.Context, resp *pkforward.Response, t *pkreplica.Target) error {
-	if resp.Delimited || t.Leaving || c.roster.LeavingFor(time.Now(), t) > 0 {
+	if resp.Delimited {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/pkedge/unframed_test.go
+++ b/pkedge/unframed_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -79,3 +80,30 @@
 	raw, err := io.ReadAll(conn)
 	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v: %q", err, raw)
 }
+
+// Guards against half a plain answer that its caller takes for the whole: a replica that drains ends in the middle of a
+// body with neither a length nor chunks.
+func TestUnframedAnswerOfAReplicaThatEndsWhileItDrains(t *testing.T) {
+	t.Parallel()
+	w := platformtest.NewPlatform()
+	t.Cleanup(w.Close)
+	leaving := w.Add(platformtest.App, "i-a", "a")
+	n := start(t, w, "one")
+	eventually(t, "a call", func() bool {
+		return n.do(t, http.MethodGet, "/read/1", "warm", platformtest.Key, 0).status == http.StatusOK
+	})
+	release := leaving.Hold()
+	t.Cleanup(release)
+	answers := make(chan reply, 1)
+	go func() { answers <- n.do(t, http.MethodPost, "/book/1", "once", platformtest.Key, 0) }()
+	eventually(t, "the request", func() bool { return n.metric(t, "peridotknot_active_requests") == "1" })
+	leaving.Drain()
+	eventually(t, "the end of new requests", func() bool {
+		return n.doWithin(t, 300*time.Millisecond, http.MethodGet, "/read/1", "late", platformtest.Key, 0).status == http.StatusServiceUnavailable
+	})
+	w.SetNextBehaviors(platformtest.CrashInBody)
+	release()
+	got := <-answers
+	assert.Equal(t, len(w.Runs("once")), 1)
+	assert.Assert(t, got.err != nil || got.status == http.StatusBadGateway, "%d: %q", got.status, got.body)
+}
