pkconn: the head of a response is bounded to 64 KB

TestHeadWithoutEnd failed before (13.5 and 14.4 MB taken from the target, 8 MB allowed with the buffers of both ends) and passes. TestBodyWithoutEnd passed before: bodies and events were bounded already.

--- a/pkconn/transport.go
+++ b/pkconn/transport.go
@@ -12,13 +12,17 @@
 	"peridotknot.example/pkverdict"
 )
 
+// maxResponseHeaderBytes bounds the head of a response, which a faulty target may send without end.
+const maxResponseHeaderBytes = 64 << 10
+
 // Transport returns an HTTP/1.1 transport over connections that count the bytes written.
 func (o Options) Transport() *http.Transport {
 	return &http.Transport{
-		DialContext:         o.DialContext,
-		MaxIdleConnsPerHost: o.MaxIdlePerHost,
-		IdleConnTimeout:     o.IdleTimeout,
-		DisableCompression:  true,
+		DialContext:            o.DialContext,
+		MaxIdleConnsPerHost:    o.MaxIdlePerHost,
+		IdleConnTimeout:        o.IdleTimeout,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		DisableCompression:     true,
 		// HTTP/2 multiplexes requests on one connection, so the count of written bytes would no
 		// longer belong to one request, and one lost connection would fail many requests.
 		ForceAttemptHTTP2: false,
--- /dev/null
+++ b/pkforward/faulty_test.go
@@ -0,0 +1,89 @@
+package pkforward
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"peridotknot.example/pkconn"
+	"peridotknot.example/pkverdict"
+)
+
+// rawTarget serves one request a connection and writes the head of the response; then it repeats the rest until the
+// connection is closed, unless the rest is empty. It counts the bytes written.
+func rawTarget(t *testing.T, head, rest string) (addr string, written *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	written = new(atomic.Int64)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, err := io.WriteString(conn, head)
+				for err == nil && rest != "" {
+					var n int
+					n, err = io.WriteString(conn, rest)
+					written.Add(int64(n))
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), written
+}
+
+func send(t *testing.T, method, addr string) (*Response, error) {
+	t.Helper()
+	s := NewSender(plainDialect{}, pkconn.DefaultOptions())
+	t.Cleanup(func() { assert.NilError(t, s.Close()) })
+	r := &Request{Method: method, Host: "host.example", URI: "/", Header: http.Header{}}
+	r.Meta.ID = "one"
+	return s.Do(t.Context(), addr, r, SendOptions{})
+}
+
+// maxReceived bounds what an entry accepts of a response without end, with the buffers of both ends of the connection.
+const maxReceived = 8 << 20
+
+// Guards against an entry that holds the head of a response without end in its memory.
+func TestHeadWithoutEnd(t *testing.T) {
+	for name, rest := range map[string]string{
+		"headers":  "Filler: " + strings.Repeat("a", 1000) + "\r\n",
+		"one line": strings.Repeat("a", 1000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, written := rawTarget(t, "HTTP/1.1 200 OK\r\nId: one\r\nFiller: ", rest)
+			_, err := send(t, http.MethodGet, addr)
+			var failure *pkverdict.Error
+			assert.Assert(t, errors.As(err, &failure), "%v", err)
+			assert.Equal(t, failure.Verdict, pkverdict.MayHaveRun)
+			assert.Assert(t, written.Load() < maxReceived, "%d bytes", written.Load())
+		})
+	}
+}
+
+// Guards against an entry that reads a body without end.
+func TestBodyWithoutEnd(t *testing.T) {
+	const limit = 64 << 10
+	addr, written := rawTarget(t, "HTTP/1.1 200 OK\r\nId: one\r\n\r\n", strings.Repeat("a", 1000))
+	resp, err := send(t, http.MethodGet, addr)
+	assert.NilError(t, err)
+	defer resp.Close()
+	_, err = resp.ReadAll(limit)
+	assert.ErrorContains(t, err, "exceeds")
+	assert.Assert(t, written.Load() < maxReceived, "%d bytes", written.Load())
+}
