--- a/pkedge/callerserver.go
+++ b/pkedge/callerserver.go
@@ -32,49 +32,47 @@
 
 // callerServer serves the HTTP requests of callers.
 type callerServer struct {
-	d      *Daemon
-	server pkserver.Server
-	// mu guards the order in which limits are applied.
-	mu sync.Mutex
+	pkserver.Server
+	// limitsMu guards the order in which limits are applied.
+	limitsMu sync.Mutex
 }
 
-func newCallerServer(d *Daemon) *callerServer {
-	s := &callerServer{d: d}
-	s.server.Handler = http.HandlerFunc(s.serve)
-	s.server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+// prepareServer sets what the server of callers does, with the default limits.
+func (d *Daemon) prepareServer() {
+	d.server.Handler = http.HandlerFunc(d.serveCaller)
+	d.server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, callerConnKey{}, conn)
 	}
-	s.server.ErrorLog = d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
-	s.applyLimits()
-	return s
+	d.server.ErrorLog = d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
+	d.applyLimits()
 }
 
 // applyLimits applies the limits of the configuration in force.
-func (s *callerServer) applyLimits() {
-	s.mu.Lock() // a configuration may come into force meanwhile
-	defer s.mu.Unlock()
+func (d *Daemon) applyLimits() {
+	d.server.limitsMu.Lock() // a configuration may come into force meanwhile
+	defer d.server.limitsMu.Unlock()
 	l := defaultLimits
-	if table := s.d.configs.Table(); table != nil {
+	if table := d.configs.Table(); table != nil {
 		l = table.Limits
 	}
-	err := s.server.SetLimits(pkserver.Limits{HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout})
+	err := d.server.SetLimits(pkserver.Limits{HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout})
 	if err != nil {
-		s.d.log.Error("new limits on headers and connections are not applied", "error", err)
+		d.log.Error("new limits on headers and connections are not applied", "error", err)
 	}
 }
 
-// run serves callers until ctx ends. It waits up to configTimeout for the first configuration;
+// serveCallers serves callers until ctx ends. It waits up to configTimeout for the first configuration;
 // connections queue in the listener meanwhile.
-func (s *callerServer) run(ctx context.Context) error {
+func (d *Daemon) serveCallers(ctx context.Context) error {
 	wait := time.NewTimer(configTimeout)
 	defer wait.Stop()
 	select {
-	case <-s.d.configured:
+	case <-d.configured:
 	case <-wait.C:
 	case <-ctx.Done():
-		return s.d.callers.Close()
+		return d.callers.Close()
 	}
-	return untilDone(ctx, s.server.Serve(s.d.callers))
+	return untilDone(ctx, d.server.Serve(d.callers))
 }
 
 // callerConnKey is the context key of a request's connection.
@@ -92,8 +90,7 @@
 	}
 }
 
-func (s *callerServer) serve(w http.ResponseWriter, r *http.Request) {
-	d := s.d
+func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
 	d.active.Add(1)
 	defer d.active.Add(-1)
 	c := &call{Daemon: d, w: w, r: r, began: time.Now(), table: d.configs.Table()}
--- a/pkedge/configuration.go
+++ b/pkedge/configuration.go
@@ -54,7 +54,7 @@
 	}
 	d.log.Info("configuration in force", "version", c.Version, "revision", item.Revision.String(), "source", source,
 		"routes", len(c.Routes), "accounts", len(c.Accounts))
-	d.server.applyLimits()
+	d.applyLimits()
 	d.firstConfig.Do(func() { close(d.configured) })
 	if d.gossip.withHubs.Load() {
 		d.gossip.requestSend() // a hub passes it on to the entries that it serves
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -131,7 +131,7 @@
 	hubsSeenAt atomic.Pointer[time.Time]
 
 	callers *net.TCPListener
-	server  *callerServer
+	server  callerServer
 	ready   net.Listener
 
 	// configured is closed once a configuration is in force.
@@ -165,7 +165,7 @@
 	if d.callers, err = pkserver.Listen(s.Listen.Callers); err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
-	d.server = newCallerServer(d)
+	d.prepareServer()
 	if d.ready, err = net.Listen("tcp", s.Listen.Ready); err != nil {
 		return nil, errors.Join(fmt.Errorf("listen for readiness: %w", err), d.callers.Close())
 	}
@@ -210,7 +210,7 @@
 	readiness := &http.Server{Handler: d.readinessHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	var g run.Group
 	g.Add(func() error { return d.waitAndStop(ctx) }, func(error) { cancel() })
-	g.Add(func() error { return d.server.run(inner) }, func(error) { _ = d.server.server.Close() }) // requests had until the end of the grace period
+	g.Add(func() error { return d.serveCallers(inner) }, func(error) { _ = d.server.Close() }) // requests had until the end of the grace period
 	g.Add(func() error { return untilDone(inner, readiness.Serve(d.ready)) }, func(error) { _ = readiness.Close() })
 	if d.gossip.listener != nil {
 		peers := &http.Server{Handler: d.peersHandler(inner), ReadHeaderTimeout: readHeaderTimeout}
--- a/pkedge/stop.go
+++ b/pkedge/stop.go
@@ -29,7 +29,7 @@
 	}()
 	d.revokeLease(drain)
 	pktimer.Sleep(drain, time.Until(schedule.AcceptsUntil()))
-	err := d.server.server.Shutdown(drain)
+	err := d.server.Shutdown(drain)
 	for d.relayedActive.Load() > 0 && pktimer.Sleep(drain, relayedPollInterval) {
 		continue // the entries that have passed these requests on wait for them
 	}
