--- a/peridotknot/process_test.go
+++ b/peridotknot/process_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -171,6 +172,12 @@
 	return addr
 }
 
+// awaitOutput waits until the process has written a text.
+func (p *process) awaitOutput(t *testing.T, text string) {
+	t.Helper()
+	eventually(t, text, func() bool { return strings.Contains(p.log.text(), text) || !p.running() })
+}
+
 // answersOK reports whether a GET of a URL is answered with status 200.
 func answersOK(url string) bool {
 	resp, err := http.Get(url)
--- a/peridotknot/signals_test.go
+++ b/peridotknot/signals_test.go
@@ -295,3 +295,19 @@
 		})
 	}
 }
+
+// Guards against SIGHUP ending the stand-ins, which would look like an outage of all that they stand for.
+func TestSignalsOfTheStandins(t *testing.T) {
+	program := filepath.Join(buildPrograms(t), "peridotknot-standin")
+	raw, err := pksample.File("aare", pksample.FileStandins)
+	assert.NilError(t, err)
+	for _, signals := range series {
+		t.Run(seriesName(signals), func(t *testing.T) {
+			t.Parallel()
+			p := startProcess(t, program, string(raw))
+			p.awaitOutput(t, "stand-ins started")
+			sendSeries(t, p, signals)
+			p.awaitExit(t)
+		})
+	}
+}
