--- a/peridotknot/signals_test.go
+++ b/peridotknot/signals_test.go
@@ -184,7 +184,12 @@
 // readAnswer sends a request on a connection of its own and reads the whole answer.
 func readAnswer(req *http.Request) (status int, body string, err error) {
 	req.Close = true
-	resp, err := http.DefaultClient.Do(req)
+	return send(http.DefaultClient, req)
+}
+
+// send sends a request and reads the whole answer.
+func send(c *http.Client, req *http.Request) (status int, body string, err error) {
+	resp, err := c.Do(req)
 	if err != nil {
 		return 0, "", err
 	}
