pkserver: no request is served from a connection that a change of limits has closed

Cause: turning keep-alive off closes the connections that are idle for net/http, which is so until it has read the next request's head; the request was then served without a connection. Shutdown does not have this, as net/http looks again before it serves. Now each connection that is closed is marked first, by the states that net/http reports before it serves, and a request from a marked one is dropped unserved.

--- a/pkserver/server.go
+++ b/pkserver/server.go
@@ -38,10 +38,19 @@
 type generation struct {
 	http.Server
 	accepts *sharedListener
-	// conns is the number of open connections; the Server's lock guards it.
-	conns int
+	// conns are the open connections; the Server's lock guards them.
+	conns map[net.Conn]*clientConn
 }
 
+// clientConn is an open connection; the Server's lock guards it.
+type clientConn struct {
+	// idle is set between two requests, closed once the connection was closed then.
+	idle, closed bool
+}
+
+// clientConnKey is the context key of a request's clientConn.
+type clientConnKey struct{}
+
 // Serve serves the connections of a listener, which it closes, until Shutdown or Close. It returns
 // http.ErrServerClosed then, and at once if one of them was called before.
 func (s *Server) Serve(l *net.TCPListener) error {
@@ -63,51 +72,98 @@
 // replace makes a generation with the present limits the current one.
 func (s *Server) replace() (*generation, error) {
 	s.mu.Lock()
-	former := s.current
 	if s.closing {
 		s.mu.Unlock()
 		return nil, http.ErrServerClosed
 	}
-	if former != nil && former.conns > 0 {
-		if s.former == nil {
-			s.former = map[*generation]struct{}{}
-		}
-		s.former[former] = struct{}{}
-	}
+	former := s.current
 	s.current = s.newGeneration()
+	if former != nil {
+		s.retire(former)
+	}
 	g, err := s.current, s.tcp.SetDeadline(time.Time{})
 	s.mu.Unlock()
 	if former != nil {
-		former.SetKeepAlivesEnabled(false)
+		former.SetKeepAlivesEnabled(false) // answers in progress say that their connection closes
 	}
 	return g, err
 }
 
+// retire closes the idle connections of a generation and keeps it until the others are closed; the caller holds the lock.
+func (s *Server) retire(g *generation) {
+	if len(g.conns) == 0 {
+		return
+	}
+	if s.former == nil {
+		s.former = map[*generation]struct{}{}
+	}
+	s.former[g] = struct{}{}
+	for conn, c := range g.conns {
+		c.closeIfIdle(conn)
+	}
+}
+
+// closeIfIdle closes a connection of a former generation that has no request; the caller holds the lock.
+func (c *clientConn) closeIfIdle(conn net.Conn) {
+	if c.idle && !c.closed {
+		c.closed = true
+		_ = conn.Close() // the client may have closed it
+	}
+}
+
 func (s *Server) newGeneration() *generation {
-	g := &generation{accepts: &sharedListener{TCPListener: s.tcp}}
+	g := &generation{accepts: &sharedListener{TCPListener: s.tcp}, conns: map[net.Conn]*clientConn{}}
 	g.Server = http.Server{
-		Handler: s.Handler, ConnContext: s.ConnContext, ErrorLog: s.ErrorLog,
+		Handler: http.HandlerFunc(s.serve), ErrorLog: s.ErrorLog,
 		MaxHeaderBytes: s.limits.HeaderBytes, ReadHeaderTimeout: s.limits.HeaderTimeout, IdleTimeout: s.limits.IdleTimeout,
-		ConnState: func(_ net.Conn, state http.ConnState) { s.countConn(g, state) },
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context { return s.addConn(ctx, g, conn) },
+		ConnState:   func(conn net.Conn, state http.ConnState) { s.recordState(g, conn, state) },
 	}
 	return g
 }
 
-// countConn counts the open connections of a generation and drops a former one that has none left.
-func (s *Server) countConn(g *generation, state http.ConnState) {
-	if state != http.StateNew && state != http.StateClosed {
-		return
+func (s *Server) addConn(ctx context.Context, g *generation, conn net.Conn) context.Context {
+	c := &clientConn{}
+	s.mu.Lock()
+	g.conns[conn] = c
+	s.mu.Unlock()
+	ctx = context.WithValue(ctx, clientConnKey{}, c)
+	if s.ConnContext == nil {
+		return ctx
 	}
+	return s.ConnContext(ctx, conn)
+}
+
+// recordState records the state of a connection. One of a former generation is closed as soon as it is idle.
+func (s *Server) recordState(g *generation, conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if state == http.StateNew {
-		g.conns++
+	c, found := g.conns[conn]
+	if !found {
 		return
 	}
-	g.conns--
-	if g.conns == 0 {
-		delete(s.former, g)
+	c.idle = state == http.StateIdle
+	switch {
+	case state == http.StateClosed:
+		delete(g.conns, conn)
+		if len(g.conns) == 0 {
+			delete(s.former, g)
+		}
+	case g != s.current:
+		c.closeIfIdle(conn)
+	}
+}
+
+// serve serves a request unless its connection was closed before it was read, so that it has no effect without an answer.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	c, _ := r.Context().Value(clientConnKey{}).(*clientConn)
+	s.mu.Lock()
+	closed := c != nil && c.closed
+	s.mu.Unlock()
+	if closed {
+		panic(http.ErrAbortHandler)
 	}
+	s.Handler.ServeHTTP(w, r)
 }
 
 // SetLimits changes the limits, also before Serve; the zero value stands for those of net/http.
--- a/pkserver/server_test.go
+++ b/pkserver/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -154,3 +155,42 @@
 	assert.NilError(t, s.Shutdown(t.Context()))
 	assert.NilError(t, s.SetLimits(limitsOf(low)))
 }
+
+// Guards against a request that runs though its kept connection is closed by a change of the limits, so that it gets no
+// answer.
+func TestARequestThatRunsIsAnsweredWhileTheLimitsChange(t *testing.T) {
+	var ran sync.Map
+	s := &Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { ran.Store(r.Header.Get("Id"), true) })}
+	url, _ := start(t, s)
+	var stop atomic.Bool
+	var clients sync.WaitGroup
+	for i := range 8 {
+		c := newClient(t)
+		clients.Go(func() {
+			for k := 0; !stop.Load(); k++ {
+				id := fmt.Sprintf("%d-%d", i, k)
+				req, err := http.NewRequest(http.MethodPost, url, strings.NewReader("body"))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				req.Header.Set("Id", id)
+				resp, err := c.Do(req)
+				if err == nil {
+					_, err = io.Copy(io.Discard, resp.Body)
+					err = errors.Join(err, resp.Body.Close())
+				}
+				if _, found := ran.Load(id); err != nil && found {
+					t.Errorf("%s ran: %v", id, err)
+					return
+				}
+			}
+		})
+	}
+	for i := range 500 {
+		assert.NilError(t, s.SetLimits(limitsOf(low+i)))
+		time.Sleep(time.Millisecond)
+	}
+	stop.Store(true)
+	clients.Wait()
+}
--- a/pkstop/schedule.go
+++ b/pkstop/schedule.go
@@ -12,7 +12,7 @@
 
 // Schedule is the course of one stop.
 type Schedule struct {
-	// Began is when the daemon was told to stop.
+	// Began is when the stop began.
 	Began time.Time
 	// Grace is the time from Began after which the platform kills the process.
 	Grace time.Duration
