--- a/pkedge/relay.go
+++ b/pkedge/relay.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -55,11 +54,7 @@
 
 // tryRelay returns an entry to pass the request on to at now, if one is known.
 func (c *call) tryRelay(now time.Time) (relay, bool) {
-	candidates := c.relayCandidates(now, c.service)
-	if c.relays.NeedsConfirmed() && c.gossip.withHubs.Load() {
-		candidates = slices.DeleteFunc(candidates, func(one pkrelay.Peer) bool { return !one.Confirmed })
-	}
-	peer, found := c.relayPeers.Choose(now, candidates)
+	peer, found := c.relayPeers.Choose(now, c.relayCandidates(now, c.service))
 	if !found {
 		return relay{}, false
 	}
--- a/pkrelay/attempts.go
+++ b/pkrelay/attempts.go
@@ -4,9 +4,6 @@
 	// maxTaken bounds the entries that take a request and fail, maxPassedBack those that pass it back at once.
 	maxTaken      = 3
 	maxPassedBack = 8
-	// maxUnconfirmed bounds the entries that pass it back before only those are asked whose links a hub has reported as
-	// whole: where that many are cut off, most others are as well.
-	maxUnconfirmed = 4
 )
 
 // Attempts counts the entries that a request was passed on to. The zero value is ready to use.
@@ -17,9 +14,6 @@
 // Allowed reports whether the request may be passed on once more.
 func (a *Attempts) Allowed() bool { return a.taken < maxTaken && a.passedBack < maxPassedBack }
 
-// NeedsConfirmed reports whether only confirmed entries are worth asking.
-func (a *Attempts) NeedsConfirmed() bool { return a.passedBack >= maxUnconfirmed }
-
 // Record counts an entry that has passed the request back unsent, or has taken it.
 func (a *Attempts) Record(passedBack bool) {
 	if passedBack {
--- a/pkrelay/attempts_test.go
+++ b/pkrelay/attempts_test.go
@@ -26,13 +26,3 @@
 	}
 	assert.Equal(t, a.Count(), maxPassedBack)
 }
-
-// Guards against a request that is passed on, one after the other, to entries that are cut off as well.
-func TestPassedBackOftenNeedsConfirmed(t *testing.T) {
-	var a Attempts
-	for range maxUnconfirmed {
-		assert.Assert(t, !a.NeedsConfirmed())
-		a.Record(true)
-	}
-	assert.Assert(t, a.NeedsConfirmed() && a.Allowed())
-}
