--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -199,7 +199,7 @@
 	if failure.Verdict != pkverdict.NotRun {
 		c.runs++
 	}
-	if failure.MayHaveArrived() {
+	if failure.Reason != pkverdict.ReasonUnreachable {
 		c.delivered++
 	}
 }
