--- a/pkconn/conn.go
+++ b/pkconn/conn.go
@@ -23,7 +23,8 @@
 	// onClose is called once when the connection is closed.
 	onClose   func()
 	closeOnce sync.Once
-	closed    atomic.Bool
+	// avoided is set once an exchange has avoided the connection, which sends nothing more then.
+	avoided atomic.Bool
 
 	mu sync.Mutex
 	// answered are the latest requests for which AddAnswered was called.
@@ -53,7 +54,6 @@
 
 // Close closes the connection and removes it from its registry.
 func (c *Conn) Close() error {
-	c.closed.Store(true)
 	err := c.Conn.Close()
 	c.closeOnce.Do(func() {
 		if c.onClose != nil {
@@ -65,7 +65,7 @@
 
 // Write writes to the connection and counts the bytes.
 func (c *Conn) Write(p []byte) (int, error) {
-	if c.closed.Load() {
+	if c.avoided.Load() {
 		return 0, net.ErrClosed
 	}
 	// Counted first, since a write that fails may have sent a part of p.
--- a/pkconn/transport.go
+++ b/pkconn/transport.go
@@ -94,6 +94,7 @@
 	t.conn.Store(c)
 	if t.Request != "" && c.hasAnswered(t.Request) {
 		t.avoided.Store(true)
+		c.avoided.Store(true)
 		_ = c.Close() // its writes fail either way
 	}
 }
