--- a/pkedge/lease.go
+++ b/pkedge/lease.go
@@ -214,14 +214,18 @@
 	return pkshare.Member{ID: s.Entry, Addr: d.gossip.addr, DataCenter: s.DataCenter, ProcessorShare: s.ProcessorShare, Relays: d.gossip.addr != ""}
 }
 
+// holdsLease reports whether the store has granted this daemon a lease that is not known to have ended.
+func (m *members) holdsLease() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaseID != 0
+}
+
 // selfAt returns this daemon as a member at now, with its registration.
 func (d *Daemon) selfAt(now time.Time) pkshare.Member {
 	self := d.self()
 	m := &d.members
-	m.mu.Lock()
-	holds := m.leaseID != 0
-	m.mu.Unlock()
-	self.Unregistered = !holds && !m.wasRegistered(now, self.ID)
+	self.Unregistered = !m.holdsLease() && !m.wasRegistered(now, self.ID)
 	return self
 }
 
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -155,6 +155,7 @@
 func (c *call) logBudgetSpent(now time.Time) {
 	u := c.budgets.of(c.service).Usage(now, c.retryLimits(now))
 	c.log.Warn("retry budget is spent", "request_id", c.req.Meta.ID, "service", c.service, "entries", c.entryCount(now),
+		"live", c.gossip.table.LivePeerCount(now)+1, "listed", len(c.members.list()), "lease", c.members.holdsLease(),
 		"requests", u.Requests, "retries", u.Retries, "allowed", u.Allowed, "uptime_ms", now.Sub(c.started).Milliseconds())
 }
 
