pkcensus, pkedge, pkretry: entries share the retry budget with all that they notice

Cause: a limit of the whole fleet is split by a number of entries that each one takes from one source, and that source may leave out entries that serve: those that started while the store was away, and those whose leases have lapsed. Each process also took for granted that the others go on counting it; one that stood still went on with its share, which they had split, and counted all requests that had waited in its sockets in one window.

Change: pkcensus counts entries by registrations, by messages and by what these say, and keeps those that are noticed no more while the store is not read. An entry that is not certain to be counted (no lease, no hub, not all entries heard of) uses a tenth of its share of the slack, until it has been counted for a window and the grace of the others. A process that stood still for an eighth of a window, at least a second, counts as started. An entry that has left is counted for 14.5 s of a window of ten (10 s before). Limits that targets name and probation use the same count.

--- a/pkedge/busy.go
+++ b/pkedge/busy.go
@@ -40,11 +40,6 @@
 	return d.limits.Named() > 0 || int64(now.Sub(d.started)) < d.lastRestEnd.Load()
 }
 
-// share returns this entry's part at now in what all entries share.
-func (d *Daemon) share(now time.Time) pkrate.Share {
-	return pkrate.Share{Entries: d.entryCount(now), Place: d.place}
-}
-
 // takePermit takes a permit at now for a request to a target, and reports whether there is one or
 // the target names no limit.
 func (d *Daemon) takePermit(now time.Time, t *pkreplica.Target) bool {
--- a/pkedge/choose_test.go
+++ b/pkedge/choose_test.go
@@ -72,7 +72,8 @@
 		want  bool
 	}{{"one entry sends all", 0, true}, {"all entries send the same", 7, false}} {
 		d, s := poolDaemon(engine("a", "home", 0, 40), engine("b", "home", 40, 80))
-		d.settings.DataCenter, d.members.reportedCount = "home", 8
+		d.settings.DataCenter = "home"
+		d.members.census.HearHub(8)
 		now := time.Now()
 		full := s.Engine.KVCapacity("l4", 40) * 40
 		for _, id := range []pkid.TargetID{"a", "b"} {
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -31,6 +31,7 @@
 	"peridotknot.example/pkserver"
 	"peridotknot.example/pkshare"
 	"peridotknot.example/pkstore"
+	"peridotknot.example/pktimer"
 	"peridotknot.example/pkwait"
 )
 
@@ -202,6 +203,7 @@
 // Run serves until ctx ends, stops gracefully, and returns once all its goroutines have ended.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.started = time.Now()
+	d.members.standing.Start(d.started, pktimer.BootClock())
 	d.registration = pkshare.Registration{Self: d.self(), Started: d.started, Bootstrap: d.settings.Bootstrap, Jitter: rand.Float64()}
 	// The loops outlive ctx: requests in progress need them until the end.
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/pkedge/gossip.go
+++ b/pkedge/gossip.go
@@ -132,6 +132,7 @@
 	if !d.gossip.table.Apply(now, m) {
 		return
 	}
+	d.members.hear(now, m)
 	if wantsHelp && d.gossip.designated.Load() {
 		d.gossip.requestHelp(m)
 	}
@@ -314,6 +315,7 @@
 		s.updateLinks(ctx)
 	}
 	s.rounds++
+	s.d.updateStanding(time.Now())
 	s.send(s.rounds%roundsPerSum == 0)
 }
 
@@ -517,8 +519,9 @@
 		Following: d.followsStore(now),
 		Relays:    s.addr != "" && d.isReady(), Impaired: d.links.ImpairedServices(),
 		Cases: d.quarantine.table.RecentChanges(now), QuarantineChecksum: d.quarantine.table.Checksum(now),
-		Paces:  d.paces.Observations(now),
-		Limits: d.limits.Observations(now, s.withHubs.Load() && s.designated.Load()),
+		Paces:   d.paces.Observations(now),
+		Entries: d.noticedEntries(now),
+		Limits:  d.limits.Observations(now, s.withHubs.Load() && s.designated.Load()),
 	}
 	if back := now.Sub(d.roster.StoreRecoveredAt()); back < storeRecoveryAnnounceTime {
 		m.StoreRecoveredAgoMS = max(back.Milliseconds(), 1)
--- a/pkedge/lease.go
+++ b/pkedge/lease.go
@@ -123,7 +123,7 @@
 // unless it is registered already.
 func (d *Daemon) renewOrGrant(ctx context.Context, registered *bool) error {
 	m := &d.members
-	sent := pktimer.BootClock()
+	sent, began := pktimer.BootClock(), time.Now()
 	m.mu.Lock()
 	current := m.leaseID
 	m.mu.Unlock()
@@ -149,10 +149,15 @@
 	m.mu.Lock()
 	m.lease.Renewed(sent)
 	m.mu.Unlock()
+	if !*registered {
+		if err := d.register(ctx, registered); err != nil {
+			return err
+		}
+	}
 	if *registered {
-		return nil
+		d.confirmRegistered(time.Now(), began.Add(leaseTTL))
 	}
-	return d.register(ctx, registered)
+	return nil
 }
 
 // awaitMembers waits up to membersReadTimeout until the members were read. They show the key left
--- a/pkedge/load_test.go
+++ b/pkedge/load_test.go
@@ -114,7 +114,7 @@
 		d, _ := poolDaemon(infos...)
 		d.settings.DataCenter = centers[i%len(centers)]
 		d.memoryPenalty = l.memoryPenalty
-		d.members.reportedCount = l.entries
+		d.members.census.HearHub(l.entries)
 		d.gossip.withHubs.Store(true)
 		daemons = append(daemons, d)
 	}
--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"peridotknot.example/pkcensus"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pklease"
 	"peridotknot.example/pkshare"
@@ -26,8 +27,9 @@
 // members holds the registered entries of the fleet, the owner of the pools and this daemon's lease.
 type members struct {
 	mu sync.Mutex
-	// leftAt holds when each former member left; zero for present members.
-	leftAt map[pkid.EntryID]time.Time
+	// census counts the entries of the fleet, standing is whether they count this one.
+	census   pkcensus.Census
+	standing pkcensus.Standing
 	// peers are the members that accept messages.
 	peers map[pkid.EntryID]pkshare.Member
 	// candidates are the entries of this data centre that a hub expects to be registered; nil if no
@@ -52,9 +54,6 @@
 	readTo pkstore.Revision
 	// ownRevision is the revision of this daemon's own key when it was last read.
 	ownRevision pkstore.Revision
-	// reportedCount is the number of members last reported by a hub; zero once the list was read
-	// again.
-	reportedCount int
 
 	leaseID pkstore.LeaseID
 	lease   pklease.Lease
@@ -64,29 +63,6 @@
 	unanswered bool
 }
 
-// count returns the number of daemons that share limits of the whole fleet; reported is the number
-// reported by hubs, or zero. Without hubs it returns the larger of the last reported and the listed
-// number, since a count that is too high only makes each share smaller and so keeps the limit.
-func (m *members) count(now time.Time, reported int) int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if reported > 0 {
-		m.reportedCount = reported
-		return reported
-	}
-	listed := 0
-	for _, gone := range m.leftAt {
-		if gone.IsZero() || now.Sub(gone) < pkshare.EntryRetention {
-			listed++
-		}
-	}
-	saved := 0
-	for _, one := range m.sizes {
-		saved += one.entries
-	}
-	return max(m.reportedCount, listed, saved, 1)
-}
-
 // membersRelayed reports whether hubs relay the members at now, so that this entry need not follow
 // them itself: each change costs a call to the store per follower. The owner of the pools always
 // follows them, since it must see a new owner.
@@ -98,6 +74,13 @@
 	return may && d.gossip.table.ServedByHub(now)
 }
 
+// hear records a message of another entry at now.
+func (m *members) hear(now time.Time, in pkshare.Message) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.census.Hear(now, in.From, max(in.Entries, in.Members))
+}
+
 // list returns the members that accept messages.
 func (m *members) list() []pkshare.Member {
 	m.mu.Lock()
@@ -109,11 +92,6 @@
 	return out
 }
 
-// entryCount returns the number of daemons that share limits of the whole fleet at now.
-func (d *Daemon) entryCount(now time.Time) int {
-	return d.members.count(now, d.gossip.table.HubMemberCount(now))
-}
-
 // isKnown reports whether the members were read from the store.
 func (m *members) isKnown() bool {
 	m.mu.Lock()
@@ -131,7 +109,7 @@
 // them at now for those that it serves.
 func (d *Daemon) countEntries(now time.Time) (local, all int) {
 	local, all = d.gossip.table.EntryCounts(now, d.self(), d.members.list())
-	return local, max(all, d.members.count(now, 0))
+	return local, max(all, d.members.count(now, d.settings.Entry))
 }
 
 // followMembers follows the list of daemons and the owner of the pools.
@@ -167,7 +145,7 @@
 	}
 	first, before := !m.known, m.knownOwner()
 	m.dropUnlisted(now, at)
-	m.known, m.readTo, m.reportedCount = true, at, 0
+	m.known, m.readTo = true, at
 	for _, one := range items {
 		if one.Key == d.memberKey() {
 			m.ownRevision = max(m.ownRevision, one.Revision)
@@ -194,11 +172,7 @@
 	}
 	maps.DeleteFunc(m.sizes, func(_ pkid.DataCenter, one savedSize) bool { return one.revision <= at })
 	clear(m.peers)
-	for id, gone := range m.leftAt {
-		if gone.IsZero() {
-			m.leftAt[id] = now
-		}
-	}
+	m.census.BeginList(now)
 }
 
 // applyMemberEvents applies changes of the daemons' own keys up to a revision.
@@ -286,17 +260,16 @@
 	if !found {
 		return
 	}
-	if m.leftAt == nil {
-		m.leftAt = map[pkid.EntryID]time.Time{}
+	if m.peers == nil {
 		m.peers = map[pkid.EntryID]pkshare.Member{}
 	}
 	id := pkid.EntryID(name)
 	if ev.Deleted {
-		m.leftAt[id] = now
+		m.census.Leave(now, id)
 		delete(m.peers, id)
 		return
 	}
-	m.leftAt[id] = time.Time{}
+	m.census.Register(id)
 	one := pkshare.Member{ID: id}
 	// A member whose value cannot be read, such as one written by another version, still counts.
 	if err := json.Unmarshal(ev.Item.Value, &one); err == nil && one.Addr != "" {
@@ -377,6 +350,5 @@
 	if _, present := m.peers[id]; present {
 		return true
 	}
-	left, found := m.leftAt[id]
-	return found && (left.IsZero() || now.Sub(left) < pkshare.EntryRetention)
+	return m.census.WasRegistered(now, id, pkshare.EntryRetention)
 }
--- a/pkedge/members_test.go
+++ b/pkedge/members_test.go
@@ -37,7 +37,7 @@
 	later := now.Add(time.Minute)
 	assert.Assert(t, !d.membersRelayed(later))
 	assert.Equal(t, d.entryCount(later), 90, "the hubs are lost")
-	d.members.reportedCount = 0 // the list was read
+	d.members.census.BeginList(later)
 	assert.Equal(t, d.entryCount(later), 1)
 
 	d.members.owner = "own"
@@ -203,7 +203,7 @@
 func TestEntriesThatAreCutOffSendNothingToTheTargets(t *testing.T) {
 	now := time.Now()
 	d, _ := poolDaemon()
-	d.members.reportedCount = 6
+	d.members.census.HearHub(6)
 	assert.Equal(t, d.senderCount(now, "models"), 6)
 	for i, services := range [][]pkid.ServiceID{{"models", "other"}, {"other"}, nil, {"models"}} {
 		d.gossip.table.Apply(now, pkshare.Message{From: pkid.EntryID(fmt.Sprint(i)), Sequence: 1, Impaired: services})
@@ -213,7 +213,7 @@
 	d.gossip.table.Apply(now, pkshare.Message{From: "0", Sequence: 2})
 	assert.Equal(t, d.senderCount(now, "models"), 5)
 	assert.Equal(t, d.senderCount(now.Add(time.Minute), "models"), 6, "not heard from")
-	d.members.reportedCount = 1
+	d.members.census.HearHub(1)
 	assert.Equal(t, d.senderCount(now, "models"), 1)
 }
 
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -14,7 +14,6 @@
 	"peridotknot.example/pkforward"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkreplica"
-	"peridotknot.example/pkretry"
 	"peridotknot.example/pkverdict"
 )
 
@@ -50,11 +49,6 @@
 	return r.Services[0].Service
 }
 
-// retryLimits returns the limits of the retry budgets at now.
-func (d *Daemon) retryLimits(now time.Time) pkretry.Limits {
-	return d.retry.Load().limits(d.share(now), d.started)
-}
-
 // sendResult is the result of one send of a request.
 type sendResult struct {
 	// err is the failure of the send, or the result of the request if final is set.
@@ -153,9 +147,10 @@
 
 // logBudgetSpent logs that the retry budget allows the call no further send at now.
 func (c *call) logBudgetSpent(now time.Time) {
-	u := c.budgets.of(c.service).Usage(now, c.retryLimits(now))
-	c.log.Warn("retry budget is spent", "request_id", c.req.Meta.ID, "service", c.service, "entries", c.entryCount(now),
-		"live", c.gossip.table.LivePeerCount(now)+1, "listed", len(c.members.list()), "lease", c.members.holdsLease(),
+	l := c.retryLimits(now)
+	u := c.budgets.of(c.service).Usage(now, l)
+	c.log.Warn("retry budget is spent", "request_id", c.req.Meta.ID, "service", c.service, "entries", l.Share.Entries,
+		"live", c.gossip.table.LivePeerCount(now)+1, "listed", len(c.members.list()), "lease", c.members.holdsLease(), "shares", !now.Before(l.SharesSince),
 		"requests", u.Requests, "retries", u.Retries, "allowed", u.Allowed, "uptime_ms", now.Sub(c.started).Milliseconds())
 }
 
--- a/pkedge/quarantine.go
+++ b/pkedge/quarantine.go
@@ -15,6 +15,7 @@
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkquarantine"
 	"peridotknot.example/pkreplica"
+	"peridotknot.example/pkshare"
 	"peridotknot.example/pkstore"
 	"peridotknot.example/pktimer"
 	"peridotknot.example/pkverdict"
@@ -107,7 +108,7 @@
 	if err := c.checkQuarantine(now); err != nil {
 		return err
 	}
-	if !c.quarantine.table.TryProbation(now, c.traits, c.entryCount(now)) {
+	if !c.quarantine.table.TryProbation(now, c.traits, c.sharingCount(now, pkshare.EntryRetention)) {
 		return errProbation
 	}
 	return nil
--- a/pkedge/reroute_test.go
+++ b/pkedge/reroute_test.go
@@ -45,6 +45,7 @@
 // poolDaemon returns a daemon that knows the engines of one model and runs no loops.
 func poolDaemon(infos ...pkreplica.Info) (*Daemon, *pkconfig.Service) {
 	d := &Daemon{log: hclog.NewNullLogger(), memoryPenalty: pklayers.InversePenalty}
+	d.retry.Store(&Retry{Ratio: 0.2, WindowS: 10, Slack: 200})
 	d.gossip.suspects = map[pkid.TargetID]suspicion{}
 	d.suspected.pending = make(chan pendingSuspicion, maxPendingSuspicions)
 	var records []pkreplica.Record
--- a/pkedge/scale_bench_test.go
+++ b/pkedge/scale_bench_test.go
@@ -30,7 +30,7 @@
 	}
 	d, _ := poolDaemon(infos...)
 	d.settings.DataCenter = "d0"
-	d.members.reportedCount = engines / 10
+	d.members.census.HearHub(engines / 10)
 	d.gossip.withHubs.Store(true)
 	now := time.Now()
 	for i, t := range d.roster.All() {
--- a/pkedge/settings.go
+++ b/pkedge/settings.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"peridotknot.example/pkid"
-	"peridotknot.example/pkrate"
-	"peridotknot.example/pkretry"
 	"peridotknot.example/pkyaml"
 )
 
@@ -76,11 +74,6 @@
 	MaxWaiting int `yaml:"max_waiting"`
 }
 
-// limits returns the limits of an entry that has started at the given time.
-func (r Retry) limits(s pkrate.Share, started time.Time) pkretry.Limits {
-	return pkretry.Limits{Ratio: r.Ratio, Slack: r.Slack, Window: seconds(r.WindowS), Share: s, Started: started}
-}
-
 func (q Queue) valid() bool {
 	switch q.Mode {
 	case "", QueueAuto, QueueAlways, QueueNever:
--- a/pkedge/warmup_test.go
+++ b/pkedge/warmup_test.go
@@ -105,7 +105,7 @@
 		d, _ := poolDaemon(infos...)
 		d.settings.DataCenter = []pkid.DataCenter{"a", "b", "c"}[i%3]
 		d.place = placeOf(pkid.EntryID(fmt.Sprintf("entry-%d", i)))
-		d.members.reportedCount = entries
+		d.members.census.HearHub(entries)
 		d.gossip.withHubs.Store(true)
 		p.entries = append(p.entries, &startEntry{d: d})
 	}
@@ -315,7 +315,7 @@
 		c := rankedConfig()
 		c.Services = []pkconfig.Service{*s}
 		assert.Assert(t, d.configs.Adopt(c, pkstore.Item{Revision: 1}))
-		d.members.reportedCount = 69
+		d.members.census.HearHub(69)
 		d.started = time.Now()
 		assert.Assert(t, d.fleet(d.started).Unreported() > 0)
 		return testing.AllocsPerRun(10, func() { d.sumLoads(d.started) })
--- a/pkretry/budget.go
+++ b/pkretry/budget.go
@@ -20,6 +20,8 @@
 	Share pkrate.Share
 	// Started is when this process began to count; zero if that is longer ago than a window.
 	Started time.Time
+	// SharesSince is from when on this entry may use its share of the slack; before that, the others may use it too.
+	SharesSince time.Time
 }
 
 // Usage is what a budget counts in a window, and the number of retries that it allows there.
@@ -167,7 +169,11 @@
 	slack := l.Share.Of(l.Slack)
 	age := now.Sub(l.Started)
 	if l.Started.IsZero() || age >= l.Window {
-		return utilization * (l.Ratio*requests + slack)
+		slackUtilization := utilization
+		if now.Before(l.SharesSince) {
+			slackUtilization = startUtilization
+		}
+		return utilization*l.Ratio*requests + slackUtilization*slack
 	}
 	return startUtilization * (l.Ratio*requests + slack*age.Seconds()/l.Window.Seconds())
 }
--- a/pkshare/message.go
+++ b/pkshare/message.go
@@ -43,6 +43,9 @@
 	// Members is the number of entries of the fleet as counted by a hub; zero if the sender only
 	// received it from a hub.
 	Members int `cbor:"18,keyasint,omitempty"`
+	// Entries is the number of entries that the sender has noticed; zero if it has not read the registered ones, and from
+	// earlier builds.
+	Entries int `cbor:"33,keyasint,omitempty"`
 	// Cases are quarantine cases that the sender learned recently or that the receiver appears to
 	// lack.
 	Cases []pkquarantine.Case `cbor:"19,keyasint,omitempty"`
