pkretry, pkedge: sends that no target has confirmed count until they may have arrived

Cause: a retry counts in the window in which it is charged. A stopped process still accepts connections and bytes; what entries have sent it in several windows, and given up, arrives at once when it goes on. The class: a quantity that is counted where it leaves and bounded where it arrives.

Change: a send that is given up without a response counts, if its request is retried, until its target answers something, and for a window after that; it is forgotten if the target refuses connections, or after six windows.

--- a/peridotknot/retries_test.go
+++ b/peridotknot/retries_test.go
@@ -37,16 +37,18 @@
 // retryFleet is a fleet of entry processes before targets that fail all that they run, so that each request wants
 // another send. Each entry reaches the store through a proxy of its own.
 type retryFleet struct {
-	t        *testing.T
-	program  string
-	random   *rand.Rand
-	w        *platformtest.Platform
-	bound    platformtest.RetryBound
-	entries  []*fleetEntry
-	calls    []*platformtest.Replica
-	gone     atomic.Bool
-	clients  sync.WaitGroup
-	requests atomic.Int64
+	t       *testing.T
+	program string
+	random  *rand.Rand
+	w       *platformtest.Platform
+	bound   platformtest.RetryBound
+	entries []*fleetEntry
+	calls   []*platformtest.Replica
+	// timeBudget is the time that clients give each request.
+	timeBudget time.Duration
+	gone       atomic.Bool
+	clients    sync.WaitGroup
+	requests   atomic.Int64
 
 	mu sync.Mutex
 	// sent are the times at which clients sent requests, by service.
@@ -95,7 +97,7 @@
 	t.Helper()
 	f := &retryFleet{
 		t: t, program: filepath.Join(buildPrograms(t), "peridotknot-edge"), random: rand.New(rand.NewPCG(seed, 0)),
-		w: platformtest.NewPlatform(), bound: bound, sent: map[string][]time.Time{},
+		w: platformtest.NewPlatform(), bound: bound, sent: map[string][]time.Time{}, timeBudget: waitTimeout,
 	}
 	t.Cleanup(f.w.Close)
 	for i := range fleetEngines {
@@ -178,7 +180,7 @@
 
 // client sends requests over connections that it keeps, each without waiting for the answers before.
 func (f *retryFleet) client(e *fleetEntry, random *rand.Rand, stream bool) {
-	c := &http.Client{Transport: &http.Transport{}, Timeout: 5 * time.Second}
+	c := &http.Client{Transport: &http.Transport{}, Timeout: min(f.timeBudget, 5*time.Second)}
 	defer c.CloseIdleConnections()
 	path, service, tokens := "/read/1", platformtest.App, 0
 	if stream {
@@ -193,7 +195,7 @@
 		f.sent[service] = append(f.sent[service], time.Now())
 		f.mu.Unlock()
 		inProgress.Go(func() {
-			req, err := platformtest.NewRequest(f.t.Context(), http.MethodPost, "http://"+e.callers+path, id, platformtest.Key, tokens, waitTimeout, strings.NewReader("body of "+id))
+			req, err := platformtest.NewRequest(f.t.Context(), http.MethodPost, "http://"+e.callers+path, id, platformtest.Key, tokens, f.timeBudget, strings.NewReader("body of "+id))
 			if err != nil {
 				f.t.Error(err)
 				return
@@ -296,6 +298,26 @@
 	f.play(func() { f.pauseAll(20*time.Second, f.entries[:5]...) })
 }
 
+// Guards against retries that are sent to targets that stand still in several windows and arrive in one, when these go on.
+func TestRetriesThatArriveLate(t *testing.T) {
+	t.Parallel()
+	f := newRetryFleet(t, 1, shortBound)
+	f.timeBudget = 1500 * time.Millisecond
+	f.play(func() {
+		for range 3 {
+			var resume []func()
+			for _, r := range f.calls {
+				resume = append(resume, r.Stop())
+			}
+			time.Sleep(3 * f.bound.Window)
+			for _, one := range resume {
+				one()
+			}
+			time.Sleep(f.bound.Window)
+		}
+	})
+}
+
 // fault does one random thing to random entries or the store.
 func (f *retryFleet) fault() {
 	f.mu.Lock()
--- a/pkedge/call.go
+++ b/pkedge/call.go
@@ -46,6 +46,8 @@
 	// answer once.
 	tried      []pkid.TargetID
 	unanswered []pkid.TargetID
+	// unconfirmed is the target of the first send, if that was given up without a sign that it has arrived.
+	unconfirmed pkid.TargetID
 	// charged is set if the next send was charged to the retry budget already.
 	charged bool
 	// headSent is set once the head of the answer was sent to the caller.
--- /dev/null
+++ b/pkedge/delivery.go
@@ -0,0 +1,39 @@
+package pkedge
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"peridotknot.example/pkforward"
+	"peridotknot.example/pkid"
+	"peridotknot.example/pkreplica"
+	"peridotknot.example/pkverdict"
+)
+
+// recordDelivery records at now what the end of a send shows about its target: with a response that it goes on and has
+// received what was sent to it, without one that the send may arrive later.
+func (c *call) recordDelivery(ctx context.Context, now time.Time, t *pkreplica.Target, resp *pkforward.Response, err error) {
+	budget, window := c.budgets.of(c.service), seconds(c.retry.Load().WindowS)
+	var failure *pkverdict.Error
+	switch {
+	case resp != nil:
+		budget.Confirm(now, window, t.ID)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		budget.Drop(t.ID)
+	case ctx.Err() == nil || !errors.As(err, &failure) || failure.Verdict != pkverdict.MayHaveRun:
+	case c.delivered > 0:
+		budget.Suspend(now, window, t.ID)
+	default:
+		c.unconfirmed = t.ID
+	}
+}
+
+// suspendUnconfirmed records at now that the request is retried after a first send that may arrive later.
+func (c *call) suspendUnconfirmed(now time.Time) {
+	if c.unconfirmed != "" {
+		c.budgets.of(c.service).Suspend(now, seconds(c.retry.Load().WindowS), c.unconfirmed)
+		c.unconfirmed = pkid.TargetID("")
+	}
+}
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -167,6 +167,7 @@
 		return false
 	}
 	c.charged = false
+	c.suspendUnconfirmed(now)
 	c.metrics.repeated.Inc()
 	return true
 }
@@ -216,6 +217,7 @@
 	t.Begin(began, 0, 0, 0)
 	defer t.Done(0)
 	resp, err := c.Sender.Do(ctx, t.Addr, &c.req, pkforward.SendOptions{TimeBudget: left, Target: t.ID, Account: c.account})
+	c.recordDelivery(ctx, time.Now(), t, resp, err)
 	c.recordDemands([]*pkreplica.Target{t}, c.req.Meta.ID, began, resp)
 	if resp != nil && resp.Load >= 0 {
 		t.RecordReport(time.Now(), resp.Load)
--- a/pkretry/budget.go
+++ b/pkretry/budget.go
@@ -80,6 +80,7 @@
 	// began is when the first bucket began; buckets are counted on the monotonic clock.
 	began   time.Time
 	buckets [keptBuckets]bucket
+	pending pending
 }
 
 // RecordRequest counts a request to the service.
@@ -159,6 +160,7 @@
 			u.Retries += b.buckets[i].retries
 		}
 	}
+	u.Retries += b.unconfirmed(current)
 	u.Allowed = l.allowed(now, u.Requests)
 	return u
 }
