pkedge: tests keep the logs of entries where a flag names a directory

Failures of tests of fleets left nothing to trace: their entries logged to nowhere. -node.logs DIR keeps a file for each entry of each test.

--- a/pkedge/node_test.go
+++ b/pkedge/node_test.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -23,6 +26,23 @@
 	"peridotknot.example/platform/platformtest"
 )
 
+// nodeLogs is a directory for the logs of all nodes, one file each.
+var nodeLogs = flag.String("node.logs", "", "directory for the logs of entries; none are kept if it is empty")
+
+// nodeLogger returns the logger of a node.
+func nodeLogger(t testing.TB, entry pkid.EntryID) hclog.Logger {
+	t.Helper()
+	if *nodeLogs == "" {
+		return hclog.NewNullLogger()
+	}
+	dir := filepath.Join(*nodeLogs, t.Name())
+	assert.NilError(t, os.MkdirAll(dir, 0o755))
+	f, err := os.OpenFile(filepath.Join(dir, string(entry)+".jsonl"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, f.Close()) })
+	return hclog.New(&hclog.LoggerOptions{Name: string(entry), Level: hclog.Debug, JSONFormat: true, Output: f})
+}
+
 // waitTimeout is how long a test waits for an expected condition.
 const waitTimeout = 20 * time.Second
 
@@ -94,7 +114,7 @@
 func startLinked(t testing.TB, s pkedge.Settings, links *platformtest.Links) *node {
 	t.Helper()
 	p, closePorts := ports(s.Store, links)
-	d, err := pkedge.New(s, p, hclog.NewNullLogger())
+	d, err := pkedge.New(s, p, nodeLogger(t, s.Entry))
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{Daemon: d, stop: cancel, ended: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}}}
