pkverdict, pkedge: a send that wrote nothing does not count as delivered

An entry that takes a request for another sends it over kept connections that are reset before anything is written; these sends counted as delivered, so it refused for good rather than passing the request back, and charged its retry budget. Only a refusal by the target, or a send of which a part was written, may have arrived.

TestOnlySendsThatMayHaveArrivedCount needs the new method.

--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -196,7 +196,7 @@
 	if failure.Verdict != pkverdict.NotRun {
 		c.runs++
 	}
-	if failure.Reason != pkverdict.ReasonUnreachable {
+	if failure.MayHaveArrived() {
 		c.delivered++
 	}
 }
--- a/pkverdict/verdict.go
+++ b/pkverdict/verdict.go
@@ -82,6 +82,9 @@
 	Err    error
 }
 
+// MayHaveArrived reports whether a part of the request may have reached the target.
+func (e *Error) MayHaveArrived() bool { return e.Verdict != NotRun || e.Reason == ReasonRefused }
+
 // Reason is a short snake case identifier of why a request failed, used in metrics and bodies.
 type Reason string
 
--- a/pkverdict/verdict_test.go
+++ b/pkverdict/verdict_test.go
@@ -56,3 +56,20 @@
 	var unset Verdict
 	assert.Assert(t, !unset.MayRetry(false))
 }
+
+// Guards against a send that wrote nothing, over a connection that was reset before, being charged as one that a target
+// got.
+func TestOnlySendsThatMayHaveArrivedCount(t *testing.T) {
+	for _, c := range []struct {
+		failure Error
+		want    bool
+	}{
+		{Error{Verdict: NotRun, Reason: ReasonUnreachable}, false},
+		{Error{Verdict: NotRun, Reason: ReasonTargetLost}, false},
+		{Error{Verdict: NotRun, Reason: ReasonRefused}, true},
+		{Error{Verdict: MayHaveRun, Reason: ReasonTargetLost}, true},
+		{Error{Verdict: Ran, Reason: ReasonTargetLost}, true},
+	} {
+		assert.Equal(t, c.failure.MayHaveArrived(), c.want, "%+v", c.failure)
+	}
+}
