pkedge, pkrelay: sends over links that were cut do not use up a request's attempts

The limit of attempts bounds the targets that run a request; those that were cut off meanwhile do not count. A send that ended before any response, over links that the check after it finds cut off, still may have run, is never answered as not run and is charged to the retry budget, but no longer counts as an attempt. An entry that serves for another one says so (links_cut) and gives such a request back at once.

--- a/pkedge/call.go
+++ b/pkedge/call.go
@@ -36,6 +36,8 @@
 	// sends counts the sends of the request, runs the failed ones whose targets may have run it.
 	sends int
 	runs  int
+	// cutOffRuns counts those of the runs whose links were cut before any response.
+	cutOffRuns int
 	// delivered counts the failed sends that may have reached a target.
 	delivered int
 	// relayed is the request as another entry has passed it on; nil if it came from its caller.
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -156,9 +156,13 @@
 
 // mayRetry reports whether the verdict and the limit of attempts allow another send.
 func (c *call) mayRetry(verdict pkverdict.Verdict) bool {
-	return verdict.MayRetry(c.route.Retryable()) && c.runs < c.route.MaxAttempts
+	return verdict.MayRetry(c.route.Retryable()) && c.attempts() < c.route.MaxAttempts
 }
 
+// attempts returns the number of sends whose targets may have run the request and count towards its limit of attempts. A
+// target that was cut off from the sender before it answered does not.
+func (c *call) attempts() int { return c.runs - c.cutOffRuns }
+
 // chargeRetry charges a send to the retry budget, unless that was done already, and reports whether
 // the budget allows it.
 func (c *call) chargeRetry() bool {
@@ -196,6 +200,9 @@
 	if failure.Verdict != pkverdict.NotRun {
 		c.runs++
 	}
+	if failure.Reason == pkverdict.ReasonCutOff {
+		c.cutOffRuns++
+	}
 	if failure.MayHaveArrived() {
 		c.delivered++
 	}
@@ -209,7 +216,7 @@
 func (c *call) sendTo(ctx context.Context, t *pkreplica.Target) (*pkforward.Response, []byte, error) {
 	began := time.Now()
 	left := c.deadline.Sub(began)
-	if c.route.Retryable() && c.runs+1 < c.route.MaxAttempts {
+	if c.route.Retryable() && c.attempts()+1 < c.route.MaxAttempts {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(attemptTimeoutShare*float64(left)))
 		defer cancel()
--- a/pkedge/relay.go
+++ b/pkedge/relay.go
@@ -88,7 +88,7 @@
 	now := time.Now()
 	resp, err := c.relayClient.Do(ctx, r.peer.Addr, &pkrelay.Request{
 		From: c.settings.Entry, Method: c.req.Method, Host: c.req.Host, URI: c.req.URI, Header: c.req.Header, Body: c.req.Body,
-		RemainingMS: max(c.deadline.Sub(now).Milliseconds(), 1), Version: c.version(), Runs: c.runs, LastEventID: lastEventID,
+		RemainingMS: max(c.deadline.Sub(now).Milliseconds(), 1), Version: c.version(), Runs: c.attempts(), LastEventID: lastEventID,
 	})
 	passedBack := err != nil && resp != nil && pkrelay.PassedBack(resp)
 	c.relays.Record(passedBack)
@@ -108,6 +108,9 @@
 	case passedBack:
 		outcome = "passed_back"
 		c.relayPeers.Avoid(now, r.peer.ID)
+	case isLinkCut(err):
+		outcome = "cut_off"
+		c.relayPeers.Avoid(now, r.peer.ID)
 	default:
 		c.relayPeers.Refused(now, r.peer.ID)
 	}
@@ -213,16 +216,32 @@
 		if !c.links.CheckedWithin(time.Now(), c.service, lostCheckInterval) {
 			c.linkCondition(ctx, c.service, "")
 		}
+		if failure.Verdict == pkverdict.MayHaveRun && failure.Unanswered && c.links.CutOff(c.service) {
+			c.cutOffRuns++
+		}
 	}
 }
 
-// passedBack returns the answer to an entry that has passed a request on, if the links of this entry are impaired
-// as well and it has sent the request to no target.
+// isLinkCut reports whether a send failed because the links of its sender were cut.
+func isLinkCut(err error) bool {
+	var failure *pkverdict.Error
+	return errors.As(err, &failure) && failure.Reason == pkverdict.ReasonCutOff
+}
+
+// passedBack returns the answer to an entry that has passed a request on, if the links of this entry are impaired as well:
+// it has sent the request to no target, or was cut off from all that may have run it.
 func (c *call) passedBack(verdict pkverdict.Verdict) error {
-	if c.relayed == nil || !c.links.Impaired(c.service) || verdict != pkverdict.NotRun || c.delivered > 0 {
+	if c.relayed == nil || c.headSent || !c.links.Impaired(c.service) {
+		return nil
+	}
+	switch {
+	case verdict == pkverdict.NotRun && c.delivered == 0:
+		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterFailure, reason: pkrelay.ReasonCutOff}
+	case verdict == pkverdict.MayHaveRun && c.links.CutOff(c.service) && c.attempts() == c.relayed.Runs:
+		return &rejection{status: http.StatusBadGateway, reason: pkrelay.ReasonLinksCut}
+	default:
 		return nil
 	}
-	return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterFailure, reason: pkrelay.ReasonCutOff}
 }
 
 // serveRelayed serves a request that another entry has passed on.
--- a/pkentry/callers.go
+++ b/pkentry/callers.go
@@ -178,7 +178,7 @@
 		out.Status = http.StatusGatewayTimeout
 	case pkverdict.ReasonNoRoute, pkverdict.ReasonStopping, pkverdict.ReasonQuarantined:
 		out.Status = http.StatusServiceUnavailable
-	case pkverdict.ReasonOverload, pkverdict.ReasonTargetLost, pkverdict.ReasonUnreachable, pkverdict.ReasonRefused, pkverdict.ReasonCanceled:
+	case pkverdict.ReasonOverload, pkverdict.ReasonTargetLost, pkverdict.ReasonUnreachable, pkverdict.ReasonCutOff, pkverdict.ReasonRefused, pkverdict.ReasonCanceled:
 	}
 	if v.Verdict == pkverdict.NotRun {
 		out.RetryAfter = defaultRetryAfter
@@ -193,6 +193,7 @@
 	pkverdict.ReasonNoRoute:     "no usable targets hold what the request needs",
 	pkverdict.ReasonTargetLost:  "the targets of the request were lost",
 	pkverdict.ReasonUnreachable: "no target of the request could be reached",
+	pkverdict.ReasonCutOff:      "no target of the request could be reached",
 	pkverdict.ReasonRefused:     "the target refused the request",
 	pkverdict.ReasonStopping:    "this entry is stopping",
 	pkverdict.ReasonCanceled:    "the request was canceled",
--- a/pkforward/sender.go
+++ b/pkforward/sender.go
@@ -120,7 +120,7 @@
 		if !progress.Connected {
 			reason = pkverdict.ReasonUnreachable
 		}
-		return nil, &pkverdict.Error{Verdict: pkverdict.Decide(progress), Reason: reason, Err: err}
+		return nil, &pkverdict.Error{Verdict: pkverdict.Decide(progress), Reason: reason, Err: err, Unanswered: true}
 	}
 }
 
--- a/pkrelay/client.go
+++ b/pkrelay/client.go
@@ -53,8 +53,11 @@
 	if resp.Header.Get(HeaderVerdict) == pkverdict.NotRun.String() {
 		verdict, reason = pkverdict.NotRun, pkverdict.ReasonRefused
 	}
-	if PassedBack(resp) {
+	switch {
+	case PassedBack(resp):
 		reason = pkverdict.ReasonUnreachable
+	case verdict == pkverdict.MayHaveRun && resp.Header.Get(HeaderReason) == ReasonLinksCut:
+		reason = pkverdict.ReasonCutOff
 	}
 	return resp, &pkverdict.Error{Verdict: verdict, Reason: reason, Err: fmt.Errorf("entry %s has answered %d: %s", addr, resp.StatusCode, resp.Header.Get(HeaderReason))}
 }
--- a/pkrelay/request.go
+++ b/pkrelay/request.go
@@ -35,6 +35,10 @@
 	ReasonInvalid     = "invalid_relay"
 )
 
+// ReasonLinksCut is the reason for which an entry gives up a relayed request that targets may have run: its links were cut
+// before they answered.
+const ReasonLinksCut = "links_cut"
+
 // maxOverhead is the largest size of an encoded request beyond its body, in bytes.
 const maxOverhead = 256 << 10
 
--- a/pkverdict/verdict.go
+++ b/pkverdict/verdict.go
@@ -80,6 +80,8 @@
 	// Reason is why the request failed.
 	Reason Reason
 	Err    error
+	// Unanswered is set if the exchange is known to have ended before any response.
+	Unanswered bool
 }
 
 // MayHaveArrived reports whether a part of the request may have reached the target.
@@ -96,9 +98,11 @@
 	ReasonTargetLost Reason = "target_lost"
 	// ReasonUnreachable means that no connection was established, so nothing reached the target.
 	ReasonUnreachable Reason = "unreachable"
-	ReasonRefused     Reason = "refused"
-	ReasonStopping    Reason = "stopping"
-	ReasonCanceled    Reason = "canceled"
+	// ReasonCutOff means that the links of the sender were cut before the target answered.
+	ReasonCutOff   Reason = "cut_off"
+	ReasonRefused  Reason = "refused"
+	ReasonStopping Reason = "stopping"
+	ReasonCanceled Reason = "canceled"
 	// ReasonQuarantined means that the request is quarantined because it crashed replicas.
 	ReasonQuarantined Reason = "quarantined"
 )
