--- a/pkedge/broadcast.go
+++ b/pkedge/broadcast.go
@@ -23,7 +23,7 @@
 		ids[one.Addr] = one.ID
 	}
 	candidates := d.candidates(now)
-	impaired := s.table.ImpairedPeers(now)
+	impaired, impairedAt := s.table.ImpairedPeers(now), s.table.ImpairedAt()
 	encoded := map[messageForm]outgoing{}
 	for addr, l := range s.peerLinks {
 		newConn := l.newConn.Swap(false)
@@ -32,7 +32,7 @@
 		}
 		form := messageForm{role: l.role, full: newConn || l.incomplete, catchUp: d.catchUpFor(now, &m, ids[addr], l.role)}
 		form.candidates = l.candidatesDue(due, form.full, candidates)
-		form.helpSample = l.nextHelpSample(now, due, form.full, impaired[ids[addr]])
+		form.helpSample = l.nextHelpSample(now, impairedAt, due, form.full, impaired[ids[addr]])
 		sumDue := due && l.role != pkshare.Peer
 		if !changed && !newConn && !sumDue && !form.isUrgent() {
 			continue
--- a/pkedge/peerlink.go
+++ b/pkedge/peerlink.go
@@ -37,8 +37,8 @@
 	incomplete bool
 	// candidates are those that the peer was last sent; only sendToPeers uses it.
 	candidates []pkshare.Member
-	// helpedAt is when the peer was last sent helpers; only sendToPeers uses it.
-	helpedAt time.Time
+	// help is when the peer is sent helpers; only sendToPeers uses it.
+	help pkshare.HelpSchedule
 }
 
 // outgoing is an encoded message.
@@ -56,18 +56,24 @@
 
 // nextHelpSample returns which sample of the helpers a message for the peer at now reports, and records it as sent; zero
 // if none. Hubs of other data centres and impaired entries that this one serves are sent helpers every HelpInterval,
-// the latter at once when they become impaired; again is set if the peer may have missed the last message.
-func (l *peerLink) nextHelpSample(now time.Time, due, again, impaired bool) int {
-	if l.role == pkshare.Peer || (l.role == pkshare.Spoke && !impaired) {
-		l.helpedAt = time.Time{}
+// the latter at once when they become impaired, and sooner after changedAt; again is set if the peer may have missed the
+// last message.
+func (l *peerLink) nextHelpSample(now, changedAt time.Time, due, again, impaired bool) int {
+	spoke := l.role == pkshare.Spoke
+	if l.role == pkshare.Peer || (spoke && !impaired) {
+		l.help.Reset()
 		return 0
 	}
-	first := l.role == pkshare.Spoke && (again || l.helpedAt.IsZero())
-	if !first && (!due || now.Sub(l.helpedAt) < pkshare.HelpInterval) {
+	if !spoke {
+		changedAt = time.Time{}
+	}
+	switch {
+	case spoke && (again || l.help.IsNew()):
+		l.help.Begin(now)
+	case !l.help.Next(now, changedAt, due):
 		return 0
 	}
-	l.helpedAt = now
-	if l.role == pkshare.RemoteHub {
+	if !spoke {
 		return 1
 	}
 	return 1 + rand.N(helpSamples)
--- a/pkedge/relay.go
+++ b/pkedge/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -19,9 +20,9 @@
 	// lostCheckInterval is the shortest time between checks of the links after connections that were
 	// lost.
 	lostCheckInterval = 500 * time.Millisecond
-	// helperTimeout is how long a request waits for a hub to report an entry in order, helperPollInterval how often
-	// it looks for one. A hub answers within two messages.
-	helperTimeout      = 150 * time.Millisecond
+	// helperTimeout is how long a request waits for hubs to report an entry in order, helperPollInterval how often
+	// it looks for one. A hub reports within two messages who is cut off as well.
+	helperTimeout      = 400 * time.Millisecond
 	helperPollInterval = 5 * time.Millisecond
 	// maxCutOffSends bounds the sends of a request over links that reach almost no target.
 	maxCutOffSends = 2
@@ -40,8 +41,11 @@
 		return relay{}, false
 	}
 	now := time.Now()
+	if c.helperDeadline.IsZero() {
+		c.helperDeadline = now.Add(helperTimeout)
+	}
 	r, found := c.tryRelay(now)
-	for until := now.Add(helperTimeout); !found && c.awaitsHelper(now, until) && pktimer.Sleep(ctx, helperPollInterval); {
+	for !found && c.awaitsHelper(now) && pktimer.Sleep(ctx, helperPollInterval) {
 		now = time.Now()
 		r, found = c.tryRelay(now)
 	}
@@ -54,16 +58,21 @@
 
 // tryRelay returns an entry to pass the request on to at now, if one is known.
 func (c *call) tryRelay(now time.Time) (relay, bool) {
-	peer, found := c.relayPeers.Choose(now, c.relayCandidates(now, c.service))
+	candidates := c.relayCandidates(now, c.service)
+	if c.relays.NeedsConfirmed() && c.gossip.withHubs.Load() {
+		candidates = slices.DeleteFunc(candidates, func(one pkrelay.Peer) bool { return !one.Confirmed })
+	}
+	peer, found := c.relayPeers.Choose(now, candidates)
 	if !found {
 		return relay{}, false
 	}
 	return relay{peer: peer, end: c.relayPeers.Begin(peer.ID)}, true
 }
 
-// awaitsHelper reports whether a hub may yet report by a time whom the request can be passed on to.
-func (c *call) awaitsHelper(now, until time.Time) bool {
-	return now.Before(until) && c.links.CutOff(c.service) && c.gossip.withHubs.Load() && !c.gossip.table.HelpReported(now)
+// awaitsHelper reports whether a hub may yet report whom the request can be passed on to.
+func (c *call) awaitsHelper(now time.Time) bool {
+	return now.Before(c.helperDeadline) && c.links.CutOff(c.service) && c.gossip.withHubs.Load() &&
+		!c.gossip.table.HelpReported(now, c.relays.PassedBackAt())
 }
 
 // isCutOff reports whether the request has been sent in vain, has no way left to the targets and can be refused as not
@@ -91,7 +100,7 @@
 		RemainingMS: max(c.deadline.Sub(now).Milliseconds(), 1), Version: c.version(), Runs: c.attempts(), LastEventID: lastEventID,
 	})
 	passedBack := err != nil && resp != nil && pkrelay.PassedBack(resp)
-	c.relays.Record(passedBack)
+	c.relays.Record(time.Now(), passedBack)
 	if !passedBack {
 		c.sends++
 	}
--- a/pkshare/help.go
+++ b/pkshare/help.go
@@ -10,9 +10,8 @@
 )
 
 const (
-	// HelpInterval is the interval at which a hub reports helpers to an entry, and helpTTL how long a report counts.
-	HelpInterval = time.Second
-	helpTTL      = 2500 * time.Millisecond
+	// helpTTL is how long a report of helpers counts.
+	helpTTL = 2500 * time.Millisecond
 	// maxHelpers is the largest number of helpers in a message. Receivers know those of the messages before as well.
 	maxHelpers = 6
 	// scarceShare is the share of its entries in order below which a data centre needs the help of others.
@@ -78,11 +77,19 @@
 	}
 }
 
-// HelpReported reports whether a hub has reported by now, within a short time, who helps entries whose links are impaired.
-func (t *Table) HelpReported(now time.Time) bool {
+// HelpReported reports whether a hub has reported, within a short time before now and after a given time, who helps entries
+// whose links are impaired.
+func (t *Table) HelpReported(now, after time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return now.Sub(t.helpReportedAt) < helpTTL
+	return now.Sub(t.helpReportedAt) < helpTTL && t.helpReportedAt.After(after)
+}
+
+// ImpairedAt returns when another entry last became impaired; zero if none has.
+func (t *Table) ImpairedAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.impairedAt
 }
 
 // HelperCount returns the number of helpers that hubs have reported shortly before now.
--- a/pkshare/help_test.go
+++ b/pkshare/help_test.go
@@ -57,7 +57,7 @@
 			for i := range 100 {
 				now := start.Add(time.Duration(i) * time.Millisecond)
 				spoke.Apply(now, Message{From: own.From, Addr: own.Addr, DataCenter: "a", Sequence: uint64(i) + 1, Relays: true, Impaired: own.Impaired, Help: hub.Help(now, own, Spoke)})
-				assert.Assert(t, spoke.HelpReported(now))
+				assert.Assert(t, spoke.HelpReported(now, time.Time{}) && !spoke.HelpReported(now, now))
 				for id := range confirmed(&spoke, now, Member{ID: "self", DataCenter: "a"}) {
 					known[id] = true
 				}
--- a/pkshare/table.go
+++ b/pkshare/table.go
@@ -93,6 +93,8 @@
 	expectedSince map[pkid.EntryID]time.Time
 	// anyImpaired is set if some peer may be cut off from the targets of a service.
 	anyImpaired bool
+	// impairedAt is when a peer last became impaired.
+	impairedAt time.Time
 	// helpers are entries in order as hubs report them, and helpReportedAt is when one last did.
 	helpers        map[pkid.EntryID]reportedHelper
 	helpReportedAt time.Time
@@ -141,6 +143,9 @@
 	}
 	p.following, p.relaying, p.quarantine.checksum = m.Following, m.Relaying, m.QuarantineChecksum
 	p.members, p.localEntries = m.Members, m.LocalEntries
+	if len(m.Impaired) > 0 && len(p.impaired) == 0 {
+		t.impairedAt = now
+	}
 	p.relays, p.impaired, p.owns = m.Relays, m.Impaired, m.Owns
 	t.applyHelp(now, p, m.Help)
 	t.anyImpaired = t.anyImpaired || len(m.Impaired) > 0
