pkretry, pkedge: a new process holds retries back while targets stand still since before its start

Change: a target that has answered a process nothing within a fifth of a window of its first send, or of the report that it is silent, stands still since before the start; until it has answered, and for a window more, the process may use what a start may, a tenth. Six windows after the start nothing is expected any more. A report that an engine answers confirms what was sent to it as well. 'retry budget is spent' has 'inherited'.

--- a/peridotknot/retries_test.go
+++ b/peridotknot/retries_test.go
@@ -314,6 +314,26 @@
 	})
 }
 
+// Guards against processes that are killed while targets stand still, whose successors use the retry budget again before
+// the targets have received what was sent to them.
+func TestRetriesOfKilledEntriesThatArriveLate(t *testing.T) {
+	t.Parallel()
+	f := newRetryFleet(t, 1, shortBound)
+	f.timeBudget = 1500 * time.Millisecond
+	f.play(func() {
+		for range 2 {
+			var stopped sync.WaitGroup
+			stopped.Go(func() { f.stopCalls(4 * f.bound.Window) })
+			time.Sleep(f.bound.Window)
+			for _, e := range f.entries[:6] {
+				f.restart(e, syscall.SIGKILL)
+			}
+			stopped.Wait()
+			time.Sleep(2 * f.bound.Window)
+		}
+	})
+}
+
 // stopCalls stops all targets of calls for a time.
 func (f *retryFleet) stopCalls(d time.Duration) {
 	f.stopping.Lock()
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -150,7 +150,7 @@
 	l := c.retryLimits(now)
 	u := c.budgets.of(c.service).Usage(now, l)
 	c.log.Warn("retry budget is spent", "request_id", c.req.Meta.ID, "service", c.service, "entries", l.Share.Entries,
-		"live", c.gossip.table.LivePeerCount(now)+1, "listed", len(c.members.list()), "lease", c.members.holdsLease(), "shares", !now.Before(l.SharesSince),
+		"live", c.gossip.table.LivePeerCount(now)+1, "listed", len(c.members.list()), "lease", c.members.holdsLease(), "shares", !now.Before(l.SharesSince), "inherited", u.Inherited,
 		"requests", u.Requests, "retries", u.Retries, "allowed", u.Allowed, "uptime_ms", now.Sub(c.started).Milliseconds())
 }
 
@@ -223,6 +223,7 @@
 	}
 	t.Begin(began, 0, 0, 0)
 	defer t.Done(0)
+	c.budgets.of(c.service).Await(began, t.ID)
 	resp, err := c.Sender.Do(ctx, t.Addr, &c.req, pkforward.SendOptions{TimeBudget: left, Target: t.ID, Account: c.account})
 	c.recordDelivery(ctx, time.Now(), t, resp, err)
 	c.recordDemands([]*pkreplica.Target{t}, c.req.Meta.ID, began, resp)
--- a/pkedge/suspect.go
+++ b/pkedge/suspect.go
@@ -182,6 +182,7 @@
 		t.MarkStaleRecord(now, s.until)
 	case faultSilent:
 		t.MarkDead(now, s.until)
+		d.budgets.of(t.Service).Await(now, t.ID)
 	}
 }
 
--- a/pkretry/budget.go
+++ b/pkretry/budget.go
@@ -29,6 +29,8 @@
 	Requests float64
 	Retries  float64
 	Allowed  float64
+	// Inherited is set if Allowed is that of a start, since sends of an earlier process of this entry may still arrive.
+	Inherited bool
 }
 
 // turnWindows is the number of windows in which each entry has its turn. A window then covers the
@@ -81,12 +83,15 @@
 	began   time.Time
 	buckets [keptBuckets]bucket
 	pending pending
+	// inherited is what is known of sends of an earlier process.
+	inherited inherited
 }
 
 // RecordRequest counts a request to the service.
 func (b *Budget) RecordRequest(now time.Time, l Limits) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.inherited.expire(now, l)
 	b.bucket(now, l).requests++
 }
 
@@ -161,23 +166,24 @@
 		}
 	}
 	u.Retries += b.unconfirmed(current)
-	u.Allowed = l.allowed(now, u.Requests)
+	u.Inherited = b.inherited.mayArrive(now, l)
+	u.Allowed = l.allowed(now, u.Requests, u.Inherited)
 	return u
 }
 
 // allowed returns the number of retries that this process may make in the window that ends at now
-// and holds the given number of requests.
-func (l Limits) allowed(now time.Time, requests float64) float64 {
+// and holds the given number of requests. While sends of an earlier process may arrive, it is that of a start.
+func (l Limits) allowed(now time.Time, requests float64, inherited bool) float64 {
 	slack := l.Share.Of(l.Slack)
 	age := now.Sub(l.Started)
-	if l.Started.IsZero() || age >= l.Window {
+	if l.Started.IsZero() || (age >= l.Window && !inherited) {
 		slackUtilization := utilization
 		if now.Before(l.SharesSince) {
 			slackUtilization = startUtilization
 		}
 		return utilization*l.Ratio*requests + slackUtilization*slack
 	}
-	return startUtilization * (l.Ratio*requests + slack*age.Seconds()/l.Window.Seconds())
+	return startUtilization * (l.Ratio*requests + slack*min(age.Seconds()/l.Window.Seconds(), 1))
 }
 
 // bucket returns the current bucket.
--- a/pkretry/pending.go
+++ b/pkretry/pending.go
@@ -31,6 +31,7 @@
 func (b *Budget) Confirm(now time.Time, window time.Duration, target pkid.TargetID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.inherited.confirm(now, window, target)
 	if len(b.pending[target]) == 0 {
 		return
 	}
@@ -53,6 +54,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.pending, target)
+	b.inherited.drop(target)
 }
 
 // unconfirmed returns the number of pending sends at a bucket, without those whose retries still count in the window
