pkcensus, pkedge: of two processes of one entry only the registered one uses its share

Both hold a lease; the key names the one that has written it last, the others count one, and each uses a share. The same process stayed without a key once the other one's lease had ended.

A key that was deleted is written again. The log says that another process has registered the entry, and where.

--- a/peridotknot/retries_test.go
+++ b/peridotknot/retries_test.go
@@ -16,6 +16,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"peridotknot.example/platform"
 	"peridotknot.example/platform/platformtest"
 )
 
@@ -234,7 +235,7 @@
 			for _, line := range p.log.lines("retry budget is spent") {
 				shares[line["entries"]]++
 			}
-			f.t.Logf("e-%d run %d: budget spent, by entries: %v", i, run, shares)
+			f.t.Logf("e-%d run %d: budget spent, by entries: %v, replaced %d times", i, run, shares, len(p.log.lines("another process has registered this entry")))
 		}
 	}
 }
@@ -334,6 +335,44 @@
 	})
 }
 
+// Guards against two processes of one entry, as where one that was given up on goes on beside its successor, which use a share
+// each and count as one; and against one that is not registered any more once the other has ended.
+func TestRetriesOfTwoProcessesOfOneEntry(t *testing.T) {
+	t.Parallel()
+	f := newRetryFleet(t, 1, shortBound)
+	var twins []*fleetEntry
+	for _, e := range f.entries[:5] {
+		twins = append(twins, f.twin(e))
+	}
+	f.entries = append(f.entries, twins...)
+	registered := func() int { return len(f.w.Store.Keys(platform.OwnPrefix + "entry/")) }
+	f.play(func() {
+		time.Sleep(5 * f.bound.Window)
+		assert.Equal(t, registered(), fleetEntries)
+		for _, e := range twins {
+			e.current().signal(syscall.SIGKILL)
+		}
+		eventually(t, "the end of leases", func() bool { return registered() < fleetEntries })
+		eventually(t, "all entries registered again", func() bool { return registered() == fleetEntries })
+	})
+}
+
+// twin starts another process of an entry at other addresses.
+func (f *retryFleet) twin(of *fleetEntry) *fleetEntry {
+	f.t.Helper()
+	e := &fleetEntry{callers: freeAddr(f.t), store: of.store}
+	listen := fmt.Sprintf("listen: {callers: %s, ready: 127.0.0.1:0, peers: %s}", e.callers, freeAddr(f.t))
+	for line := range strings.Lines(of.settings) {
+		if strings.HasPrefix(line, "listen: ") {
+			line = listen + "\n"
+		}
+		e.settings += line
+	}
+	e.start(f.t, f.program)
+	f.awaitReady(e)
+	return e
+}
+
 // stopCalls stops all targets of calls for a time.
 func (f *retryFleet) stopCalls(d time.Duration) {
 	f.stopping.Lock()
--- a/pkcensus/census_test.go
+++ b/pkcensus/census_test.go
@@ -100,6 +100,8 @@
 	run(40*time.Second, true)
 	assert.Equal(t, s.SharesSince(epoch.Add(40*time.Second), window), epoch.Add(23*time.Second+wait))
 	assert.Equal(t, s.Started(), epoch)
+	s.Replace()
+	assert.Equal(t, s.SharesSince(now, window), now.Add(wait), "another process of the entry is counted")
 }
 
 // Guards against a process that stood still, or whose VM was suspended, and goes on as if no time had passed.
--- a/pkcensus/standing.go
+++ b/pkcensus/standing.go
@@ -61,6 +61,9 @@
 	}
 }
 
+// Replace records that the others count another process of this entry in place of this one.
+func (s *Standing) Replace() { s.countedUntil = time.Time{} }
+
 func (s *Standing) isCounted(now time.Time, window time.Duration) bool {
 	return !s.countedUntil.IsZero() && now.Sub(s.countedUntil) < graceOf(window)
 }
--- a/pkedge/census.go
+++ b/pkedge/census.go
@@ -93,19 +93,24 @@
 	if served {
 		m.census.Current(now)
 	}
+	if m.ownKey.IsReplaced() {
+		return
+	}
 	if served || (seesAll && m.census.IsComplete(now, pkcensus.Retention(window))) {
 		m.standing.Confirm(now, now, window)
 	}
 }
 
-// confirmRegistered records at now that this daemon is registered until a time: all others see it in the store, or are
-// told by one that does.
+// confirmRegistered records at now that this daemon is registered until a time, unless another process of this entry is: all
+// others see it in the store, or are told by one that does.
 func (d *Daemon) confirmRegistered(now, until time.Time) {
 	window := seconds(d.retry.Load().WindowS)
 	m := &d.members
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.standing.Run(now, pktimer.BootClock(), window)
-	m.standing.Confirm(now, until, window)
+	if !m.ownKey.IsReplaced() {
+		m.standing.Confirm(now, until, window)
+	}
 	m.census.Current(now)
 }
--- a/pkedge/lease.go
+++ b/pkedge/lease.go
@@ -148,6 +148,7 @@
 	}
 	m.mu.Lock()
 	m.lease.Renewed(sent)
+	*registered = *registered && !m.ownKey.IsDeleted()
 	m.mu.Unlock()
 	if !*registered {
 		if err := d.register(ctx, registered); err != nil {
@@ -208,6 +209,7 @@
 	if out.Succeeded {
 		m.mu.Lock()
 		m.ownRevision = max(m.ownRevision, out.Item.Revision)
+		m.ownKey.Write(out.Item.Revision)
 		m.mu.Unlock()
 	}
 	return nil
--- a/pkedge/members.go
+++ b/pkedge/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,6 +31,8 @@
 	// census counts the entries of the fleet, standing is whether they count this one.
 	census   pkcensus.Census
 	standing pkcensus.Standing
+	// ownKey is whether the key of this entry registers this process.
+	ownKey pkcensus.OwnKey
 	// peers are the members that accept messages.
 	peers map[pkid.EntryID]pkshare.Member
 	// candidates are the entries of this data centre that a hub expects to be registered; nil if no
@@ -146,10 +149,14 @@
 	first, before := !m.known, m.knownOwner()
 	m.dropUnlisted(now, at)
 	m.known, m.readTo = true, at
+	if !slices.ContainsFunc(items, func(one pkstore.Item) bool { return one.Key == d.memberKey() }) {
+		m.ownKey.Delete(at)
+	}
 	for _, one := range items {
 		if one.Key == d.memberKey() {
 			m.ownRevision = max(m.ownRevision, one.Revision)
 			m.listedBefore = m.listedBefore || first
+			d.seeOwnKey(pkstore.Event{Item: one})
 		}
 		m.apply(now, strings.TrimPrefix(one.Key, d.OwnPrefix), pkstore.Event{Item: one})
 	}
@@ -183,6 +190,9 @@
 	before := m.knownOwner()
 	for _, ev := range events {
 		if ev.Item.Revision > m.readTo {
+			if ev.Item.Key == d.memberKey() {
+				d.seeOwnKey(ev)
+			}
 			m.apply(now, strings.TrimPrefix(ev.Item.Key, d.OwnPrefix), ev)
 		}
 	}
@@ -190,6 +200,25 @@
 	d.logOwner(before, "watch", at)
 }
 
+// seeOwnKey records a change of the key of this entry; the caller holds members.mu.
+func (d *Daemon) seeOwnKey(ev pkstore.Event) {
+	m := &d.members
+	if ev.Deleted {
+		m.ownKey.Delete(ev.Item.Revision)
+		return
+	}
+	var one pkshare.Member
+	err := json.Unmarshal(ev.Item.Value, &one)
+	before := m.ownKey.IsReplaced()
+	m.ownKey.See(ev.Item.Revision, err == nil && one.Addr == d.gossip.addr)
+	if m.ownKey.IsReplaced() {
+		m.standing.Replace()
+	}
+	if m.ownKey.IsReplaced() && !before && m.leaseID != 0 {
+		d.log.Warn("another process has registered this entry", "addr", one.Addr, "own_addr", d.gossip.addr, "revision", ev.Item.Revision.String())
+	}
+}
+
 // ownerAt is the owner of the pools, empty if there is none, as of a revision of its key.
 type ownerAt struct {
 	owner    pkid.EntryID
