pkedge: a target must answer for a body without an end mark to be complete

Cause: whether the target still runs when such a body ends was checked by a connection alone. The listener of a process that is killed may outlive its open connections for a moment; what it accepts then is reset.

Change: the target must answer a health check over a connection that is not reset. A slow answer counts as before as running.

--- a/pkedge/bodyend.go
+++ b/pkedge/bodyend.go
@@ -13,17 +13,20 @@
 
 // checkBodyEnd returns an error if the body of a response that was read to its end may lack a part: it has
 // neither a length nor chunks, and its target is gone. The end of such a body is that of the connection, which
-// the end of the target's process ends as well, also while it drains.
+// the end of the target's process ends as well, also while it drains. The target must answer: one whose process is
+// ending may still accept connections.
 func (c *call) checkBodyEnd(ctx context.Context, resp *pkforward.Response, t *pkreplica.Target) error {
 	if resp.Delimited {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	err := c.Engines.Connect(ctx, t.Addr)
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	err := c.probeLink(ctx, t)
+	if !isConnError(err) {
 		return nil
 	}
-	c.suspect(t, err)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		c.suspect(t, err)
+	}
 	return &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: io.ErrUnexpectedEOF}
 }
