pkedge: a stream that may have run waits for the end of a cut rather than sending

Traced with the entries' logs: no other entry is in order; the stream cannot be refused any more, so it is sent over links that are known to be cut; each send is refused at once and the six that it has are used up within 0.25 s, while the links come back after 0.5 s.

A request that cannot be refused now looks for the end of the cut, or for another entry, for up to 1.5 s since it found the links impaired, and then goes on with the sends that it has.

--- a/pkedge/call.go
+++ b/pkedge/call.go
@@ -44,8 +44,8 @@
 	relayed *pkrelay.Request
 	// relays counts the entries that the request was passed on to.
 	relays pkrelay.Attempts
-	// helperDeadline is until when the request waits for an entry to pass it on to; zero before it needs one.
-	helperDeadline time.Time
+	// impairedSince is when the request first found the links of this entry impaired; zero if it has not.
+	impairedSince time.Time
 	// tried lists the targets that are not tried again, unanswered those whose connection attempt had no
 	// answer once.
 	tried      []pkid.TargetID
--- a/pkedge/relay.go
+++ b/pkedge/relay.go
@@ -24,6 +24,8 @@
 	// it looks for one. A hub reports within two messages who is cut off as well.
 	helperTimeout      = 400 * time.Millisecond
 	helperPollInterval = 5 * time.Millisecond
+	// linkPollInterval is how often a request that waits for the end of a cut looks for it.
+	linkPollInterval = 25 * time.Millisecond
 	// maxCutOffSends bounds the sends of a request over links that reach almost no target.
 	maxCutOffSends = 2
 )
@@ -35,17 +37,18 @@
 }
 
 // nextRelay returns the entry to pass the request on to, if the links of this entry to the targets are impaired and
-// those of another one are not.
+// those of another one are not. It waits while a hub may report one, and a request that cannot be refused any more also
+// while the links are cut.
 func (c *call) nextRelay(ctx context.Context) (relay, bool) {
-	if c.relayed != nil || !c.links.Impaired(c.service) || !c.relays.Allowed() {
+	if c.relayed != nil || !c.links.Impaired(c.service) {
 		return relay{}, false
 	}
 	now := time.Now()
-	if c.helperDeadline.IsZero() {
-		c.helperDeadline = now.Add(helperTimeout)
+	if c.impairedSince.IsZero() {
+		c.impairedSince = now
 	}
 	r, found := c.tryRelay(now)
-	for !found && c.awaitsHelper(now) && pktimer.Sleep(ctx, helperPollInterval) {
+	for wait := c.relayPause(now); !found && wait > 0 && pktimer.Sleep(ctx, wait); wait = c.relayPause(now) {
 		now = time.Now()
 		r, found = c.tryRelay(now)
 	}
@@ -58,6 +61,9 @@
 
 // tryRelay returns an entry to pass the request on to at now, if one is known.
 func (c *call) tryRelay(now time.Time) (relay, bool) {
+	if !c.relays.Allowed() {
+		return relay{}, false
+	}
 	candidates := c.relayCandidates(now, c.service)
 	if c.relays.NeedsConfirmed() && c.gossip.withHubs.Load() {
 		candidates = slices.DeleteFunc(candidates, func(one pkrelay.Peer) bool { return !one.Confirmed })
@@ -69,10 +75,19 @@
 	return relay{peer: peer, end: c.relayPeers.Begin(peer.ID)}, true
 }
 
-// awaitsHelper reports whether a hub may yet report whom the request can be passed on to.
-func (c *call) awaitsHelper(now time.Time) bool {
-	return now.Before(c.helperDeadline) && c.links.CutOff(c.service) && c.gossip.withHubs.Load() &&
-		!c.gossip.table.HelpReported(now, c.relays.PassedBackAt())
+// relayPause returns how long to wait from now until another entry is looked for; zero if there is nothing to wait for.
+func (c *call) relayPause(now time.Time) time.Duration {
+	waited := now.Sub(c.impairedSince)
+	switch {
+	case !c.links.CutOff(c.service):
+		return 0
+	case waited < helperTimeout && c.relays.Allowed() && c.gossip.withHubs.Load() && !c.gossip.table.HelpReported(now, c.relays.PassedBackAt()):
+		return helperPollInterval
+	case waited < resumeTimeout && c.mayNotBeRefused():
+		return linkPollInterval // sends that are refused would use up its sends
+	default:
+		return 0
+	}
 }
 
 // isCutOff reports whether the request has been sent in vain, has no way left to the targets and can be refused as not
--- a/pkedge/relay_test.go
+++ b/pkedge/relay_test.go
@@ -151,18 +151,22 @@
 // Guards against streams that are given up where all entries are cut off for a moment: nobody can take them over, and they
 // cannot be refused as not run any more.
 func TestStreamsThatMayHaveRunOutliveAShortCut(t *testing.T) {
-	t.Parallel()
-	w, _ := newPool(t)
-	nodes, links := startCuttable(t, w, 2)
-	const streams, length = 4, 400
-	answers, _ := nodes[0].startStreams(t, w, streams, length)
-	for _, l := range links {
-		l.Cut(platformtest.CutRefusing)
+	for _, length := range []time.Duration{500 * time.Millisecond, time.Second} {
+		t.Run(length.String(), func(t *testing.T) {
+			t.Parallel()
+			w, _ := newPool(t)
+			nodes, links := startCuttable(t, w, 2)
+			const streams, events = 4, 400
+			answers, _ := nodes[0].startStreams(t, w, streams, events)
+			for _, l := range links {
+				l.Cut(platformtest.CutRefusing)
+			}
+			time.AfterFunc(length, func() {
+				for _, l := range links {
+					l.Cut(platformtest.NoCut)
+				}
+			})
+			assertComplete(t, answers, streams, events)
+		})
 	}
-	time.AfterFunc(500*time.Millisecond, func() {
-		for _, l := range links {
-			l.Cut(platformtest.NoCut)
-		}
-	})
-	assertComplete(t, answers, streams, length)
 }
