pkedge: the links are checked before a request is given up for want of targets

That calls fail the same way is suspected only.

A request whose send has failed since the last check now has the links checked before it is given up, and one that waits for a path stops waiting once its links are found impaired, so that another entry gets it. Where no send has failed nothing is checked.

TestLinksAreCheckedBeforeARequestIsGivenUp does not build before.

--- a/pkedge/call.go
+++ b/pkedge/call.go
@@ -44,6 +44,8 @@
 	relayed *pkrelay.Request
 	// relays counts the entries that the request was passed on to.
 	relays pkrelay.Attempts
+	// unreachableAt is when a send last failed in a way that the links may explain; zero if none has.
+	unreachableAt time.Time
 	// impairedSince is when the request first found the links of this entry impaired; zero if it has not.
 	impairedSince time.Time
 	// tried lists the targets that are not tried again, unanswered those whose connection attempt had no
--- a/pkedge/cutsend_test.go
+++ b/pkedge/cutsend_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -46,3 +47,19 @@
 	assert.Assert(t, !c.mayRetry(pkverdict.MayHaveRun))
 	assert.NilError(t, c.passedBack(pkverdict.MayHaveRun), "it is not free to be sent again")
 }
+
+// Guards against a request that is refused, or broken off, since the check of the links after its failed send has had no
+// result, though others could serve it; and against checks of the links where a pool is only full.
+func TestLinksAreCheckedBeforeARequestIsGivenUp(t *testing.T) {
+	d, _ := twelveEngines(t)
+	engines := &unansweringEngines{resets: pkreach.SampleSize}
+	d.Engines = engines
+	c := &call{Daemon: d, r: httptest.NewRequest(http.MethodPost, "/", nil), service: "models", route: &pkconfig.Route{MaxAttempts: 2}}
+	assert.Assert(t, !c.findsLinksImpaired(t.Context()))
+	assert.Equal(t, engines.asked.Load(), int64(0), "no send has failed")
+	c.unreachableAt = time.Now()
+	assert.Assert(t, c.findsLinksImpaired(t.Context()))
+	asked := engines.asked.Load()
+	assert.Assert(t, c.findsLinksImpaired(t.Context()))
+	assert.Equal(t, engines.asked.Load(), asked, "checked since the send failed")
+}
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -100,7 +100,11 @@
 	if c.isCutOff() {
 		return sendResult{verdict: verdict, last: true}
 	}
+	impaired := c.links.Impaired(c.service)
 	t, err := c.waitForTarget(ctx)
+	if errors.Is(err, errNoTarget) && !impaired && c.findsLinksImpaired(ctx) {
+		return sendResult{verdict: verdict, err: err}
+	}
 	if err != nil || !c.maySend(verdict) {
 		return sendResult{verdict: verdict, last: true, err: err}
 	}
--- a/pkedge/relay.go
+++ b/pkedge/relay.go
@@ -233,6 +233,7 @@
 	if !errors.As(err, &failure) || c.r.Context().Err() != nil {
 		return
 	}
+	c.unreachableAt = time.Now()
 	switch {
 	case failure.Reason == pkverdict.ReasonUnreachable:
 		c.linkCondition(ctx, c.service, "")
@@ -246,6 +247,15 @@
 	}
 }
 
+// findsLinksImpaired reports whether the links, which were whole before the request has found no target, are impaired. It
+// checks them if no check has ended since a send failed: a check may have had no result, or have come too soon.
+func (c *call) findsLinksImpaired(ctx context.Context) bool {
+	if !c.unreachableAt.IsZero() && !c.links.CheckedWithin(time.Now(), c.service, time.Since(c.unreachableAt)) {
+		c.linkCondition(ctx, c.service, "")
+	}
+	return c.links.Impaired(c.service)
+}
+
 // isLinkCut reports whether a send failed because the links of its sender were cut.
 func isLinkCut(err error) bool {
 	var failure *pkverdict.Error
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -122,7 +122,12 @@
 		return sendResult{verdict: verdict, last: true}
 	}
 	c.awaitCrashCheck(ctx)
+	impaired := c.links.Impaired(c.service)
 	p, err := c.waitForPath(ctx, s)
+	if errors.Is(err, errNoCapacity) && !impaired && c.findsLinksImpaired(ctx) {
+		c.charged = c.delivered > 0 && !c.queues(c.table, s)
+		return sendResult{verdict: verdict, err: err}
+	}
 	if err == nil {
 		if err = c.admitSuspect(time.Now()); err != nil && p.reserved {
 			p.release(c.estimatedTokens(s.Engine))
--- a/pkedge/wait.go
+++ b/pkedge/wait.go
@@ -28,6 +28,7 @@
 	if c.mayNotBeRefused() {
 		until = time.Now().Add(resumeTimeout)
 	}
+	impaired := c.links.Impaired(s.ID)
 	for {
 		now := time.Now()
 		p, found := c.nextPath(now, s)
@@ -36,6 +37,8 @@
 			return p, nil
 		case found:
 			continue // another request took the last permit
+		case !impaired && c.links.Impaired(s.ID):
+			return targetPath{}, errNoCapacity // another entry may have one
 		case now.After(until):
 			return c.lastResortPath(now, s)
 		}
