pkedge: a test of quarantined calls waits for the replicas that replace the crashed ones

Traced with the entry's log: the poison request has crashed all three replicas of the service; the sound one comes before the entry's list has those that replace them (0.4 s later in both runs that were looked at), is sent to the three that it knows, each refuses the connection, and is answered as not run, which is true and allowed. The test assumed that the list is up to date. It now waits for the revision of the store's list, and asks the same of the sound request.

--- a/pkedge/poison_test.go
+++ b/pkedge/poison_test.go
@@ -195,8 +195,9 @@
 // after three crashes no entry may send it.
 func TestRequestThatCrashesPlainReplicasIsQuarantined(t *testing.T) {
 	t.Parallel()
-	_, p, one, two := quarantinedPlainRequest(t)
+	w, p, one, two := quarantinedPlainRequest(t)
 	p.assertRefused(t, one, two)
+	eventually(t, "the replicas that replace the crashed ones", func() bool { return one.knowsRevision(t, w.Store.Revision("servers/")) })
 	assert.Equal(t, one.do(t, http.MethodGet, "/read/1", "sound", platformtest.Key, 0).status, http.StatusOK)
 }
 
