pkrelay, pkedge: how long a request looks for another entry is decided in pkrelay

The waits for a hub's report and for the end of a cut stood among the input and output of pkedge. pkrelay.Search decides them, with the present time and what may be waited for as arguments. No change of behaviour; pkedge's tests of cuts pass.

--- a/pkedge/call.go
+++ b/pkedge/call.go
@@ -46,8 +46,8 @@
 	relays pkrelay.Attempts
 	// unreachableAt is when a send last failed in a way that the links may explain; zero if none has.
 	unreachableAt time.Time
-	// impairedSince is when the request first found the links of this entry impaired; zero if it has not.
-	impairedSince time.Time
+	// search is the search for an entry to pass the request on to.
+	search pkrelay.Search
 	// tried lists the targets that are not tried again, unanswered those whose connection attempt had no
 	// answer once.
 	tried      []pkid.TargetID
--- a/pkedge/relay.go
+++ b/pkedge/relay.go
@@ -20,12 +20,6 @@
 	// lostCheckInterval is the shortest time between checks of the links after connections that were
 	// lost.
 	lostCheckInterval = 500 * time.Millisecond
-	// helperTimeout is how long a request waits for hubs to report an entry in order, helperPollInterval how often
-	// it looks for one. A hub reports within two messages who is cut off as well.
-	helperTimeout      = 400 * time.Millisecond
-	helperPollInterval = 5 * time.Millisecond
-	// linkPollInterval is how often a request that waits for the end of a cut looks for it.
-	linkPollInterval = 25 * time.Millisecond
 	// maxCutOffSends bounds the sends of a request over links that reach almost no target.
 	maxCutOffSends = 2
 )
@@ -44,11 +38,9 @@
 		return relay{}, false
 	}
 	now := time.Now()
-	if c.impairedSince.IsZero() {
-		c.impairedSince = now
-	}
+	c.search.Begin(now)
 	r, found := c.tryRelay(now)
-	for wait := c.relayPause(now); !found && wait > 0 && pktimer.Sleep(ctx, wait); wait = c.relayPause(now) {
+	for pause := c.searchPause(now); !found && pause > 0 && pktimer.Sleep(ctx, pause); pause = c.searchPause(now) {
 		now = time.Now()
 		r, found = c.tryRelay(now)
 	}
@@ -75,19 +67,13 @@
 	return relay{peer: peer, end: c.relayPeers.Begin(peer.ID)}, true
 }
 
-// relayPause returns how long to wait from now until another entry is looked for; zero if there is nothing to wait for.
-func (c *call) relayPause(now time.Time) time.Duration {
-	waited := now.Sub(c.impairedSince)
-	switch {
-	case !c.links.CutOff(c.service):
-		return 0
-	case waited < helperTimeout && c.relays.Allowed() && c.gossip.withHubs.Load() && !c.gossip.table.HelpReported(now, c.relays.PassedBackAt()):
-		return helperPollInterval
-	case waited < resumeTimeout && c.mayNotBeRefused():
-		return linkPollInterval // sends that are refused would use up its sends
-	default:
-		return 0
-	}
+// searchPause returns how long to wait from now until another entry is looked for; zero if there is nothing to wait for.
+func (c *call) searchPause(now time.Time) time.Duration {
+	return c.search.Pause(now, pkrelay.Prospects{
+		CutOff:       c.links.CutOff(c.service),
+		HubMayReport: c.relays.Allowed() && c.gossip.withHubs.Load() && !c.gossip.table.HelpReported(now, c.relays.PassedBackAt()),
+		Refusable:    !c.mayNotBeRefused(),
+	})
 }
 
 // isCutOff reports whether the request has been sent in vain, has no way left to the targets and can be refused as not
