--- a/peridotknot/retryfleet_test.go
+++ b/peridotknot/retryfleet_test.go
@@ -167,6 +167,7 @@
 
 // serve sends requests to all entries until the fleet is closed.
 func (f *retryFleet) serve() {
+	f.t.Cleanup(f.stopClients) // a check may have failed meanwhile
 	for i, e := range f.entries {
 		for n := range 3 {
 			f.clients.Go(func() { f.client(e, rand.New(rand.NewPCG(uint64(i), uint64(n))), n == 0) })
@@ -201,11 +202,16 @@
 	}
 }
 
+// stopClients ends all clients.
+func (f *retryFleet) stopClients() {
+	f.gone.Store(true)
+	f.clients.Wait()
+}
+
 // check fails the test if a service got more retries in a window than the bound allows.
 func (f *retryFleet) check() {
 	f.t.Helper()
-	f.gone.Store(true)
-	f.clients.Wait()
+	f.stopClients()
 	arrivals := f.w.Arrivals()
 	f.mu.Lock()
 	defer f.mu.Unlock()
