pkretry, pkedge: a retry counts until it has arrived and for a window after that

No entry is killed, cut off or without the store.

A retry counted in the window in which it was allowed. One that waits in its target for less time than its sender waits is never given up, so it was not among the unconfirmed sends either; it arrives with those of later windows. So does one that waits between the charge and the send: for a path, for another entry, or for the end of a cut.

Change: the budget hands out a Charge, which counts until it is settled, when the send has a response or was given up, and for a window from then on. Charges are those of one request; the entry settles what is left when the request ends. A charge of a stream that ends while it is rerouted is settled at once.

Two tests of pkedge that charge a retry without a send now end that send; what they check is unchanged.

--- a/peridotknot/retries_test.go
+++ b/peridotknot/retries_test.go
@@ -59,6 +59,19 @@
 	})
 }
 
+// Guards against retries that wait in targets which stand still for less time than their senders wait, count as old when
+// these go on, and arrive together with those that are sent then.
+func TestRetriesThatWaitInTargets(t *testing.T) {
+	t.Parallel()
+	f := newRetryFleet(t, 1, shortBound)
+	f.play(func() {
+		for range 4 {
+			f.stopTargets(f.bound.Window, f.calls[1:]...)
+			time.Sleep(2 * f.bound.Window)
+		}
+	})
+}
+
 // Guards against processes that are killed while targets stand still, whose successors use the retry budget again before
 // the targets have received what was sent to them.
 func TestRetriesOfKilledEntriesThatArriveLate(t *testing.T) {
--- a/peridotknot/retryfleet_test.go
+++ b/peridotknot/retryfleet_test.go
@@ -288,11 +288,14 @@
 }
 
 // stopCalls stops all targets of calls for a time.
-func (f *retryFleet) stopCalls(d time.Duration) {
+func (f *retryFleet) stopCalls(d time.Duration) { f.stopTargets(d, f.calls...) }
+
+// stopTargets stops targets for a time.
+func (f *retryFleet) stopTargets(d time.Duration, targets ...*platformtest.Replica) {
 	f.stopping.Lock()
 	defer f.stopping.Unlock()
 	var resume []func()
-	for _, r := range f.calls {
+	for _, r := range targets {
 		resume = append(resume, r.Stop())
 	}
 	time.Sleep(d)
--- a/pkcensus/fleet_test.go
+++ b/pkcensus/fleet_test.go
@@ -133,7 +133,8 @@
 	}
 	e.waiting = 0
 	n := 0.0
-	for e.budget.TryRetry(now, l) {
+	for c := e.budget.Charge(now, l); c != nil; c = e.budget.Charge(now, l) {
+		c.Settle(now, fleetWindow)
 		n++
 	}
 	return n
--- a/pkedge/attempt.go
+++ b/pkedge/attempt.go
@@ -4,11 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"peridotknot.example/pkconfig"
 	"peridotknot.example/pkreplica"
+	"peridotknot.example/pkretry"
 	"peridotknot.example/pkstall"
 )
 
@@ -51,8 +51,8 @@
 	reroutes     int
 	rerouting    bool
 	ended        bool
-	// charged is set once the next send was charged to the retry budget.
-	charged atomic.Bool
+	// nextCharge is the charge of the next send, if that was charged to the retry budget already.
+	nextCharge *pkretry.Charge
 	// canRetry is set when the request has another attempt left.
 	canRetry bool
 	// rerouteNotBefore is when the next reroute may be tried.
--- a/pkedge/call.go
+++ b/pkedge/call.go
@@ -15,6 +15,7 @@
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkquarantine"
 	"peridotknot.example/pkrelay"
+	"peridotknot.example/pkretry"
 	"peridotknot.example/pkverdict"
 )
 
@@ -54,8 +55,8 @@
 	unanswered []pkid.TargetID
 	// unconfirmed is the target of the first send, if that was given up without a sign that it has arrived.
 	unconfirmed pkid.TargetID
-	// charged is set if the next send was charged to the retry budget already.
-	charged bool
+	// charges are the retries that were charged to the retry budget for the request.
+	charges pkretry.Charges
 	// headSent is set once the head of the answer was sent to the caller.
 	headSent bool
 	// path is the path of the last send of a stream, firstEvent the time from the start of the
@@ -93,6 +94,7 @@
 
 // finish logs the outcome of a request and answers one that failed.
 func (c *call) finish(err error) {
+	c.charges.Settle(time.Now(), c.retryWindow())
 	took := time.Since(c.began)
 	outcome := "answered"
 	var rej *rejection
--- a/pkedge/census.go
+++ b/pkedge/census.go
@@ -65,6 +65,9 @@
 	return pkrate.Share{Entries: d.sharingCount(now, pkshare.EntryRetention), Place: d.place}
 }
 
+// retryWindow returns the window of the retry budgets.
+func (d *Daemon) retryWindow() time.Duration { return seconds(d.retry.Load().WindowS) }
+
 // retryLimits returns the limits of the retry budgets at now.
 func (d *Daemon) retryLimits(now time.Time) pkretry.Limits {
 	settings := d.retry.Load()
@@ -83,7 +86,7 @@
 // updateStanding records at now that this daemon runs, and whether all others are certain to count it: a hub does so for
 // them, or all that this one counts exchange messages with it.
 func (d *Daemon) updateStanding(now time.Time) {
-	window := seconds(d.retry.Load().WindowS)
+	window := d.retryWindow()
 	served := d.gossip.table.ServedByHub(now)
 	seesAll := d.gossip.table.LivePeerCount(now)+1 >= d.sharingCount(now, pkcensus.Retention(window))
 	m := &d.members
@@ -104,7 +107,7 @@
 // confirmRegistered records at now that this daemon is registered until a time, unless another process of this entry is: all
 // others see it in the store, or are told by one that does.
 func (d *Daemon) confirmRegistered(now, until time.Time) {
-	window := seconds(d.retry.Load().WindowS)
+	window := d.retryWindow()
 	m := &d.members
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pkedge/delivery.go
+++ b/pkedge/delivery.go
@@ -14,7 +14,8 @@
 // recordDelivery records at now what the end of a send shows about its target: with a response that it goes on and has
 // received what was sent to it, without one that the send may arrive later.
 func (c *call) recordDelivery(ctx context.Context, now time.Time, t *pkreplica.Target, resp *pkforward.Response, err error) {
-	budget, window := c.budgets.of(c.service), seconds(c.retry.Load().WindowS)
+	budget, window := c.budgets.of(c.service), c.retryWindow()
+	c.charges.End(now, window)
 	var failure *pkverdict.Error
 	switch {
 	case resp != nil:
@@ -32,7 +33,7 @@
 // suspendUnconfirmed records at now that the request is retried after a first send that may arrive later.
 func (c *call) suspendUnconfirmed(now time.Time) {
 	if c.unconfirmed != "" {
-		c.budgets.of(c.service).Suspend(now, seconds(c.retry.Load().WindowS), c.unconfirmed)
+		c.budgets.of(c.service).Suspend(now, c.retryWindow(), c.unconfirmed)
 		c.unconfirmed = ""
 	}
 }
--- a/pkedge/own.go
+++ b/pkedge/own.go
@@ -162,7 +162,7 @@
 		return report, err
 	}
 	t.ProbeAnswered(requested)
-	d.budgets.of(t.Service).Confirm(time.Now(), seconds(d.retry.Load().WindowS), t.ID)
+	d.budgets.of(t.Service).Confirm(time.Now(), d.retryWindow(), t.ID)
 	d.updatePace(t, report, requested)
 	later := d.roster.Restarted(t.ID, report.Born)
 	if !later && !report.LostLayers(t.Held) {
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -171,10 +171,14 @@
 // the budget allows it.
 func (c *call) chargeRetry() bool {
 	now := time.Now()
-	if !c.charged && !c.budgets.of(c.service).TryRetry(now, c.retryLimits(now)) {
+	limits := c.retryLimits(now)
+	if !c.charges.HasNext() {
+		c.charges.SetNext(now, limits.Window, c.budgets.of(c.service).Charge(now, limits))
+	}
+	if !c.charges.HasNext() {
 		return false
 	}
-	c.charged = false
+	c.charges.Begin(now, limits.Window)
 	c.suspendUnconfirmed(now)
 	c.metrics.repeated.Inc()
 	return true
--- a/pkedge/queued.go
+++ b/pkedge/queued.go
@@ -49,7 +49,7 @@
 
 // hasRetry reports whether the retry budget allows another send of the request at now.
 func (c *call) hasRetry(now time.Time) bool {
-	return c.charged || c.budgets.of(c.service).HasRetries(now, c.retryLimits(now), 1)
+	return c.charges.HasNext() || c.budgets.of(c.service).HasRetries(now, c.retryLimits(now), 1)
 }
 
 // findPath returns a path for a waiting request at now. One that has waited for capacityTimeout may use engines
--- a/pkedge/relay.go
+++ b/pkedge/relay.go
@@ -100,8 +100,10 @@
 		From: c.settings.Entry, Method: c.req.Method, Host: c.req.Host, URI: c.req.URI, Header: c.req.Header, Body: c.req.Body,
 		RemainingMS: max(c.deadline.Sub(now).Milliseconds(), 1), Version: c.version(), Runs: c.attempts(), LastEventID: lastEventID,
 	})
+	ended := time.Now()
+	c.charges.End(ended, c.retryWindow())
 	passedBack := err != nil && resp != nil && pkrelay.PassedBack(resp)
-	c.relays.Record(time.Now(), passedBack)
+	c.relays.Record(ended, passedBack)
 	if !passedBack {
 		c.sends++
 	}
--- a/pkedge/reroute.go
+++ b/pkedge/reroute.go
@@ -150,15 +150,32 @@
 // moveToPeer ends the attempt of a silent stream at an entry whose links are impaired, so that the stream goes on
 // through another entry, or keeps it for now if there is none or the retry budget allows no send.
 func (d *Daemon) moveToPeer(now time.Time, a *attempt, t *pkreplica.Target) {
-	if !a.canRetry || len(d.relayCandidates(now, a.service.ID)) == 0 || !d.budgets.of(a.call.service).TryRetry(now, d.retryLimits(now)) {
+	if !a.canRetry || len(d.relayCandidates(now, a.service.ID)) == 0 || !d.chargeAttempt(now, a) {
 		a.deferReroute(now)
 		return
 	}
-	a.charged.Store(true)
 	d.log.Info("a stream goes on by another attempt", "request_id", a.call.req.Meta.ID, "target", t.ID, "why", reasonCutOff)
 	a.cancel(errRerouted)
 }
 
+// chargeAttempt charges the next send of a stream to the retry budget at now, and reports whether the budget allows it or
+// the attempt has ended meanwhile.
+func (d *Daemon) chargeAttempt(now time.Time, a *attempt) bool {
+	limits := d.retryLimits(now)
+	charge := d.budgets.of(a.call.service).Charge(now, limits)
+	if charge == nil {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ended {
+		charge.Settle(now, limits.Window)
+	} else {
+		a.nextCharge = charge
+	}
+	return true
+}
+
 // findReplacement returns a path that can replace one engine of an attempt's path. The first engine
 // cannot be replaced, nor any after maxReroutes.
 func (d *Daemon) findReplacement(now time.Time, a *attempt, t *pkreplica.Target) (targetPath, bool) {
@@ -188,11 +205,7 @@
 	if reason == reasonLeaving && !budget.HasRetries(now, limits, drainRetryReserve) {
 		return false
 	}
-	if !budget.TryRetry(now, limits) {
-		return false
-	}
-	a.charged.Store(true)
-	return true
+	return d.chargeAttempt(now, a)
 }
 
 // repath orders the engines to replace a target on the path in place. It reports whether that is
--- a/pkedge/reroute_test.go
+++ b/pkedge/reroute_test.go
@@ -294,6 +294,7 @@
 		c := a.call
 		c.service, c.delivered, c.runs = s.ID, 1, 1
 		assert.Assert(t, c.maySend(pkverdict.NotRun))
+		c.charges.End(time.Now(), c.retryWindow())
 		assert.Assert(t, !c.maySend(pkverdict.NotRun), "the budget is spent")
 		began := time.Now()
 		assert.Assert(t, !c.waitForBudget(t.Context(), pkverdict.NotRun))
--- a/pkedge/retrylimit_test.go
+++ b/pkedge/retrylimit_test.go
@@ -23,7 +23,9 @@
 			d.updateStanding(now)
 		}
 		n := 0
-		for d.budgets.of("models").TryRetry(now, d.retryLimits(now)) {
+		l := d.retryLimits(now)
+		for c := d.budgets.of("models").Charge(now, l); c != nil; c = d.budgets.of("models").Charge(now, l) {
+			c.Settle(now, l.Window)
 			n++
 		}
 		return n
--- a/pkedge/room.go
+++ b/pkedge/room.go
@@ -229,7 +229,7 @@
 		}
 		if !w.c.takePermit(now, p.first()) {
 			// Another request took the last permit; a retry that was charged is kept for the next try.
-			w.c.charged = w.c.delivered > 0
+			w.c.charges.Revert()
 			continue
 		}
 		r.queue.Admit(now, w.ticket)
--- a/pkedge/room_test.go
+++ b/pkedge/room_test.go
@@ -144,6 +144,7 @@
 		refused := p.call("urgent")
 		refused.delivered, refused.sends = 1, 1
 		assert.Assert(t, refused.chargeRetry(), "the last one in the window")
+		refused.charges.End(time.Now(), refused.retryWindow())
 		p.wait(ctx, out, refused)
 		p.wait(ctx, out, p.call("overnight"))
 		next := <-out
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -125,7 +125,7 @@
 	impaired := c.links.Impaired(c.service)
 	p, err := c.waitForPath(ctx, s)
 	if errors.Is(err, errNoCapacity) && !impaired && c.findsLinksImpaired(ctx) {
-		c.charged = c.delivered > 0 && !c.queues(c.table, s)
+		c.charges.Revert()
 		return sendResult{verdict: verdict, err: err}
 	}
 	if err == nil {
@@ -192,7 +192,7 @@
 	defer func() {
 		a.recordFailure(time.Now(), err)
 		c.reroutes += a.end(time.Now())
-		c.charged = a.charged.Load()
+		c.charges.SetNext(time.Now(), c.retryWindow(), a.nextCharge)
 	}()
 	watch := c.startWatchdog(ctx, a)
 	defer watch.stop()
--- a/pkretry/budget.go
+++ b/pkretry/budget.go
@@ -82,7 +82,9 @@
 	// began is when the first bucket began; buckets are counted on the monotonic clock.
 	began   time.Time
 	buckets [keptBuckets]bucket
-	pending pending
+	// unsettled is the number of charges that are not settled.
+	unsettled int
+	pending   pending
 	// inherited is what is known of sends of an earlier process.
 	inherited inherited
 }
@@ -95,17 +97,6 @@
 	b.bucket(now, l).requests++
 }
 
-// TryRetry counts a retry and reports whether the budget allows it.
-func (b *Budget) TryRetry(now time.Time, l Limits) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.allows(now, l, 1) {
-		return false
-	}
-	b.bucket(now, l).retries++
-	return true
-}
-
 // HasRetries reports whether the budget allows the given number of retries at now, without counting
 // them.
 func (b *Budget) HasRetries(now time.Time, l Limits, retries int) bool {
@@ -165,7 +156,7 @@
 			u.Retries += b.buckets[i].retries
 		}
 	}
-	u.Retries += b.unconfirmed(current)
+	u.Retries += float64(b.unsettled) + b.unconfirmed(current)
 	u.Inherited = b.inherited.mayArrive(now, l)
 	u.Allowed = l.allowed(now, u.Requests, u.Inherited)
 	return u
--- a/pkretry/budget_test.go
+++ b/pkretry/budget_test.go
@@ -10,6 +10,13 @@
 	"peridotknot.example/pkrate"
 )
 
+// tryRetry charges a retry that arrives at once, and reports whether the budget allows it.
+func tryRetry(b *Budget, now time.Time, l Limits) bool {
+	c := b.Charge(now, l)
+	c.Settle(now, l.Window)
+	return c != nil
+}
+
 func TestRetriesStayWithinLimitOfEachWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limits := Limits{Ratio: 0.2, Slack: 40, Window: 10 * time.Second, Share: pkrate.Share{Entries: rapid.IntRange(1, 8).Draw(t, "entries")}}
@@ -23,7 +30,7 @@
 				requests = append(requests, now)
 				continue
 			}
-			if b.TryRetry(now, limits) {
+			if tryRetry(&b, now, limits) {
 				retries = append(retries, now)
 			}
 			in := func(all []time.Time, ago time.Duration) float64 {
@@ -51,12 +58,12 @@
 	var b Budget
 	now := time.Unix(1_000_000, 0)
 	n := 0
-	for b.TryRetry(now, limits) {
+	for tryRetry(&b, now, limits) {
 		n++
 	}
 	assert.Equal(t, n, 8)
-	assert.Assert(t, !b.TryRetry(now.Add(5*time.Second), limits))
-	assert.Assert(t, b.TryRetry(now.Add(11*time.Second), limits))
+	assert.Assert(t, !tryRetry(&b, now.Add(5*time.Second), limits))
+	assert.Assert(t, tryRetry(&b, now.Add(11*time.Second), limits))
 }
 
 // Two bursts of retries 9.5 s apart lie within one window of 10 s. Guards against a window that is
@@ -71,7 +78,7 @@
 		spent := 0
 		for _, wait := range []time.Duration{0, 9500 * time.Millisecond} {
 			now = now.Add(wait)
-			for b.TryRetry(now, limits) {
+			for tryRetry(&b, now, limits) {
 				spent++
 			}
 		}
@@ -92,7 +99,7 @@
 		for range rapid.IntRange(1, 100).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
 			b.RecordRequest(now, limits)
-			b.TryRetry(now, limits)
+			tryRetry(&b, now, limits)
 		}
 		within := time.Duration(rapid.IntRange(0, 12_000).Draw(t, "within")) * time.Millisecond
 		wait, found := b.RetryWait(now, limits, within)
--- a/pkretry/pending_test.go
+++ b/pkretry/pending_test.go
@@ -17,7 +17,7 @@
 	now := time.Unix(1_000_000, 0)
 	spend := func() int {
 		n := 0
-		for b.TryRetry(now, l) {
+		for tryRetry(&b, now, l) {
 			b.Suspend(now, window, "stopped")
 			n++
 		}
@@ -49,7 +49,7 @@
 	var b Budget
 	now := time.Unix(1_000_000, 0)
 	for range 40 {
-		assert.Assert(t, b.TryRetry(now, l))
+		assert.Assert(t, tryRetry(&b, now, l))
 		b.Suspend(now, window, "slow")
 		now = now.Add(50 * time.Millisecond)
 		b.Confirm(now, window, "slow")
--- a/pkretry/restart_test.go
+++ b/pkretry/restart_test.go
@@ -59,7 +59,7 @@
 			p.budget.RecordRequest(now, l)
 		}
 		requests += float64(n)
-		for p.budget.TryRetry(now, l) {
+		for tryRetry(&p.budget, now, l) {
 			retries++
 		}
 	}
--- a/pkretry/turn_test.go
+++ b/pkretry/turn_test.go
@@ -28,7 +28,7 @@
 			for now := began; now.Sub(began) < 5*window; now = now.Add(window / 20) {
 				for i := range budgets {
 					l := Limits{Ratio: 0.2, Slack: slack, Window: window, Share: pkrate.Share{Entries: entries, Place: places[i]}}
-					if budgets[i].TryRetry(now, l) {
+					if tryRetry(&budgets[i], now, l) {
 						retries = append(retries, now)
 					}
 				}
@@ -51,7 +51,7 @@
 	began := time.Unix(1_000_000, 0)
 	for i := range 2000 {
 		now := began.Add(time.Duration(i) * 100 * time.Millisecond)
-		assert.Assert(t, !b.TryRetry(now, Limits{Slack: 1, Window: 10 * time.Second, Share: pkrate.Share{Entries: 1}}))
-		assert.Assert(t, !b.TryRetry(now, Limits{Slack: 500, Window: 10 * time.Second, Share: pkrate.Share{Entries: 1000}}))
+		assert.Assert(t, !tryRetry(&b, now, Limits{Slack: 1, Window: 10 * time.Second, Share: pkrate.Share{Entries: 1}}))
+		assert.Assert(t, !tryRetry(&b, now, Limits{Slack: 500, Window: 10 * time.Second, Share: pkrate.Share{Entries: 1000}}))
 	}
 }
