pkretry: a retry must fit into each window that it is in

The budget compared the retries of the last window with its requests. The bound holds in any window: one that begins later holds fewer retries, but where requests come in bursts it may hold fewer requests as well, as it counts those from its start on, or of the window before, or of the one half a window before.

The budget now looks at each window that holds the present moment, by buckets, and goes by the one with the fewest retries left. None allows more than before. `retry budget is spent` and the metrics show that window.

No run on real processes shows it.

--- a/pkretry/budget.go
+++ b/pkretry/budget.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"gonum.org/v1/gonum/floats"
+
 	"peridotknot.example/pkrate"
 )
 
@@ -61,6 +63,8 @@
 	// exceed the limit. Two such bursts of 69 entries made 899 retries in ten seconds where 822
 	// were allowed.
 	keptBuckets = bucketCount + 1
+	// storedBuckets includes the requests of the window before each that begins in one of those.
+	storedBuckets = keptBuckets + bucketCount
 	// utilization is the share of the limit that is used. The remainder covers processes that have
 	// just started, and requests and retries counted on different sides of a window boundary.
 	utilization = 0.85
@@ -81,7 +85,7 @@
 	mu sync.Mutex
 	// began is when the first bucket began; buckets are counted on the monotonic clock.
 	began   time.Time
-	buckets [keptBuckets]bucket
+	buckets [storedBuckets]bucket
 	// unsettled is the number of charges that are not settled.
 	unsettled int
 	pending   pending
@@ -122,7 +126,7 @@
 	return 0, false
 }
 
-// Usage returns what the budget counts in the window that ends at now.
+// Usage returns what the budget counts in the window that holds now and has the fewest retries left.
 func (b *Budget) Usage(now time.Time, l Limits) Usage {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -144,22 +148,39 @@
 	return b.usageOf(now, l, b.bucket(now, l).number)
 }
 
-// usageOf returns what the budget counts in the window that ends at now with the bucket of the given number.
+// usageOf returns what the budget counts in the tightest of the windows that hold now, in the bucket of the given number.
+// One that has begun later holds fewer retries, but may not hold all requests of the one that ends now either.
 func (b *Budget) usageOf(now time.Time, l Limits, current int64) Usage {
-	var u Usage
-	for i := range b.buckets {
-		age := current - b.buckets[i].number
-		if age < bucketCount {
-			u.Requests += b.buckets[i].requests
+	requests, retries := b.counts(current)
+	inherited := b.inherited.mayArrive(now, l)
+	latest := floats.Sum(requests[:bucketCount])
+	tightest := Usage{Allowed: math.Inf(1)}
+	began, sent := 0.0, float64(b.unsettled)+b.unconfirmed(current)
+	for age := range keptBuckets {
+		began += requests[age]
+		sent += retries[age]
+		before := floats.Sum(requests[age+1 : age+1+bucketCount])
+		half := floats.Sum(requests[max(age+1-bucketCount/2, 0) : age+1+bucketCount/2])
+		u := Usage{Requests: min(latest, max(began, before, half)), Retries: sent, Inherited: inherited}
+		u.Allowed = l.allowed(now, u.Requests, inherited)
+		if u.left() < tightest.left() {
+			tightest = u
 		}
-		if age < keptBuckets {
-			u.Retries += b.buckets[i].retries
+	}
+	return tightest
+}
+
+func (u Usage) left() float64 { return u.Allowed - u.Retries }
+
+// counts returns the requests and the retries by the age of their bucket when the one of the given number is current.
+func (b *Budget) counts(current int64) (requests, retries [storedBuckets]float64) {
+	for _, one := range b.buckets {
+		if age := max(current-one.number, 0); age < storedBuckets {
+			requests[age] += one.requests
+			retries[age] += one.retries
 		}
 	}
-	u.Retries += float64(b.unsettled) + b.unconfirmed(current)
-	u.Inherited = b.inherited.mayArrive(now, l)
-	u.Allowed = l.allowed(now, u.Requests, u.Inherited)
-	return u
+	return requests, retries
 }
 
 // allowed returns the number of retries that this process may make in the window that ends at now
@@ -183,7 +204,7 @@
 		b.began = now
 	}
 	number := b.number(now, l)
-	current := &b.buckets[number%keptBuckets]
+	current := &b.buckets[number%storedBuckets]
 	if current.number != number {
 		*current = bucket{number: number}
 	}
--- a/pkretry/pending.go
+++ b/pkretry/pending.go
@@ -39,7 +39,7 @@
 	for number, n := range b.pending[target] {
 		age := current.number - number
 		if age < keptBuckets { // it counts already, and from now on later
-			charged := &b.buckets[number%keptBuckets]
+			charged := &b.buckets[number%storedBuckets]
 			charged.retries = max(charged.retries-n, 0)
 		}
 		if age < pendingWindows*bucketCount {
