pkretry, pkedge, peridotknot: retries in flight are logged, and a soak in which some targets stand still

`retry budget is spent` could not tell retries that have arrived from those that may yet: it has `in_flight` and `unconfirmed` now. The soak plays the faults of the others, and targets of a service of which some stand still for a while and some fail.

--- a/peridotknot/retries_test.go
+++ b/peridotknot/retries_test.go
@@ -117,7 +117,7 @@
 	for seed := *retryFirst; seed < *retryFirst+uint64(*retrySeeds); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			f := newRetryFleet(t, seed, shortBound)
-			if kinds > entryFaults {
+			if kinds == targetFaults {
 				f.timeBudget = 1500 * time.Millisecond
 			}
 			f.play(func() {
@@ -138,4 +138,11 @@
 
 // Guards against retries that exceed the bound while targets stand still besides, and entries that have sent some to them
 // are killed.
-func TestSoakOfRetriesBesideStoppedTargets(t *testing.T) { soakRetries(t, allFaults) }
+func TestSoakOfRetriesBesideStoppedTargets(t *testing.T) { soakRetries(t, targetFaults) }
+
+// Guards against retries that exceed the bound while some targets stand still besides, for less time than senders wait, and
+// others fail.
+func TestSoakOfRetriesThatWaitInTargets(t *testing.T) {
+	t.Parallel()
+	soakRetries(t, allFaults)
+}
--- a/peridotknot/retryfleet_test.go
+++ b/peridotknot/retryfleet_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -316,9 +317,11 @@
 }
 
 const (
-	// entryFaults is the number of kinds of faults of entries and the store, allFaults that with those of targets.
-	entryFaults = 6
-	allFaults   = 8
+	// entryFaults is the number of kinds of faults of entries and the store, targetFaults that with those of all targets of a
+	// service, allFaults that with those of some targets.
+	entryFaults  = 6
+	targetFaults = 8
+	allFaults    = 10
 )
 
 // fault does one random thing, of a number of kinds, to random entries, the store or the targets.
@@ -348,11 +351,24 @@
 		}
 	case 6:
 		f.stopCalls(span / 2)
-	default:
+	case 7:
 		f.failStreams(span)
+	case 8:
+		f.stopTargets(span/4, f.someOf(f.calls)...)
+	default:
+		f.stopTargets(span/8, f.someOf(f.engines)...)
 	}
 }
 
+// someOf returns some of the targets, but not all.
+func (f *retryFleet) someOf(targets []*platformtest.Replica) []*platformtest.Replica {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	some := slices.Clone(targets)
+	f.random.Shuffle(len(some), func(i, j int) { some[i], some[j] = some[j], some[i] })
+	return some[:1+f.random.IntN(len(some)-1)]
+}
+
 func (f *retryFleet) pauseBetweenFaults() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -155,7 +155,7 @@
 	u := c.budgets.of(c.service).Usage(now, l)
 	c.log.Warn("retry budget is spent", "request_id", c.req.Meta.ID, "service", c.service, "entries", l.Share.Entries,
 		"live", c.gossip.table.LivePeerCount(now)+1, "listed", len(c.members.list()), "lease", c.members.holdsLease(), "shares", !now.Before(l.SharesSince), "inherited", u.Inherited,
-		"requests", u.Requests, "retries", u.Retries, "allowed", u.Allowed, "uptime_ms", now.Sub(c.started).Milliseconds())
+		"requests", u.Requests, "retries", u.Retries, "in_flight", u.InFlight, "unconfirmed", u.Unconfirmed, "allowed", u.Allowed, "uptime_ms", now.Sub(c.started).Milliseconds())
 }
 
 // mayRetry reports whether the verdict and the limit of attempts allow another send.
--- a/pkretry/budget.go
+++ b/pkretry/budget.go
@@ -31,6 +31,10 @@
 	Requests float64
 	Retries  float64
 	Allowed  float64
+	// InFlight are those of the retries that have no response yet, Unconfirmed those that were given up without one more than a
+	// window ago.
+	InFlight    float64
+	Unconfirmed float64
 	// Inherited is set if Allowed is that of a start, since sends of an earlier process of this entry may still arrive.
 	Inherited bool
 }
@@ -155,13 +159,14 @@
 	inherited := b.inherited.mayArrive(now, l)
 	latest := floats.Sum(requests[:bucketCount])
 	tightest := Usage{Allowed: math.Inf(1)}
-	began, sent := 0.0, float64(b.unsettled)+b.unconfirmed(current)
+	inFlight, unconfirmed := float64(b.unsettled), b.unconfirmed(current)
+	began, sent := 0.0, inFlight+unconfirmed
 	for age := range keptBuckets {
 		began += requests[age]
 		sent += retries[age]
 		before := floats.Sum(requests[age+1 : age+1+bucketCount])
 		half := floats.Sum(requests[max(age+1-bucketCount/2, 0) : age+1+bucketCount/2])
-		u := Usage{Requests: min(latest, max(began, before, half)), Retries: sent, Inherited: inherited}
+		u := Usage{Requests: min(latest, max(began, before, half)), Retries: sent, InFlight: inFlight, Unconfirmed: unconfirmed, Inherited: inherited}
 		u.Allowed = l.allowed(now, u.Requests, inherited)
 		if u.left() < tightest.left() {
 			tightest = u
