pkretry, pkedge: targets behind cut links do not count as standing still

Cause: since a target that has answered a new process nothing for a fifth of a window is taken to stand still and to hold sends of the process before. A target behind a cut link answers nothing either; its resets did not count as a sign.

A connection that is reset, and links that are found to have changed, end the wait for an answer now; while the links are impaired none begins. Targets that stand still neither reset connections nor count as cut off: a link is checked by a connection, which they accept.

--- a/pkedge/delivery.go
+++ b/pkedge/delivery.go
@@ -11,6 +11,14 @@
 	"peridotknot.example/pkverdict"
 )
 
+// awaitDelivery records that a target is sent something at now. Where the links are impaired, its silence does not show that
+// it stands still.
+func (c *call) awaitDelivery(now time.Time, t *pkreplica.Target) {
+	if !c.links.Impaired(c.service) {
+		c.budgets.of(c.service).Await(now, t.ID)
+	}
+}
+
 // recordDelivery records at now what the end of a send shows about its target: with a response that it goes on and has
 // received what was sent to it, without one that the send may arrive later.
 func (c *call) recordDelivery(ctx context.Context, now time.Time, t *pkreplica.Target, resp *pkforward.Response, err error) {
@@ -22,6 +30,8 @@
 		budget.Confirm(now, window, t.ID)
 	case errors.Is(err, syscall.ECONNREFUSED):
 		budget.Drop(t.ID)
+	case isConnError(err):
+		budget.StopAwaiting(t.ID)
 	case ctx.Err() == nil || !errors.As(err, &failure) || failure.Verdict != pkverdict.MayHaveRun:
 	case c.delivered > 0:
 		budget.Suspend(now, window, t.ID)
--- a/pkedge/links.go
+++ b/pkedge/links.go
@@ -136,8 +136,10 @@
 	return err
 }
 
-// forgetSilence uses the targets of a service again at now that are avoided for what the links explain.
+// forgetSilence uses the targets of a service again at now that are avoided for what the links explain, and takes none of
+// them to stand still.
 func (d *Daemon) forgetSilence(now time.Time, s pkid.ServiceID) {
+	d.budgets.of(s).StopAwaiting()
 	for _, t := range d.roster.All() {
 		if t.Service == s {
 			t.ForgetSilence(now)
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -231,7 +231,7 @@
 	}
 	t.Begin(began, 0, 0, 0)
 	defer t.Done(0)
-	c.budgets.of(c.service).Await(began, t.ID)
+	c.awaitDelivery(began, t)
 	resp, err := c.Sender.Do(ctx, t.Addr, &c.req, pkforward.SendOptions{TimeBudget: left, Target: t.ID, Account: c.account})
 	c.recordDelivery(ctx, time.Now(), t, resp, err)
 	c.recordDemands([]*pkreplica.Target{t}, c.req.Meta.ID, began, resp)
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -197,7 +197,7 @@
 	watch := c.startWatchdog(ctx, a)
 	defer watch.stop()
 	send := pkforward.SendOptions{TimeBudget: c.deadline.Sub(a.began), Target: p.first().ID, Account: c.account, Path: p.hops, LastEventID: state.lastEventID}
-	c.budgets.of(c.service).Await(a.began, p.first().ID)
+	c.awaitDelivery(a.began, p.first())
 	resp, err := c.Sender.Do(ctx, p.first().Addr, &c.req, send)
 	c.recordDelivery(ctx, time.Now(), p.first(), resp, err)
 	c.recordDemands(p.targets, c.req.Meta.ID, a.began, resp)
--- a/pkretry/inherited.go
+++ b/pkretry/inherited.go
@@ -38,6 +38,19 @@
 	one.awaited[target] = now
 }
 
+// StopAwaiting records that something other than their standing still explains why targets have not answered, such as a
+// connection that was reset or a link that is cut. Without targets it is so for all.
+func (b *Budget) StopAwaiting(targets ...pkid.TargetID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(targets) == 0 {
+		clear(b.inherited.awaited)
+	}
+	for _, t := range targets {
+		delete(b.inherited.awaited, t)
+	}
+}
+
 // confirm records that a target has answered at now.
 func (i *inherited) confirm(now time.Time, window time.Duration, target pkid.TargetID) {
 	if i.ended {
--- a/pkretry/inherited_test.go
+++ b/pkretry/inherited_test.go
@@ -119,6 +119,20 @@
 			b.Await(started, "a")
 			b.Drop("a")
 		}, 30 * time.Second, 85},
+		"reset": {func(b *Budget) {
+			b.Await(started, "a")
+			b.Await(started, "b")
+			b.StopAwaiting("a", "b")
+		}, 30 * time.Second, 85},
+		"silent after a reset": {func(b *Budget) {
+			b.Await(started, "a")
+			b.StopAwaiting("a")
+			b.Await(started.Add(window), "a")
+		}, 30 * time.Second, 10},
+		"cut off": {func(b *Budget) {
+			b.Await(started, "a")
+			b.StopAwaiting()
+		}, 30 * time.Second, 85},
 		"silent after an answer": {func(b *Budget) {
 			b.Await(started, "a")
 			b.Confirm(started, window, "a")
