pkretry, pkedge: a retry of which nothing was sent is not counted

A charge was spent by the first try to send, also where the connection was refused or reset before anything was written, or where another entry passed the request back.

Such a send leaves its charge to the next one, and a request that ends gives back the one that it has not used. Nothing has arrived, so the bound holds as before.

--- a/pkedge/call.go
+++ b/pkedge/call.go
@@ -94,7 +94,7 @@
 
 // finish logs the outcome of a request and answers one that failed.
 func (c *call) finish(err error) {
-	c.charges.Settle(time.Now(), c.retryWindow())
+	c.charges.Close(time.Now(), c.retryWindow())
 	took := time.Since(c.began)
 	outcome := "answered"
 	var rej *rejection
--- a/pkedge/delivery.go
+++ b/pkedge/delivery.go
@@ -23,7 +23,7 @@
 // received what was sent to it, without one that the send may arrive later.
 func (c *call) recordDelivery(ctx context.Context, now time.Time, t *pkreplica.Target, resp *pkforward.Response, err error) {
 	budget, window := c.budgets.of(c.service), c.retryWindow()
-	c.charges.End(now, window)
+	c.endSend(now, err)
 	var failure *pkverdict.Error
 	switch {
 	case resp != nil:
@@ -40,6 +40,17 @@
 	}
 }
 
+// endSend records at now that a send has ended with an error or nil. One of which nothing was sent leaves its charge to the
+// next.
+func (c *call) endSend(now time.Time, err error) {
+	var failure *pkverdict.Error
+	if errors.As(err, &failure) && !failure.MayHaveArrived() {
+		c.charges.Revert()
+		return
+	}
+	c.charges.End(now, c.retryWindow())
+}
+
 // suspendUnconfirmed records at now that the request is retried after a first send that may arrive later.
 func (c *call) suspendUnconfirmed(now time.Time) {
 	if c.unconfirmed != "" {
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -173,7 +173,7 @@
 	now := time.Now()
 	limits := c.retryLimits(now)
 	if !c.charges.HasNext() {
-		c.charges.SetNext(now, limits.Window, c.budgets.of(c.service).Charge(now, limits))
+		c.charges.SetNext(c.budgets.of(c.service).Charge(now, limits))
 	}
 	if !c.charges.HasNext() {
 		return false
--- a/pkedge/relay.go
+++ b/pkedge/relay.go
@@ -101,7 +101,7 @@
 		RemainingMS: max(c.deadline.Sub(now).Milliseconds(), 1), Version: c.version(), Runs: c.attempts(), LastEventID: lastEventID,
 	})
 	ended := time.Now()
-	c.charges.End(ended, c.retryWindow())
+	c.endSend(ended, err)
 	passedBack := err != nil && resp != nil && pkrelay.PassedBack(resp)
 	c.relays.Record(ended, passedBack)
 	if !passedBack {
--- a/pkedge/reroute.go
+++ b/pkedge/reroute.go
@@ -161,15 +161,14 @@
 // chargeAttempt charges the next send of a stream to the retry budget at now, and reports whether the budget allows it or
 // the attempt has ended meanwhile.
 func (d *Daemon) chargeAttempt(now time.Time, a *attempt) bool {
-	limits := d.retryLimits(now)
-	charge := d.budgets.of(a.call.service).Charge(now, limits)
+	charge := d.budgets.of(a.call.service).Charge(now, d.retryLimits(now))
 	if charge == nil {
 		return false
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.ended {
-		charge.Settle(now, limits.Window)
+		charge.Cancel()
 	} else {
 		a.nextCharge = charge
 	}
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -192,7 +192,7 @@
 	defer func() {
 		a.recordFailure(time.Now(), err)
 		c.reroutes += a.end(time.Now())
-		c.charges.SetNext(time.Now(), c.retryWindow(), a.nextCharge)
+		c.charges.SetNext(a.nextCharge)
 	}()
 	watch := c.startWatchdog(ctx, a)
 	defer watch.stop()
