pkreach, pkedge: a check of links waits longer for resets that may be late

Traced with the entries' logs: links that are cut accept connections and reset them once they are used; on a busy machine the resets come after the 50 to 100 ms of a check. Six accepted connections without an answer counted as six targets reached, so the links counted as whole for seconds.

Where nothing has answered, and the links were cut or some connections were refused, the check now starts again with twice the timeout, up to 400 ms, as it does where the machine stalls. Its last result counts as before.

--- a/pkedge/links.go
+++ b/pkedge/links.go
@@ -51,16 +51,19 @@
 // errStalled is the result of probes during which this VM has stalled, so that their silence shows nothing.
 var errStalled = errors.New("this VM has stalled during a check of the links")
 
+// errLate is the result of probes whose answers, or the resets of links that are cut, may not have come yet.
+var errLate = errors.New("nothing has answered in time over accepted connections")
+
 // errUnanswered is the result of a probe whose connection was accepted and that had no answer in time.
 var errUnanswered = errors.New("no answer in time over an accepted connection")
 
 // checkLinks connects to a sample of the targets of a service and records the result. If this VM stalls
-// meanwhile, it starts again with twice the timeout: on a VM that is short of processor time for long, no
-// other check would have a result.
+// meanwhile, or what would show the condition may be late, it starts again with twice the timeout: on a VM that is short of
+// processor time for long, no other check would have a result.
 func (d *Daemon) checkLinks(ctx context.Context, s pkid.ServiceID, suspect pkid.TargetID) error {
 	began, timeout := time.Now(), linkTimeout
 	sample, err := d.sampleLinks(ctx, s, suspect, timeout)
-	for errors.Is(err, errStalled) && timeout < maxLinkTimeout {
+	for (errors.Is(err, errStalled) || errors.Is(err, errLate)) && timeout < maxLinkTimeout {
 		d.log.Debug("check of the links is repeated", "service", s, "timeout_ms", timeout.Milliseconds(), "error", err)
 		timeout *= 2
 		sample, err = d.sampleLinks(ctx, s, suspect, timeout)
@@ -89,16 +92,21 @@
 func (d *Daemon) sampleLinks(ctx context.Context, s pkid.ServiceID, suspect pkid.TargetID, timeout time.Duration) (pkreach.Sample, error) {
 	var sample pkreach.Sample
 	impaired, cutOff := d.links.Impaired(s), d.links.CutOff(s)
-	refused, unanswered := 0, 0
+	var replies pkreach.Replies
 	silent, err := d.probeLinks(ctx, d.linkSample(time.Now(), s, suspect), timeout, func(_ *pkreplica.Target, err error, missing int) bool {
 		switch {
-		case err == nil, errors.Is(err, errUnanswered) && !cutOff:
+		case err == nil:
+			replies.Answered++
 			sample.Reached++
 			sample.Answered++
 		case errors.Is(err, errUnanswered):
-			unanswered++
+			replies.Missing++
+			if !cutOff {
+				sample.Reached++
+				sample.Answered++
+			}
 		case isConnError(err):
-			refused++
+			replies.Refused++
 			sample.Failed++
 		default:
 			sample.Failed++
@@ -106,11 +114,16 @@
 		}
 		return impaired || !sample.Settled(missing)
 	})
-	if refused > 0 {
-		sample.Failed += unanswered
-	} else {
-		sample.Reached += unanswered
-		sample.Answered += unanswered
+	if err == nil && timeout < maxLinkTimeout && replies.MayBeLate(cutOff) {
+		return sample, errLate
+	}
+	switch {
+	case !cutOff:
+	case replies.Refused > 0:
+		sample.Failed += replies.Missing
+	default:
+		sample.Reached += replies.Missing
+		sample.Answered += replies.Missing
 	}
 	if !impaired && !sample.Doubtful() {
 		return sample, err
