--- a/pkreach/replies.go
+++ b/pkreach/replies.go
@@ -7,8 +7,9 @@
 	Answered, Refused, Missing int
 }
 
-// MayBeLate reports whether the missing replies may be resets that are late: a link that is cut may accept connections and
-// reset them once they are used. That nothing has answered shows only busy targets otherwise.
+// MayBeLate reports whether the condition depends on missing replies that may be late resets: a link that is cut may accept
+// connections and reset them once they are used. Links that were cut are so still if one was reset; others are whole unless
+// some were, since busy targets do not answer either.
 func (r Replies) MayBeLate(cutOff bool) bool {
-	return r.Missing > 0 && r.Answered == 0 && (cutOff || r.Refused > 0)
+	return r.Missing > 0 && r.Answered == 0 && cutOff == (r.Refused == 0)
 }
