pkverdict, pkedge: sends before a cut is found do not use up the attempts either

The counts of failed sends are a type of pkverdict: once the links are found to be cut, that explains all sends of the request that ended before any response.

--- a/pkedge/attempt.go
+++ b/pkedge/attempt.go
@@ -65,7 +65,7 @@
 func (c *call) newAttempt(now time.Time, s *pkconfig.Service, p targetPath, cancel context.CancelCauseFunc) *attempt {
 	a := &attempt{
 		call: c, service: s, began: now, lastEventAt: now, tokens: c.estimatedTokens(s.Engine), cancel: cancel, path: p,
-		canRetry:   c.route.Retryable() && c.attempts()+1 < c.route.MaxAttempts,
+		canRetry:   c.route.Retryable() && c.failed.Attempts()+1 < c.route.MaxAttempts,
 		drainDelay: drainDelayMin + rand.N(drainDelayMax-drainDelayMin),
 	}
 	if !p.reserved {
--- a/pkedge/call.go
+++ b/pkedge/call.go
@@ -34,13 +34,9 @@
 	began  time.Time
 	// deadline is the earliest of the caller's, the route's and the default deadline.
 	deadline time.Time
-	// sends counts the sends of the request, runs the failed ones whose targets may have run it.
-	sends int
-	runs  int
-	// cutOffRuns counts those of the runs whose links were cut before any response.
-	cutOffRuns int
-	// delivered counts the failed sends that may have reached a target.
-	delivered int
+	// sends counts the sends of the request, failed those that have failed.
+	sends  int
+	failed pkverdict.Sends
 	// relayed is the request as another entry has passed it on; nil if it came from its caller.
 	relayed *pkrelay.Request
 	// relays counts the entries that the request was passed on to.
@@ -116,7 +112,7 @@
 		c.metrics.relayed.WithLabelValues("received", outcome).Inc()
 	}
 	c.log.Info("request", "request_id", c.req.Meta.ID, "digest", c.traits.Request.String(), "parts", c.req.Meta.SharedParts, "route", name, "kind", kind, "account", c.account, "service", c.service, "priority", c.priority(), "rank", rank,
-		"outcome", outcome, "sends", c.sends, "runs", c.runs, "ms", took.Milliseconds(), "config", c.version(), "path", c.path, "first_ms", c.firstEvent.Milliseconds(), "events", c.events, "pause_ms", c.longestGap.Milliseconds(),
+		"outcome", outcome, "sends", c.sends, "runs", c.failed.Runs(), "ms", took.Milliseconds(), "config", c.version(), "path", c.path, "first_ms", c.firstEvent.Milliseconds(), "events", c.events, "pause_ms", c.longestGap.Milliseconds(),
 		"mended", c.reroutes, "relays", c.relays.Count(), "relayed_by", c.relayedBy(), "waited_ms", c.waited.Milliseconds(), "ahead", c.ahead, "requeued", c.requeued, "error", err)
 	switch {
 	case err == nil:
--- a/pkedge/cutsend_test.go
+++ b/pkedge/cutsend_test.go
@@ -24,15 +24,15 @@
 	c := &call{
 		Daemon: d, r: httptest.NewRequest(http.MethodPost, "/", nil), service: "models",
 		route:   &pkconfig.Route{Name: "talk", Kind: pkconfig.Stream, Resumable: true, MaxAttempts: 2},
-		relayed: &pkrelay.Request{Runs: 1}, runs: 1,
+		relayed: &pkrelay.Request{Runs: 1}, failed: pkverdict.NewSends(1),
 	}
 	reset := &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: syscall.ECONNRESET, Unanswered: true}
 	for range 2 {
-		c.countFailure(reset)
+		c.failed.Record(reset)
 		c.afterUnreachable(t.Context(), reset)
 	}
 	assert.Assert(t, d.links.CutOff("models"))
-	assert.Equal(t, c.attempts(), 1)
+	assert.Equal(t, c.failed.Attempts(), 1)
 	assert.Assert(t, c.mayRetry(pkverdict.MayHaveRun))
 	assert.Assert(t, c.mayNotBeRefused(), "it may have run all the same")
 	var rej *rejection
@@ -41,9 +41,9 @@
 	assert.Equal(t, rej.reason, pkrelay.ReasonLinksCut)
 
 	broken := &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: syscall.ECONNRESET}
-	c.countFailure(broken)
+	c.failed.Record(broken)
 	c.afterUnreachable(t.Context(), broken)
-	assert.Equal(t, c.attempts(), 2, "a target that has answered counts")
+	assert.Equal(t, c.failed.Attempts(), 2, "a target that has answered counts")
 	assert.Assert(t, !c.mayRetry(pkverdict.MayHaveRun))
 	assert.NilError(t, c.passedBack(pkverdict.MayHaveRun), "it is not free to be sent again")
 }
--- a/pkedge/delivery.go
+++ b/pkedge/delivery.go
@@ -33,7 +33,7 @@
 	case isConnError(err):
 		budget.StopAwaiting(t.ID)
 	case ctx.Err() == nil || !errors.As(err, &failure) || failure.Verdict != pkverdict.MayHaveRun:
-	case c.delivered > 0:
+	case c.failed.Delivered() > 0:
 		budget.Suspend(now, window, t.ID)
 	default:
 		c.unconfirmed = t.ID
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -134,7 +134,7 @@
 
 // maySend reports whether another send is allowed, and charges a retry to the retry budget.
 func (c *call) maySend(verdict pkverdict.Verdict) bool {
-	if c.delivered == 0 {
+	if c.failed.Delivered() == 0 {
 		// The retry budget bounds the requests that reach targets; a target that refused the
 		// connection was sent nothing.
 		return true
@@ -160,13 +160,9 @@
 
 // mayRetry reports whether the verdict and the limit of attempts allow another send.
 func (c *call) mayRetry(verdict pkverdict.Verdict) bool {
-	return verdict.MayRetry(c.route.Retryable()) && c.attempts() < c.route.MaxAttempts
+	return verdict.MayRetry(c.route.Retryable()) && c.failed.Attempts() < c.route.MaxAttempts
 }
 
-// attempts returns the number of sends whose targets may have run the request and count towards its limit of attempts. A
-// target that was cut off from the sender before it answered does not.
-func (c *call) attempts() int { return c.runs - c.cutOffRuns }
-
 // chargeRetry charges a send to the retry budget, unless that was done already, and reports whether
 // the budget allows it.
 func (c *call) chargeRetry() bool {
@@ -196,26 +192,13 @@
 	} else {
 		c.tried = append(c.tried, t.ID)
 	}
-	c.countFailure(failure)
+	c.failed.Record(failure)
 	c.metrics.failed.WithLabelValues(failure.Verdict.String(), string(failure.Reason)).Inc()
 	c.log.Info("a send failed", "request_id", c.req.Meta.ID, "digest", c.traits.Request.String(), "parts", c.req.Meta.SharedParts, "target", t.ID, "send", c.sends,
 		"verdict", failure.Verdict.String(), "reason", string(failure.Reason), "error", failure.Err)
 	return failure.Verdict
 }
 
-// countFailure counts a failed send in runs and delivered, depending on its verdict and reason.
-func (c *call) countFailure(failure *pkverdict.Error) {
-	if failure.Verdict != pkverdict.NotRun {
-		c.runs++
-	}
-	if failure.Reason == pkverdict.ReasonCutOff {
-		c.cutOffRuns++
-	}
-	if failure.MayHaveArrived() {
-		c.delivered++
-	}
-}
-
 // errTargetFailure marks an error answer of the target itself.
 var errTargetFailure = errors.New("target answered with an error status")
 
@@ -224,7 +207,7 @@
 func (c *call) sendTo(ctx context.Context, t *pkreplica.Target) (*pkforward.Response, []byte, error) {
 	began := time.Now()
 	left := c.deadline.Sub(began)
-	if c.route.Retryable() && c.attempts()+1 < c.route.MaxAttempts {
+	if c.route.Retryable() && c.failed.Attempts()+1 < c.route.MaxAttempts {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(attemptTimeoutShare*float64(left)))
 		defer cancel()
--- a/pkedge/queued.go
+++ b/pkedge/queued.go
@@ -100,7 +100,7 @@
 
 // countedSends returns the number of sends that let a request use more room: those of one that may have run.
 func (c *call) countedSends(it pkqueue.Item) int {
-	if it.Started || c.runs > 0 {
+	if it.Started || c.failed.Runs() > 0 {
 		return c.sends
 	}
 	return 0
@@ -171,7 +171,7 @@
 // queue of the pool until its turn, and is refused at once if that would take too long.
 func (c *call) waitInQueue(ctx context.Context, s *pkconfig.Service) (targetPath, error) {
 	now, r := time.Now(), c.room(s.ID)
-	if c.delivered > 0 && !c.headSent {
+	if c.failed.Delivered() > 0 && !c.headSent {
 		c.requeued++
 	}
 	w := &waiter{c: c, service: s, item: c.queueItem(now, s, r), since: now, result: make(chan admission, 1)}
--- a/pkedge/recheck_test.go
+++ b/pkedge/recheck_test.go
@@ -13,6 +13,7 @@
 
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkowner"
+	"peridotknot.example/pkverdict"
 )
 
 // recoveringEngines answer reports from a time on, each after a delay.
@@ -67,7 +68,7 @@
 					d.gossip.suspects[id] = one
 				}
 				c := attemptOver(t, d, s, "c").call
-				c.headSent, c.runs = row.headSent, row.runs
+				c.headSent, c.failed = row.headSent, pkverdict.NewSends(row.runs)
 				p, err := c.waitForPath(t.Context(), s)
 				took := time.Since(began)
 				if !row.goesOn {
--- a/pkedge/relay.go
+++ b/pkedge/relay.go
@@ -11,6 +11,7 @@
 
 	"peridotknot.example/pkforward"
 	"peridotknot.example/pkid"
+	"peridotknot.example/pkreach"
 	"peridotknot.example/pkrelay"
 	"peridotknot.example/pktimer"
 	"peridotknot.example/pkverdict"
@@ -98,7 +99,7 @@
 	now := time.Now()
 	resp, err := c.relayClient.Do(ctx, r.peer.Addr, &pkrelay.Request{
 		From: c.settings.Entry, Method: c.req.Method, Host: c.req.Host, URI: c.req.URI, Header: c.req.Header, Body: c.req.Body,
-		RemainingMS: max(c.deadline.Sub(now).Milliseconds(), 1), Version: c.version(), Runs: c.attempts(), LastEventID: lastEventID,
+		RemainingMS: max(c.deadline.Sub(now).Milliseconds(), 1), Version: c.version(), Runs: c.failed.Attempts(), LastEventID: lastEventID,
 	})
 	ended := time.Now()
 	c.endSend(ended, err)
@@ -173,7 +174,7 @@
 	if !errors.As(err, &failure) {
 		failure = &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: err}
 	}
-	c.countFailure(failure)
+	c.failed.Record(failure)
 	c.log.Info("a relay failed", "request_id", c.req.Meta.ID, "peer", r.peer.ID, "send", c.sends, "verdict", failure.Verdict.String(), "error", failure.Err)
 	return sendResult{verdict: pkverdict.Join(verdict, failure.Verdict), err: err}
 }
@@ -229,10 +230,13 @@
 		if !c.links.CheckedWithin(time.Now(), c.service, lostCheckInterval) {
 			c.linkCondition(ctx, c.service, "")
 		}
-		if failure.Verdict == pkverdict.MayHaveRun && failure.Unanswered && c.links.CutOff(c.service) {
-			c.cutOffRuns++
+		if c.failed.Attempts() >= c.route.MaxAttempts && c.failed.HasUnanswered() && !c.links.CheckedWithin(time.Now(), c.service, pkreach.RecheckInterval) {
+			c.linkCondition(ctx, c.service, "") // the check had no result, or came before the cut
 		}
 	}
+	if c.links.CutOff(c.service) {
+		c.failed.RecordCut()
+	}
 }
 
 // findsLinksImpaired reports whether the links, which were whole before the request has found no target, are impaired. It
@@ -257,9 +261,9 @@
 		return nil
 	}
 	switch {
-	case verdict == pkverdict.NotRun && c.delivered == 0:
+	case verdict == pkverdict.NotRun && c.failed.Delivered() == 0:
 		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterFailure, reason: pkrelay.ReasonCutOff}
-	case verdict == pkverdict.MayHaveRun && c.links.CutOff(c.service) && c.attempts() == c.relayed.Runs:
+	case verdict == pkverdict.MayHaveRun && c.links.CutOff(c.service) && c.failed.Attempts() == c.relayed.Runs:
 		return &rejection{status: http.StatusBadGateway, reason: pkrelay.ReasonLinksCut}
 	default:
 		return nil
@@ -303,7 +307,7 @@
 		return err
 	}
 	c.relayed = in
-	c.runs = in.Runs
+	c.failed = pkverdict.NewSends(in.Runs)
 	if c.r, err = in.HTTP(r.Context()); err != nil {
 		c.r = r
 		c.log.Warn("invalid relayed request", "peer", in.From, "error", err)
--- a/pkedge/reroute_test.go
+++ b/pkedge/reroute_test.go
@@ -292,7 +292,8 @@
 		d.retry.Store(&Retry{WindowS: 1, Slack: 1.5 / 0.85})
 		a := attemptOver(t, d, s, "first")
 		c := a.call
-		c.service, c.delivered, c.runs = s.ID, 1, 1
+		c.service = s.ID
+		c.failed.Record(&pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost})
 		assert.Assert(t, c.maySend(pkverdict.NotRun))
 		c.charges.End(time.Now(), c.retryWindow())
 		assert.Assert(t, !c.maySend(pkverdict.NotRun), "the budget is spent")
--- a/pkedge/room.go
+++ b/pkedge/room.go
@@ -221,7 +221,7 @@
 		if !found {
 			continue
 		}
-		if w.c.delivered > 0 && !w.c.chargeRetry() {
+		if w.c.failed.Delivered() > 0 && !w.c.chargeRetry() {
 			r.queue.Remove(w.ticket)
 			w.ticket = 0
 			r.hold(now, w)
@@ -250,7 +250,7 @@
 	if w.c.rooms.waiting.Add(1) == 1 {
 		defer w.c.roomFreed() // the dispatcher looks at intervals only while requests wait
 	}
-	if w.c.delivered > 0 && !w.c.hasRetry(now) {
+	if w.c.failed.Delivered() > 0 && !w.c.hasRetry(now) {
 		r.hold(now, w)
 		return waiting
 	}
--- a/pkedge/room_test.go
+++ b/pkedge/room_test.go
@@ -131,6 +131,12 @@
 	})
 }
 
+// refuse records that an engine has refused the request.
+func (c *call) refuse() {
+	c.sends++
+	c.failed.Record(&pkverdict.Error{Verdict: pkverdict.NotRun, Reason: pkverdict.ReasonRefused})
+}
+
 // Guards against refusing a request that an engine has refused, and against letting it hold up others, while
 // the retry budget is spent for a moment.
 func TestRequestHeldByTheRetryBudgetKeepsItsTurn(t *testing.T) {
@@ -142,7 +148,7 @@
 		go p.dispatchRooms(ctx)
 		out := make(chan waitResult, 2)
 		refused := p.call("urgent")
-		refused.delivered, refused.sends = 1, 1
+		refused.refuse()
 		assert.Assert(t, refused.chargeRetry(), "the last one in the window")
 		refused.charges.End(time.Now(), refused.retryWindow())
 		p.wait(ctx, out, refused)
@@ -359,7 +365,7 @@
 		p.links.Record(time.Now(), "models", pkreach.Sample{Reached: 4, Failed: 4, Silent: 4, Answered: 8, Lost: 6})
 		assert.Assert(t, p.links.Impaired("models"))
 		c := p.call("urgent")
-		c.delivered, c.sends = 1, 1
+		c.refuse()
 		assert.Assert(t, c.maySendStream(ctx, true, pkverdict.NotRun))
 		out := make(chan waitResult, 1)
 		p.wait(ctx, out, c)
@@ -378,7 +384,7 @@
 	p.receiveMessage(time.Now(), pkshare.Message{From: "other", Addr: "other", Sequence: 1, Relays: true})
 	assert.Equal(t, len(p.relayCandidates(time.Now(), "models")), 1)
 	c := p.call("urgent")
-	c.delivered, c.sends = 1, 1
+	c.refuse()
 	result := c.sendStream(t.Context(), p.service, pkverdict.NotRun, &streamState{})
 	assert.Assert(t, result.last && result.err == nil, "%+v", result)
 	assert.Equal(t, c.relays.Count(), 0)
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -100,7 +100,7 @@
 // are queued for room are charged for a retry when their turn comes, or when they are passed on.
 func (c *call) maySendStream(ctx context.Context, queued bool, verdict pkverdict.Verdict) bool {
 	if queued {
-		return c.delivered == 0 || c.mayRetry(verdict)
+		return c.failed.Delivered() == 0 || c.mayRetry(verdict)
 	}
 	return c.maySend(verdict) || c.waitForBudget(ctx, verdict)
 }
@@ -154,7 +154,7 @@
 	if !errors.As(err, &failure) {
 		failure = &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: err}
 	}
-	c.countFailure(failure)
+	c.failed.Record(failure)
 	if len(p.hops) == 0 {
 		c.tried = append(c.tried, p.first().ID)
 	}
--- a/pkedge/wait.go
+++ b/pkedge/wait.go
@@ -14,7 +14,7 @@
 var errNoCapacity = errors.New("no path has enough capacity")
 
 // mayNotBeRefused reports whether the request can no longer be answered as not run.
-func (c *call) mayNotBeRefused() bool { return c.headSent || c.runs > 0 }
+func (c *call) mayNotBeRefused() bool { return c.headSent || c.failed.Runs() > 0 }
 
 // waitForPath returns a path for the request. If none has enough capacity it waits in the queue of the
 // pool, or if the pool has none up to capacityTimeout, or resumeTimeout if it cannot be refused any more.
