pkexchange: what an exchange with a target shows is decided in a package of its own

Whether a response is that to the request, whether it refuses it, whether it is an answer for the caller, whether its body is whole and what a connection may carry next was decided in pkforward, pkconn and twice in pkedge, for calls and for streams. pkexchange decides it without I/O; pkforward and pkedge wire it. No change of behaviour but for streams: a 2xx that is not sealed or encoded has the same cause as that of a call.

The daemon's own tests play the misbehaving stand-in; requests relayed by another entry and schedules over several connections at once are not played.

--- a/pkconn/conn.go
+++ b/pkconn/conn.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -11,7 +10,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"peridotknot.example/pkid"
+	"peridotknot.example/pkexchange"
 )
 
 // Conn is a connection that counts the bytes written to it.
@@ -25,31 +24,8 @@
 	closeOnce sync.Once
 	// avoided is set once an exchange has avoided the connection, which sends nothing more then.
 	avoided atomic.Bool
-
-	mu sync.Mutex
-	// answered are the latest requests for which AddAnswered was called.
-	answered []pkid.RequestID
-}
-
-// maxAnswered is how many answered requests a connection remembers: a surplus response comes before those of later
-// requests, so it is found soon.
-const maxAnswered = 8
-
-// AddAnswered records that a response to a request came over the connection. A second one may still come, and would be
-// taken for the response if the request were sent again over it.
-func (c *Conn) AddAnswered(id pkid.RequestID) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.answered) == maxAnswered {
-		c.answered = slices.Delete(c.answered, 0, 1)
-	}
-	c.answered = append(c.answered, id)
-}
-
-func (c *Conn) hasAnswered(id pkid.RequestID) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return slices.Contains(c.answered, id)
+	// Memory is what the connection remembers of its exchanges.
+	Memory pkexchange.Memory
 }
 
 // Close closes the connection and removes it from its registry.
--- a/pkconn/transport.go
+++ b/pkconn/transport.go
@@ -92,7 +92,7 @@
 	c.busy.Store(true)
 	t.startWritten.Store(c.written.Load())
 	t.conn.Store(c)
-	if t.Request != "" && c.hasAnswered(t.Request) {
+	if !c.Memory.MayCarry(t.Request) {
 		t.avoided.Store(true)
 		c.avoided.Store(true)
 		_ = c.Close() // its writes fail either way
--- a/pkedge/bodyend.go
+++ b/pkedge/bodyend.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"syscall"
 
+	"peridotknot.example/pkexchange"
 	"peridotknot.example/pkforward"
 	"peridotknot.example/pkreplica"
-	"peridotknot.example/pkverdict"
 )
 
 // checkBodyEnd returns an error if the body of a response that was read to its end may lack a part: it has
@@ -16,17 +15,16 @@
 // the end of the target's process ends as well, also while it drains. The target must answer: one whose process is
 // ending may still accept connections.
 func (c *call) checkBodyEnd(ctx context.Context, resp *pkforward.Response, t *pkreplica.Target) error {
-	if resp.Delimited {
+	body := pkexchange.Body{Delimited: resp.Delimited}
+	if body.Delimited {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	err := c.probeLink(ctx, t)
-	if !isConnError(err) {
-		return nil
-	}
+	body.TargetGone = isConnError(err)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		c.suspect(t, err)
 	}
-	return &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: io.ErrUnexpectedEOF}
+	return body.Check()
 }
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"peridotknot.example/pkconfig"
+	"peridotknot.example/pkexchange"
 	"peridotknot.example/pkforward"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkreplica"
@@ -185,7 +186,7 @@
 func (c *call) recordSendFailure(t *pkreplica.Target, err error) pkverdict.Verdict {
 	var failure *pkverdict.Error
 	if !errors.As(err, &failure) {
-		failure = &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: err}
+		failure = pkverdict.Lost(err)
 	}
 	if failure.Reason == pkverdict.ReasonUnreachable && !isConnError(failure.Err) && !slices.Contains(c.unanswered, t.ID) {
 		c.unanswered = append(c.unanswered, t.ID)
@@ -199,9 +200,6 @@
 	return failure.Verdict
 }
 
-// errTargetFailure marks an error answer of the target itself.
-var errTargetFailure = errors.New("target answered with an error status")
-
 // sendTo sends the call to one target and reads the complete answer. An answer that is returned
 // together with an error is an error answer of the target.
 func (c *call) sendTo(ctx context.Context, t *pkreplica.Target) (*pkforward.Response, []byte, error) {
@@ -235,24 +233,20 @@
 		return nil, nil, err
 	}
 	took := time.Since(began)
+	err = resp.CheckAnswer()
 	switch {
-	case resp.Status >= http.StatusInternalServerError:
-		// The call may have run. Recorded as slow, so that a target that fails quickly is not
-		// preferred.
+	case errors.Is(err, pkexchange.ErrTargetFailed):
+		// Recorded as slow, so that a target that fails quickly is not preferred.
 		t.RecordSlow(took * 2)
-		return resp, body, &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: errTargetFailure}
-	case resp.Status/100 == 2 && !resp.Sealed, resp.Header.Get("Content-Encoding") != "":
-		// Something between the target and the router altered the answer.
+		return resp, body, err
+	case err != nil:
 		t.RecordFailure(time.Now())
-		return nil, nil, &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: errAlteredAnswer}
+		return nil, nil, err
 	}
 	t.RecordSuccess(began, took)
 	return resp, body, nil
 }
 
-// errAlteredAnswer marks an answer without the target's seal or with a content encoding.
-var errAlteredAnswer = errors.New("answer is not sealed by the target or has a content encoding")
-
 // recordTargetFailure backs off from a target after a failed send or records it as slow. It does
 // nothing if the caller has left.
 func (c *call) recordTargetFailure(t *pkreplica.Target, began time.Time, resp *pkforward.Response, err error) {
--- a/pkedge/quarantine.go
+++ b/pkedge/quarantine.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"peridotknot.example/pkexchange"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkquarantine"
 	"peridotknot.example/pkreplica"
@@ -132,7 +133,7 @@
 	var failure *pkverdict.Error
 	switch {
 	case !errors.As(err, &failure) || failure.Verdict == pkverdict.NotRun:
-	case errors.Is(err, errTargetFailure) || errors.Is(err, errAlteredAnswer):
+	case errors.Is(err, pkexchange.ErrTargetFailed) || errors.Is(err, pkexchange.ErrAltered):
 	case errors.Is(err, context.DeadlineExceeded) || c.r.Context().Err() != nil:
 	default:
 		c.recordInterrupted(now, t, true)
--- a/pkedge/quarantine_test.go
+++ b/pkedge/quarantine_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"peridotknot.example/pkexchange"
 	"peridotknot.example/pkquarantine"
 	"peridotknot.example/pkstore"
 	"peridotknot.example/pkverdict"
@@ -67,8 +68,8 @@
 		{"lost and silent", lostSend(io.EOF), func(d *Daemon) { d.target(t, "a").MarkDead(now, now.Add(suspectTTL)) }, 0, 0},
 		{"restarted", lostSend(io.EOF), func(d *Daemon) { d.roster.Restarted("a", 200) }, 0, 1},
 		{"refused", &pkverdict.Error{Verdict: pkverdict.NotRun, Reason: pkverdict.ReasonRefused, Err: io.EOF}, gone, 0, 0},
-		{"failure answered by the target", lostSend(errTargetFailure), gone, 0, 0},
-		{"invalid answer", lostSend(errAlteredAnswer), gone, 0, 0},
+		{"failure answered by the target", lostSend(pkexchange.ErrTargetFailed), gone, 0, 0},
+		{"invalid answer", lostSend(pkexchange.ErrAltered), gone, 0, 0},
 		{"deadline exceeded", lostSend(context.DeadlineExceeded), gone, 0, 0},
 		{"the caller left", errCallerLeft, gone, 0, 0},
 	} {
--- a/pkedge/relay.go
+++ b/pkedge/relay.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"peridotknot.example/pkexchange"
 	"peridotknot.example/pkforward"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkreach"
@@ -172,7 +173,7 @@
 	}
 	var failure *pkverdict.Error
 	if !errors.As(err, &failure) {
-		failure = &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: err}
+		failure = pkverdict.Lost(err)
 	}
 	c.failed.Record(failure)
 	c.log.Info("a relay failed", "request_id", c.req.Meta.ID, "peer", r.peer.ID, "send", c.sends, "verdict", failure.Verdict.String(), "error", failure.Err)
@@ -208,7 +209,7 @@
 		case err != nil:
 			return err
 		case c.headSent:
-			return &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: errTargetFailure}
+			return pkverdict.Lost(pkexchange.ErrTargetFailed)
 		}
 		return c.forward(resp.StatusCode, resp.Header, body)
 	}
@@ -226,7 +227,7 @@
 	switch {
 	case failure.Reason == pkverdict.ReasonUnreachable:
 		c.linkCondition(ctx, c.service, "")
-	case failure.Reason == pkverdict.ReasonTargetLost && !errors.Is(err, errTargetFailure) && !errors.Is(err, errAlteredAnswer):
+	case failure.Reason == pkverdict.ReasonTargetLost && !errors.Is(err, pkexchange.ErrTargetFailed) && !errors.Is(err, pkexchange.ErrAltered):
 		if !c.links.CheckedWithin(time.Now(), c.service, lostCheckInterval) {
 			c.linkCondition(ctx, c.service, "")
 		}
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"peridotknot.example/pkconfig"
+	"peridotknot.example/pkexchange"
 	"peridotknot.example/pkforward"
 	"peridotknot.example/pktimer"
 	"peridotknot.example/pkverdict"
@@ -152,7 +153,7 @@
 func (c *call) recordStreamFailure(p targetPath, err error, state *streamState) pkverdict.Verdict {
 	var failure *pkverdict.Error
 	if !errors.As(err, &failure) {
-		failure = &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: err}
+		failure = pkverdict.Lost(err)
 	}
 	c.failed.Record(failure)
 	if len(p.hops) == 0 {
@@ -212,12 +213,12 @@
 			return err
 		}
 		if c.headSent || (resp.Status >= http.StatusInternalServerError && a.canRetry) {
-			return &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: errTargetFailure}
+			return pkverdict.Lost(pkexchange.ErrTargetFailed)
 		}
 		return c.forward(resp.Status, resp.Header, body)
 	}
-	if !resp.Sealed || resp.Header.Get("Content-Encoding") != "" {
-		return &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: errAlteredAnswer}
+	if err := resp.CheckAnswer(); err != nil {
+		return err
 	}
 	err = c.forwardEvents(ctx, answerHead{status: resp.Status, header: resp.Header}, resp.Body, state, func(now time.Time) {
 		watch.reset()
@@ -254,7 +255,7 @@
 			if cause := context.Cause(ctx); errors.Is(cause, errPathSilent) || errors.Is(cause, errRerouted) {
 				err = cause
 			}
-			return &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: err}
+			return pkverdict.Lost(err)
 		}
 		if !c.headSent {
 			c.headSent = true
@@ -292,7 +293,7 @@
 // broken off.
 func (c *call) streamResult(state *streamState) error {
 	if state.events == 0 {
-		return &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: io.ErrUnexpectedEOF}
+		return pkverdict.Lost(io.ErrUnexpectedEOF)
 	}
 	return nil
 }
--- a/pkforward/refusal_test.go
+++ b/pkforward/refusal_test.go
@@ -17,9 +17,12 @@
 	"peridotknot.example/pkverdict"
 )
 
-const idHeader = "Id"
+const (
+	idHeader   = "Id"
+	sealHeader = "Seal"
+)
 
-// plainDialect knows the id of a request and that status 503 refuses it.
+// plainDialect knows the id of a request, that status 503 refuses it, and the seal of an answer.
 type plainDialect struct{}
 
 func (plainDialect) ParseRequest(http.Header) RequestMeta { return RequestMeta{} }
@@ -27,7 +30,7 @@
 func (plainDialect) SetHeaders(http.Header, SendOptions) {}
 
 func (plainDialect) ParseResponse(status int, h http.Header) ResponseMeta {
-	return ResponseMeta{ID: pkid.RequestID(h.Get(idHeader)), NotRun: status == http.StatusServiceUnavailable}
+	return ResponseMeta{ID: pkid.RequestID(h.Get(idHeader)), NotRun: status == http.StatusServiceUnavailable, Sealed: h.Get(sealHeader) != ""}
 }
 
 func (plainDialect) SetRequestID(http.Header, pkid.RequestID) {}
--- a/pkforward/sender.go
+++ b/pkforward/sender.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +11,7 @@
 	"strings"
 
 	"peridotknot.example/pkconn"
+	"peridotknot.example/pkexchange"
 	"peridotknot.example/pkverdict"
 )
 
@@ -62,12 +62,6 @@
 // Close ends the exchange. If the body was not read to its end, the connection is closed as well.
 func (r *Response) Close() { _ = r.resp.Body.Close() }
 
-// errInvalidStatus is returned if a response has a status that HTTP does not allow.
-var errInvalidStatus = errors.New("response has an invalid status")
-
-// errWrongRequest is returned if a response carries the ID of another request.
-var errWrongRequest = errors.New("response has the id of another request")
-
 // Do sends a request to the target at addr and returns the head of its response. The error is a
 // *pkverdict.Error. If the target did not run the request, Do returns both the head and
 // an error with the reason pkverdict.ReasonRefused.
@@ -76,26 +70,29 @@
 	if err != nil {
 		return nil, err
 	}
-	if response.ID != r.Meta.ID {
-		// A surplus response of a target is read as the response to the next request on the
-		// connection. Accepting it would give one caller the response of another.
-		response.closeConn()
-		return nil, &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: errWrongRequest}
-	}
-	if response.Status < http.StatusContinue {
+	head := response.head()
+	if err := head.CheckRequest(r.Meta.ID); err != nil {
 		response.closeConn()
-		return nil, &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: errInvalidStatus}
+		return nil, err
 	}
-	if response.NotRun {
+	if err := head.CheckRun(); err != nil {
 		if response.conn != nil {
-			response.conn.AddAnswered(r.Meta.ID)
+			response.conn.Memory.Answered(r.Meta.ID)
 		}
 		response.drain()
-		return response, &pkverdict.Error{Verdict: pkverdict.NotRun, Reason: pkverdict.ReasonRefused, Err: fmt.Errorf("target did not run the request: status %d", response.Status)}
+		return response, err
 	}
 	return response, nil
 }
 
+// head returns what decides whether the response is an answer.
+func (r *Response) head() pkexchange.Head {
+	return pkexchange.Head{Status: r.Status, Request: r.ID, NotRun: r.NotRun, Sealed: r.Sealed, Encoded: r.Header.Get("Content-Encoding") != ""}
+}
+
+// CheckAnswer returns an error if the response is not an answer for the caller; see pkexchange.Head.
+func (r *Response) CheckAnswer() error { return r.head().CheckAnswer() }
+
 // exchange sends a request and returns the head of the response, over a connection on which the request was not
 // refused before: a second copy of that refusal would be taken for the response.
 func (s *Sender) exchange(ctx context.Context, addr string, r *Request, out SendOptions) (*Response, error) {
@@ -243,7 +240,7 @@
 		err = fmt.Errorf("response body exceeds %d bytes", limit)
 	}
 	if err != nil {
-		return nil, &pkverdict.Error{Verdict: pkverdict.MayHaveRun, Reason: pkverdict.ReasonTargetLost, Err: err}
+		return nil, pkverdict.Lost(err)
 	}
 	return body, nil
 }
--- a/pkverdict/verdict.go
+++ b/pkverdict/verdict.go
@@ -84,6 +84,11 @@
 	Unanswered bool
 }
 
+// Lost returns the error of a send whose target may have run the request and has not answered it.
+func Lost(cause error) *Error {
+	return &Error{Verdict: MayHaveRun, Reason: ReasonTargetLost, Err: cause}
+}
+
 // MayHaveArrived reports whether a part of the request may have reached the target.
 func (e *Error) MayHaveArrived() bool { return e.Verdict != NotRun || e.Reason == ReasonRefused }
 
