--- a/pkedge/links.go
+++ b/pkedge/links.go
@@ -87,53 +87,38 @@
 }
 
 // sampleLinks probes the links to some targets of a service, and again to those that are silent if that leaves a
-// doubt. Impaired links count as whole only by a sample that leaves nothing out. Where links that are cut reset some
-// connections, the resets of those without an answer are taken to be late.
+// doubt. Impaired links count as whole only by a sample that leaves nothing out.
 func (d *Daemon) sampleLinks(ctx context.Context, s pkid.ServiceID, suspect pkid.TargetID, timeout time.Duration) (pkreach.Sample, error) {
-	var sample pkreach.Sample
-	impaired, cutOff := d.links.Impaired(s), d.links.CutOff(s)
-	var replies pkreach.Replies
+	impaired, replies := d.links.Impaired(s), pkreach.Replies{CutOff: d.links.CutOff(s)}
 	silent, err := d.probeLinks(ctx, d.linkSample(time.Now(), s, suspect), timeout, func(_ *pkreplica.Target, err error, missing int) bool {
-		switch {
-		case err == nil:
-			replies.Answered++
-			sample.Reached++
-			sample.Answered++
-		case errors.Is(err, errUnanswered):
-			replies.Missing++
-			if !cutOff {
-				sample.Reached++
-				sample.Answered++
-			}
-		case isConnError(err):
-			replies.Refused++
-			sample.Failed++
-		default:
-			sample.Failed++
-			sample.Silent++
-		}
-		return impaired || !sample.Settled(missing)
+		replies.Add(replyOf(err))
+		return impaired || !replies.Sample().Settled(missing)
 	})
-	if err == nil && timeout < maxLinkTimeout && replies.MayBeLate(cutOff) {
-		return sample, errLate
-	}
+	sample := replies.Sample()
 	switch {
-	case !cutOff:
-	case replies.Refused > 0:
-		sample.Failed += replies.Missing
-	default:
-		sample.Reached += replies.Missing
-		sample.Answered += replies.Missing
-	}
-	if !impaired && !sample.Doubtful() {
-		return sample, err
-	}
-	if err == nil {
+	case err != nil:
+	case timeout < maxLinkTimeout && replies.MayBeLate():
+		err = errLate
+	case impaired || sample.Doubtful():
 		err = d.followUp(ctx, &sample, silent, time.Duration(followUpShare*float64(timeout)))
 	}
 	return sample, err
 }
 
+// replyOf returns the reply that the error of a probe stands for.
+func replyOf(err error) pkreach.Reply {
+	switch {
+	case err == nil:
+		return pkreach.Answered
+	case errors.Is(err, errUnanswered):
+		return pkreach.Unanswered
+	case isConnError(err):
+		return pkreach.Refused
+	default:
+		return pkreach.Silent
+	}
+}
+
 // followUp probes the links to the targets of a sample that were silent again.
 func (d *Daemon) followUp(ctx context.Context, sample *pkreach.Sample, silent []*pkreplica.Target, timeout time.Duration) error {
 	var err error
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -130,15 +130,28 @@
 		return sendResult{verdict: verdict, err: err}
 	}
 	if err == nil {
-		if err = c.admitSuspect(time.Now()); err != nil && p.reserved {
-			p.release(c.estimatedTokens(s.Engine))
-		}
+		err = c.admitToPath(time.Now(), s, p)
 	}
 	if err != nil {
 		return sendResult{verdict: verdict, last: true, err: err}
 	}
+	return c.sendStreamOver(ctx, s, p, verdict, state)
+}
+
+// admitToPath returns an error if the request is suspected to crash engines and may not use a path at now, whose load it
+// releases.
+func (c *call) admitToPath(now time.Time, s *pkconfig.Service, p targetPath) error {
+	err := c.admitSuspect(now)
+	if err != nil && p.reserved {
+		p.release(c.estimatedTokens(s.Engine))
+	}
+	return err
+}
+
+// sendStreamOver sends a request for a stream over a path.
+func (c *call) sendStreamOver(ctx context.Context, s *pkconfig.Service, p targetPath, verdict pkverdict.Verdict, state *streamState) sendResult {
 	c.sends++
-	err = c.sendOverPath(ctx, s, p, state)
+	err := c.sendOverPath(ctx, s, p, state)
 	if err == nil {
 		return sendResult{final: true}
 	}
--- a/pkedge/wait.go
+++ b/pkedge/wait.go
@@ -24,10 +24,7 @@
 	}
 	tick := time.NewTicker(capacityPollInterval)
 	defer tick.Stop()
-	until := time.Now().Add(capacityTimeout)
-	if c.mayNotBeRefused() {
-		until = time.Now().Add(resumeTimeout)
-	}
+	until := time.Now().Add(c.capacityWait())
 	impaired := c.links.Impaired(s.ID)
 	for {
 		now := time.Now()
@@ -45,17 +42,34 @@
 		if err := c.poolBusy(now, s); err != nil && !c.mayNotBeRefused() && now.Add(err.wait).After(until) {
 			return targetPath{}, err
 		}
-		if c.mayNotBeRefused() {
-			c.recheckSilent(ctx, now, s.ID)
-		}
-		select {
-		case <-ctx.Done():
-			return targetPath{}, ctx.Err()
-		case <-tick.C:
+		if err := c.awaitTick(ctx, now, s, tick.C); err != nil {
+			return targetPath{}, err
 		}
 	}
 }
 
+// capacityWait returns how long the request may wait for a path with capacity.
+func (c *call) capacityWait() time.Duration {
+	if c.mayNotBeRefused() {
+		return resumeTimeout
+	}
+	return capacityTimeout
+}
+
+// awaitTick waits for the next look for a path. Engines that are avoided for silence are asked before on behalf of a request
+// that cannot be refused.
+func (c *call) awaitTick(ctx context.Context, now time.Time, s *pkconfig.Service, tick <-chan time.Time) error {
+	if c.mayNotBeRefused() {
+		c.recheckSilent(ctx, now, s.ID)
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-tick:
+		return nil
+	}
+}
+
 // lastResortPath returns a path that may also use engines avoided for a recent failure. It is used
 // if no other path has enough capacity, since the request would be refused otherwise.
 func (c *call) lastResortPath(now time.Time, s *pkconfig.Service) (targetPath, error) {
--- a/pkforward/adversary_test.go
+++ b/pkforward/adversary_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -69,6 +70,9 @@
 	negativeLength, hugeLength, surplus, unframedKilled, unsealed, encoded, failing,
 }
 
+// refusals are the misdeeds that begin with a refusal.
+var refusals = []misdeed{refuse, refuseTwice, refuseLater, refuseThenClose}
+
 // adversary is a target that misbehaves by a schedule, one misdeed an arrival.
 type adversary struct {
 	listener net.Listener
@@ -204,8 +208,7 @@
 func (a *adversary) answer(conn net.Conn, method string, id pkid.RequestID, m misdeed) bool {
 	write := func(text string) { _, _ = io.WriteString(conn, text) } // the client may be gone
 	text := answerText(id)
-	switch m {
-	case refuse, refuseTwice, refuseLater, refuseThenClose:
+	if slices.Contains(refusals, m) {
 		write(refusalOf(id))
 		if m == refuseTwice {
 			write(refusalOf(id))
@@ -378,12 +381,13 @@
 			r := drawRequest(t, n)
 			got := sendAll(t.Context(), s, a, r)
 			runs := a.runsOf(r.id)
-			switch {
-			case got.verdict == pkverdict.NotRun:
+			switch got.verdict {
+			case pkverdict.NotRun:
 				assert.Equal(t, runs, 0, "%s is reported as not run: %q", r.id, a.played)
-			case got.verdict == pkverdict.Ran:
+			case pkverdict.Ran:
 				assert.Equal(t, got.status, http.StatusOK, "%q", a.played)
 				assert.Assert(t, r.method == http.MethodHead || got.body == answerText(r.id), "%s got %q: %q", r.id, got.body, a.played)
+			default: // the target was lost
 			}
 			assert.Assert(t, r.idempotent || runs <= 1, "%s has run %d times: %q", r.id, runs, a.played)
 		}
--- a/pkshare/table.go
+++ b/pkshare/table.go
@@ -108,14 +108,7 @@
 func (t *Table) Apply(now time.Time, m Message) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.peers == nil {
-		t.peers = map[pkid.EntryID]*peer{}
-	}
-	p := t.peers[m.From]
-	if p == nil {
-		p = &peer{}
-		t.peers[m.From] = p
-	}
+	p := t.sender(m.From)
 	if p.run == m.Run && m.Sequence <= p.sequence {
 		return false
 	}
@@ -126,15 +119,7 @@
 		}
 		*p = peer{endedRun: p.run}
 	}
-	if m.Sum != nil && m.Sum.Partial {
-		full := *m.Sum
-		full.Partial, full.Changed = false, nil
-		if p.sum != nil {
-			full.Loads = p.sum.Loads
-		}
-		full.Loads = merge(full.Loads, m.Sum.Changed)
-		m.Sum = &full
-	}
+	m.Sum = p.wholeSum(m.Sum)
 	p.addr, p.run, p.sequence, p.lastReceivedAt = m.Addr, m.Run, m.Sequence, now
 	p.config, p.version, p.list = m.Config, m.Version, m.List
 	p.loads, p.flows, p.demands = m.Loads, m.Flows, m.Demands
@@ -153,6 +138,31 @@
 	return true
 }
 
+// sender returns what is known of an entry that has sent a message.
+func (t *Table) sender(id pkid.EntryID) *peer {
+	if t.peers == nil {
+		t.peers = map[pkid.EntryID]*peer{}
+	}
+	if t.peers[id] == nil {
+		t.peers[id] = &peer{}
+	}
+	return t.peers[id]
+}
+
+// wholeSum returns a sum with the loads that it leaves out since they have not changed.
+func (p *peer) wholeSum(sum *Sum) *Sum {
+	if sum == nil || !sum.Partial {
+		return sum
+	}
+	whole := *sum
+	whole.Partial, whole.Changed = false, nil
+	if p.sum != nil {
+		whole.Loads = p.sum.Loads
+	}
+	whole.Loads = merge(whole.Loads, sum.Changed)
+	return &whole
+}
+
 // PeerLoads returns the load of all other entries by target; own is the load of this one. Members
 // that have sent nothing are assumed to carry the average load of the others and this one: after a
 // simultaneous restart each entry would otherwise take the pool for empty, and all would overload
