--- a/peridotknot/retryfleet_test.go
+++ b/peridotknot/retryfleet_test.go
@@ -318,10 +318,10 @@
 
 const (
 	// entryFaults is the number of kinds of faults of entries and the store, targetFaults that with those of all targets of a
-	// service, allFaults that with those of some targets.
+	// service, allFaults that with those of some targets and with connections that are reset.
 	entryFaults  = 6
 	targetFaults = 8
-	allFaults    = 10
+	allFaults    = 11
 )
 
 // fault does one random thing, of a number of kinds, to random entries, the store or the targets.
@@ -355,8 +355,21 @@
 		f.failStreams(span)
 	case 8:
 		f.stopTargets(span/4, f.someOf(f.calls)...)
-	default:
+	case 9:
 		f.stopTargets(span/8, f.someOf(f.engines)...)
+	default:
+		f.resetCalls(span)
+	}
+}
+
+// resetCalls lets all targets of calls reset the connections of the calls that arrive for a time.
+func (f *retryFleet) resetCalls(d time.Duration) {
+	for _, r := range f.calls {
+		r.SetBehavior(platformtest.ResetBeforeBody)
+	}
+	time.Sleep(d)
+	for _, r := range f.calls {
+		r.SetBehavior(platformtest.ServerError)
 	}
 }
 
