pkcensus, pkquarantine, pkedge: entries that know one another by name take turns on probation by rank

The place is the rank among the entries that are known by name, if these are all. Elsewhere, as in large fleets, it is the hash as before.

TestRequestOnProbationIsRefusedForASecond takes the turn of its single entry first, which comes at once now.

--- a/pkedge/census.go
+++ b/pkedge/census.go
@@ -65,6 +65,17 @@
 	return pkrate.Share{Entries: d.sharingCount(now, pkshare.EntryRetention), Place: d.place}
 }
 
+// turns returns this entry's part at now in the turns that all entries take.
+func (d *Daemon) turns(now time.Time) pkrate.Share {
+	share := d.share(now)
+	var named []pkid.EntryID
+	for _, one := range d.members.list() {
+		named = append(named, one.ID)
+	}
+	share.Place = pkcensus.Place(d.settings.Entry, named, share.Entries, d.place)
+	return share
+}
+
 // retryWindow returns the window of the retry budgets.
 func (d *Daemon) retryWindow() time.Duration { return seconds(d.retry.Load().WindowS) }
 
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -152,7 +152,6 @@
 // New returns a daemon whose listeners are open. Requests are served once Run is called.
 func New(s Settings, p Ports, log hclog.Logger) (*Daemon, error) {
 	d := &Daemon{Ports: p, settings: s, place: placeOf(s.Entry), log: log, configured: make(chan struct{}), memoryPenalty: pklayers.InversePenalty}
-	d.quarantine.table.Phase = d.place
 	d.retry.Store(&s.Retry)
 	d.seeds.Store(&s.Seeds)
 	d.stop.Store(&s.Stop)
--- a/pkedge/quarantine.go
+++ b/pkedge/quarantine.go
@@ -16,7 +16,6 @@
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkquarantine"
 	"peridotknot.example/pkreplica"
-	"peridotknot.example/pkshare"
 	"peridotknot.example/pkstore"
 	"peridotknot.example/pktimer"
 	"peridotknot.example/pkverdict"
@@ -109,7 +108,7 @@
 	if err := c.checkQuarantine(now); err != nil {
 		return err
 	}
-	if !c.quarantine.table.TryProbation(now, c.traits, c.sharingCount(now, pkshare.EntryRetention)) {
+	if c.quarantine.table.IsOnProbation(now, c.traits) && !c.quarantine.table.TryProbation(now, c.traits, c.turns(now)) {
 		return errProbation
 	}
 	return nil
--- a/pkedge/quarantine_test.go
+++ b/pkedge/quarantine_test.go
@@ -307,7 +307,6 @@
 	now := time.Now()
 	d, s := poolDaemon(engine("a", "x", 0, 40), engine("b", "x", 40, 80))
 	setRetryBudget(d, 9)
-	d.quarantine.table.Phase = 0.5
 	for i := range pkquarantine.CrashLimit {
 		at := now.Add(-time.Duration(i) * time.Second)
 		traits := pkquarantine.Traits{Request: pkquarantine.Digest(100 + i), Parts: []pkquarantine.Digest{tied, 8}}
@@ -316,6 +315,7 @@
 	c := attemptOver(t, d, s, "a", "b").call
 	c.traits = pkquarantine.Traits{Request: 200, Parts: []pkquarantine.Digest{tied}}
 	c.deadline = now.Add(time.Minute)
+	assert.NilError(t, c.admitSuspect(time.Now()), "the turn of this entry")
 	var got *rejection
 	assert.Assert(t, errors.As(c.serveStream(t.Context(), s), &got))
 	assert.Equal(t, *got, rejection{status: http.StatusServiceUnavailable, retryAfter: time.Second, reason: "probation"})
--- a/pkquarantine/blame_test.go
+++ b/pkquarantine/blame_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"peridotknot.example/pkrate"
 )
 
 // prompt returns the traits of a request with the given parts.
@@ -108,7 +110,12 @@
 	table.RecordCompletion(epoch, prompt(1, otherPart))
 	now := table.crash(epoch, 0, 3, prompt(10, poisonPart, otherPart), prompt(11, poisonPart, otherPart))
 	assert.DeepEqual(t, table.Transitions(now), Transitions{Quarantined: []Digest{poisonPart}})
-	assert.Assert(t, table.TryProbation(now, prompt(12, otherPart), 1))
+	assert.Assert(t, table.TryProbation(now, prompt(12, otherPart), pkrate.Share{}))
+}
+
+// turnsOf returns the part of an entry in the turns of a number of entries.
+func turnsOf(entry, entries int) pkrate.Share {
+	return pkrate.Share{Entries: entries, Place: float64(entry) / float64(entries)}
 }
 
 // A part has the same crashes as the quarantined one. Guards against entries that all send requests with it at
@@ -119,17 +126,17 @@
 	now := epoch
 	tables := make([]*Table, entries)
 	for i := range tables {
-		tables[i] = &Table{Phase: float64(i) / entries}
+		tables[i] = &Table{}
 		now = tables[i].crash(epoch, 0, 3, prompt(10, poisonPart, otherPart), prompt(11, poisonPart, otherPart))
 	}
 	sent := 0
 	const span = 20 * time.Second
 	for at := time.Duration(0); at < span; at += 10 * time.Millisecond {
-		for _, one := range tables {
-			if one.TryProbation(now.Add(at), prompt(12, poisonPart), entries) {
+		for i, one := range tables {
+			if one.TryProbation(now.Add(at), prompt(12, poisonPart), turnsOf(i, entries)) {
 				sent++
 			}
-			assert.Assert(t, one.TryProbation(now.Add(at), prompt(13, commonPart), entries), "others are not held back")
+			assert.Assert(t, one.TryProbation(now.Add(at), prompt(13, commonPart), turnsOf(i, entries)), "others are not held back")
 		}
 	}
 	assert.Equal(t, sent, int(span/probationInterval))
@@ -180,7 +187,7 @@
 	now := epoch
 	tables := make([]*Table, entries)
 	for i := range tables {
-		tables[i] = &Table{Phase: float64(i) / entries}
+		tables[i] = &Table{}
 		for k := range 3 {
 			at := epoch.Add(time.Duration(k) * time.Second)
 			for _, traits := range []Traits{prompt(10, otherPart), prompt(11, poisonPart), prompt(12, poisonPart)} {
@@ -193,11 +200,11 @@
 	sent := 0
 	const span = 20 * time.Second
 	for at := time.Duration(0); at < span; at += 10 * time.Millisecond {
-		for _, one := range tables {
-			if one.TryProbation(now.Add(at), prompt(10, otherPart), entries) {
+		for i, one := range tables {
+			if one.TryProbation(now.Add(at), prompt(10, otherPart), turnsOf(i, entries)) {
 				sent++
 			}
-			assert.Assert(t, one.TryProbation(now.Add(at), prompt(14, otherPart), entries), "another request with its part")
+			assert.Assert(t, one.TryProbation(now.Add(at), prompt(14, otherPart), turnsOf(i, entries)), "another request with its part")
 		}
 	}
 	assert.Equal(t, sent, int(span/probationInterval))
--- a/pkquarantine/model_test.go
+++ b/pkquarantine/model_test.go
@@ -127,7 +127,8 @@
 func (m *poolModel) run() {
 	m.rand, m.now, m.sound = rand.New(rand.NewPCG(m.seed, 1)), epoch, map[int]*modelCount{}
 	for range m.entries {
-		m.tables = append(m.tables, &Table{Phase: m.rand.Float64()})
+		m.rand.Float64() // the seeds play what they have played
+		m.tables = append(m.tables, &Table{})
 	}
 	for range m.modelOptions.engines {
 		e := &modelEngine{}
@@ -235,7 +236,7 @@
 	if len(up) == 0 {
 		return
 	}
-	if t := m.tables[s.entry]; t.Remaining(m.now, s.traits) > 0 || !t.TryProbation(m.now, s.traits, m.entries) {
+	if t := m.tables[s.entry]; t.Remaining(m.now, s.traits) > 0 || !t.TryProbation(m.now, s.traits, turnsOf(s.entry, m.entries)) {
 		if !s.poison {
 			s.count.refused++
 		}
--- a/pkquarantine/table.go
+++ b/pkquarantine/table.go
@@ -33,9 +33,6 @@
 
 // Table holds the cases known to an entry; the zero value is empty.
 type Table struct {
-	// Phase is the place of this entry among all in [0, 1), by which they take turns.
-	Phase float64
-
 	mu sync.Mutex
 	// forwards is set if peers rely on this entry to learn what other entries have found.
 	forwards bool
