--- a/pkforward/adversary_test.go
+++ b/pkforward/adversary_test.go
@@ -136,6 +136,13 @@
 	return m
 }
 
+// history returns what was done to all arrivals.
+func (a *adversary) history() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.played)
+}
+
 func (a *adversary) run(id pkid.RequestID) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -383,17 +390,17 @@
 			runs := a.runsOf(r.id)
 			switch got.verdict {
 			case pkverdict.NotRun:
-				assert.Equal(t, runs, 0, "%s is reported as not run: %q", r.id, a.played)
+				assert.Equal(t, runs, 0, "%s is reported as not run: %q", r.id, a.history())
 			case pkverdict.Ran:
-				assert.Equal(t, got.status, http.StatusOK, "%q", a.played)
-				assert.Assert(t, r.method == http.MethodHead || got.body == answerText(r.id), "%s got %q: %q", r.id, got.body, a.played)
+				assert.Equal(t, got.status, http.StatusOK, "%q", a.history())
+				assert.Assert(t, r.method == http.MethodHead || got.body == answerText(r.id), "%s got %q: %q", r.id, got.body, a.history())
 			default: // the target was lost
 			}
-			assert.Assert(t, r.idempotent || runs <= 1, "%s has run %d times: %q", r.id, runs, a.played)
+			assert.Assert(t, r.idempotent || runs <= 1, "%s has run %d times: %q", r.id, runs, a.history())
 		}
 		assert.NilError(t, s.Close())
 		for end := time.Now().Add(*adversaryBound); o.Registry.Open(a.listener.Addr().String()) > 0; time.Sleep(time.Millisecond) {
-			assert.Assert(t, time.Now().Before(end), "connections are left open: %q", a.played)
+			assert.Assert(t, time.Now().Before(end), "connections are left open: %q", a.history())
 		}
 	})
 }
