pkretry: the retry budget outlives a change of its window

`retry.window_s` applies while an entry runs. Retries count as if they were made when the window changes, requests not at all.

TestBudgetOutlivesAChangeOfItsWindow fails without the change.

--- a/pkretry/budget.go
+++ b/pkretry/budget.go
@@ -87,8 +87,9 @@
 // Budget counts the requests and retries of one service at one entry; the zero value is empty.
 type Budget struct {
 	mu sync.Mutex
-	// began is when the first bucket began; buckets are counted on the monotonic clock.
+	// began is when the first bucket began; buckets are counted on the monotonic clock. They are tenths of window.
 	began   time.Time
+	window  time.Duration
 	buckets [storedBuckets]bucket
 	// unsettled is the number of charges that are not settled.
 	unsettled int
@@ -121,6 +122,7 @@
 func (b *Budget) RetryWait(now time.Time, l Limits, within time.Duration) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.bucket(now, l)
 	for wait := time.Duration(0); wait <= within; wait += retryWaitStep {
 		at := now.Add(wait)
 		if b.usageOf(at, l, b.number(at, l)).allows(at, l, 1) {
@@ -206,7 +208,10 @@
 // bucket returns the current bucket.
 func (b *Budget) bucket(now time.Time, l Limits) *bucket {
 	if b.began.IsZero() {
-		b.began = now
+		b.began, b.window = now, l.Window
+	}
+	if b.window != l.Window {
+		b.changeWindow(now, l.Window)
 	}
 	number := b.number(now, l)
 	current := &b.buckets[number%storedBuckets]
@@ -216,6 +221,27 @@
 	return current
 }
 
+// changeWindow begins at now to count by another window. The retries of the present one count as if they were made now, its
+// requests not at all: neither allows a retry that the bound does not.
+func (b *Budget) changeWindow(now time.Time, window time.Duration) {
+	current := b.number(now, Limits{Window: b.window})
+	_, retries := b.counts(current)
+	count := floats.Sum(retries[:keptBuckets])
+	b.began, b.window, b.buckets = now, window, [storedBuckets]bucket{}
+	b.buckets[1] = bucket{number: 1, retries: count}
+	for target, sends := range b.pending {
+		n := 0.0
+		for number, one := range sends {
+			if current-number < keptBuckets {
+				b.buckets[1].retries -= one // counted with the pending ones
+			}
+			n += one
+		}
+		b.pending[target] = map[int64]float64{1: n}
+		b.buckets[1].retries += n
+	}
+}
+
 // number returns the number of the bucket at now; buckets are numbered from one, since a zero bucket is unused.
 func (b *Budget) number(now time.Time, l Limits) int64 {
 	return 1 + int64(max(now.Sub(b.began), 0)/max(l.Window/bucketCount, time.Millisecond))
