--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,11 +64,13 @@
 	// place is this entry's place in the order in which entries take turns.
 	place float64
 	// retry, seeds and stop are the settings that can change while the daemon runs.
-	retry   atomic.Pointer[Retry]
-	seeds   atomic.Pointer[[]string]
-	stop    atomic.Pointer[Stop]
-	log     hclog.Logger
-	metrics *metrics
+	retry atomic.Pointer[Retry]
+	seeds atomic.Pointer[[]string]
+	stop  atomic.Pointer[Stop]
+	// waitingSettings is the number of changed settings that wait for a restart.
+	waitingSettings atomic.Int64
+	log             hclog.Logger
+	metrics         *metrics
 
 	configs   pkconfig.Holder
 	roster    pkreplica.Roster
@@ -176,16 +177,15 @@
 }
 
 // Reload applies changed settings to a running daemon. Retry, Seeds and Stop take effect at once; a
-// stop in progress may only become longer. If another setting has changed, a warning is logged and
-// the change takes effect after a restart.
+// stop in progress may only become longer. Others are named in a warning while they wait for a restart.
 func (d *Daemon) Reload(s Settings) {
 	d.retry.Store(&s.Retry)
 	d.seeds.Store(&s.Seeds)
 	d.stop.Store(&s.Stop)
-	started := d.settings
-	started.Retry, started.Seeds, started.Stop = s.Retry, s.Seeds, s.Stop
-	if !reflect.DeepEqual(started, s) {
-		d.log.Warn("changed settings other than retry, seeds and stop are ignored until a restart")
+	waiting := d.settings.waitForRestart(s)
+	d.waitingSettings.Store(int64(len(waiting)))
+	if len(waiting) > 0 {
+		d.log.Warn("changed settings wait for a restart", "settings", waiting)
 	}
 	d.log.Info("settings reloaded", "retry_ratio", s.Retry.Ratio, "retry_slack", s.Retry.Slack, "seeds", len(s.Seeds), "grace_s", s.Stop.GraceS)
 }
--- a/pkedge/metrics.go
+++ b/pkedge/metrics.go
@@ -66,6 +66,7 @@
 			}
 			return 0
 		}),
+		gauge("peridotknot_settings_waiting", "Settings that have changed in the file and wait for a restart.", func() float64 { return float64(d.waitingSettings.Load()) }),
 		gauge("peridotknot_list_revision", "Revision that the list of replicas is known up to, within the store's era.", func() float64 { return float64(d.roster.At().Number()) }),
 		gauge("peridotknot_store_era", "Era of the store that the list of replicas is known of; it rises when the store comes back from an older copy.", func() float64 { return float64(d.roster.At().Era()) }),
 		gauge("peridotknot_retries_in_window", "Retries of all services that this process counts in the window of the retry budget.", func() float64 { return d.retryUsage().Retries }),
--- a/pkedge/settings.go
+++ b/pkedge/settings.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"peridotknot.example/pkid"
@@ -83,6 +84,19 @@
 	}
 }
 
+// appliesWhileRunning has each setting by its name in the file, and whether a change applies while a daemon runs. Others
+// wait for a restart.
+var appliesWhileRunning = map[string]bool{
+	"entry": false, "data_center": false, "store": false, "processor_share": false, "bootstrap": false, "memory_mb": false,
+	"listen.callers": false, "listen.ready": false, "listen.peers": false, "queue.mode": false, "queue.max_waiting": false,
+	"seeds": true, "stop.grace_s": true, "retry.ratio": true, "retry.window_s": true, "retry.slack": true,
+}
+
+// waitForRestart returns the names of the settings that differ in the next ones and do not apply while a daemon runs.
+func (s Settings) waitForRestart(next Settings) []string {
+	return slices.DeleteFunc(pkyaml.Changes(s, next), func(name string) bool { return appliesWhileRunning[name] })
+}
+
 // placeOf returns the place of an entry, from 0 to 1, in the order in which entries take turns.
 func placeOf(self pkid.EntryID) float64 {
 	digest := sha256.Sum256([]byte(self))
--- a/pkedge/settings_test.go
+++ b/pkedge/settings_test.go
@@ -38,3 +38,20 @@
 		assert.ErrorContains(t, err, c.wantErr)
 	}
 }
+
+// Guards against operators who cannot see that a running daemon does not use its settings file as it is.
+func TestSettingsThatWaitForARestartAreCounted(t *testing.T) {
+	t.Parallel()
+	w, _ := newPool(t)
+	s := graceSettings(w, 1)
+	n := startWith(t, s)
+	changed := s
+	changed.MemoryMB, changed.Retry.Slack = 512, 1
+	for _, row := range []struct {
+		settings pkedge.Settings
+		want     string
+	}{{s, "0"}, {changed, "1"}, {s, "0"}} {
+		n.Reload(row.settings)
+		assert.Equal(t, n.metric(t, "peridotknot_settings_waiting"), row.want)
+	}
+}
