--- a/peridotknot/retryfleet_test.go
+++ b/peridotknot/retryfleet_test.go
@@ -305,14 +305,14 @@
 	}
 }
 
-// failStreams lets all engines break off the streams that they begin for a time.
-func (f *retryFleet) failStreams(d time.Duration) {
-	for _, r := range f.engines {
-		r.SetBehavior(platformtest.HeadersOnly)
+// behave lets targets behave in one way for a time and in another one after that.
+func behave(d time.Duration, targets []*platformtest.Replica, during, after platformtest.Behavior) {
+	for _, r := range targets {
+		r.SetBehavior(during)
 	}
 	time.Sleep(d)
-	for _, r := range f.engines {
-		r.SetBehavior(platformtest.Normal)
+	for _, r := range targets {
+		r.SetBehavior(after)
 	}
 }
 
@@ -352,24 +352,13 @@
 	case 6:
 		f.stopCalls(span / 2)
 	case 7:
-		f.failStreams(span)
+		behave(span, f.engines, platformtest.HeadersOnly, platformtest.Normal)
 	case 8:
 		f.stopTargets(span/4, f.someOf(f.calls)...)
 	case 9:
 		f.stopTargets(span/8, f.someOf(f.engines)...)
 	default:
-		f.resetCalls(span)
-	}
-}
-
-// resetCalls lets all targets of calls reset the connections of the calls that arrive for a time.
-func (f *retryFleet) resetCalls(d time.Duration) {
-	for _, r := range f.calls {
-		r.SetBehavior(platformtest.ResetBeforeBody)
-	}
-	time.Sleep(d)
-	for _, r := range f.calls {
-		r.SetBehavior(platformtest.ServerError)
+		behave(span, f.calls, platformtest.ResetBeforeBody, platformtest.ServerError)
 	}
 }
 
--- a/pkforward/refusal_test.go
+++ b/pkforward/refusal_test.go
@@ -22,7 +22,7 @@
 	sealHeader = "Seal"
 )
 
-// plainDialect knows the id of a request, that status 503 refuses it, and the seal of an answer.
+// plainDialect has an id and a seal; status 503 refuses a request.
 type plainDialect struct{}
 
 func (plainDialect) ParseRequest(http.Header) RequestMeta { return RequestMeta{} }
