pkbudget: one budget for what all callers hold

Change: a package that decides without I/O, with now as an argument. A hold is what a connection or a request holds; bytes are charged as they arrive. Small requests (128 KB) have a reserve of a quarter. When the budget is short, requests that have not arrived whole are evicted: those that have not moved for half a second, longest first, then the newest of an account that holds more, or of the same account if it is newer; else the one that asks is refused. Connections over their limit close the least useful one: refused, silent, idle, new; if all have requests the new one is refused.

--- /dev/null
+++ b/pkbudget/limits.go
@@ -0,0 +1,61 @@
+package pkbudget
+
+// Bytes is a number of bytes.
+type Bytes int64
+
+const (
+	// ConnectionBytes is what a connection without a request holds.
+	ConnectionBytes Bytes = 8 << 10
+	// RequestBytes is what a request holds beside its header, body and answer.
+	RequestBytes Bytes = 16 << 10
+	// SmallBytes is the size up to which a request may use the reserve.
+	SmallBytes Bytes = 128 << 10
+	// callerShare is the fraction of the memory of a process that its callers may hold.
+	callerShare = 0.625
+	// maxCallerShare is the same if the largest request needs more.
+	maxCallerShare = 0.875
+	// connectionShare is the fraction of the callers' memory that connections may hold.
+	connectionShare = 1.0 / 3
+	// reserveShare is the fraction of the memory of requests that only small ones may use.
+	reserveShare = 0.25
+	// descriptorShare is the fraction of the descriptors of a process that its callers may hold.
+	descriptorShare = 0.75
+)
+
+// Limits bound what callers hold. Zero means no bound.
+type Limits struct {
+	Connections int
+	// Requests bounds the bytes of all requests, Large those of requests over SmallBytes.
+	Requests, Large Bytes
+}
+
+// Machine is what a process may use.
+type Machine struct {
+	// Memory is the memory limit of the process, and Descriptors that of its descriptors; zero if there is none.
+	Memory      Bytes
+	Descriptors int
+	// LargestRequest is what a request of the largest legal size holds.
+	LargestRequest Bytes
+}
+
+// Limits returns the limits for a machine, and whether a request of the largest legal size fits into them.
+func (m Machine) Limits() (limits Limits, fits bool) {
+	l := Limits{Connections: int(descriptorShare * float64(m.Descriptors))}
+	if m.Memory <= 0 {
+		return l, true
+	}
+	callers := Bytes(callerShare * float64(m.Memory))
+	byMemory := max(int(connectionShare*float64(callers)/float64(ConnectionBytes)), 1)
+	if l.Connections == 0 || byMemory < l.Connections {
+		l.Connections = byMemory
+	}
+	connections := Bytes(l.Connections) * ConnectionBytes
+	l.Requests = callers - connections
+	l.Large = Bytes((1 - reserveShare) * float64(l.Requests))
+	if reserve := l.Requests - l.Large; l.Large < m.LargestRequest {
+		most := Bytes(maxCallerShare*float64(m.Memory)) - connections
+		l.Large = min(m.LargestRequest, most-reserve)
+		l.Requests = l.Large + reserve
+	}
+	return l, l.Large >= m.LargestRequest
+}
--- /dev/null
+++ b/pkbudget/victim.go
@@ -0,0 +1,126 @@
+package pkbudget
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// stallTime is how long a request may receive nothing before it is evicted in favour of others.
+	stallTime = 500 * time.Millisecond
+	// connectTime is how long a new connection may have no request before it is closed in favour of others.
+	connectTime = 250 * time.Millisecond
+)
+
+// rank orders connections by how soon they are closed in favour of others.
+type rank uint8
+
+const (
+	// rankRefused have had their final answer.
+	rankRefused rank = iota
+	// rankSilent have had no request, or none that moves.
+	rankSilent
+	// rankIdle are between two requests.
+	rankIdle
+	// rankNew may still send their first request.
+	rankNew
+	// rankActive have a request in progress.
+	rankActive
+)
+
+func (h *Hold[O]) rank(now time.Time) rank {
+	idle := now.Sub(h.movedAt)
+	switch {
+	case h.stage == refused:
+		return rankRefused
+	case h.stage == waiting && h.served:
+		return rankIdle
+	case h.stage == waiting && idle < connectTime:
+		return rankNew
+	case h.stage == waiting, h.stage == arriving && idle >= stallTime:
+		return rankSilent
+	default:
+		return rankActive
+	}
+}
+
+// chooseConnection returns the connection to close in favour of a new one, the longest idle one of the lowest rank. If all
+// may still send a request, it returns after what time one of them has had its time; zero if all have requests. The
+// caller holds mu.
+func (b *Budget[O]) chooseConnection(now time.Time) (victim *Hold[O], wait time.Duration) {
+	lowest := rankActive
+	for _, h := range b.holds {
+		if !h.connection || h.closing {
+			continue
+		}
+		r := h.rank(now)
+		if r < lowest || (r == lowest && victim != nil && h.movedAt.Before(victim.movedAt)) {
+			lowest, victim = r, h
+		}
+	}
+	if lowest == rankNew {
+		return nil, connectTime - now.Sub(victim.movedAt)
+	}
+	return victim, 0
+}
+
+// chooseRequests returns the requests to evict for missing bytes, so that one can grow by n; nil if it must be refused.
+// The caller holds mu.
+func (b *Budget[O]) chooseRequests(now time.Time, h *Hold[O], n, missing Bytes, largeOnly bool) []*Hold[O] {
+	var candidates []*Hold[O] // without the one that grows, which has just moved and does not yield to itself
+	for _, one := range b.holds {
+		if one.stage == arriving && !one.evicted && one.bytes > 0 && (!largeOnly || one.largeBytes() > 0) {
+			candidates = append(candidates, one)
+		}
+	}
+	slices.SortFunc(candidates, func(x, y *Hold[O]) int {
+		return cmp.Or(x.movedAt.Compare(y.movedAt), cmp.Compare(y.sequence, x.sequence))
+	})
+	var out []*Hold[O]
+	for len(candidates) > 0 && missing > 0 && now.Sub(candidates[0].movedAt) >= stallTime {
+		missing -= candidates[0].bytes
+		out, candidates = append(out, candidates[0]), candidates[1:]
+	}
+	slices.SortFunc(candidates, func(x, y *Hold[O]) int { return cmp.Compare(y.sequence, x.sequence) })
+	share := shares[O]{h: h, n: n, held: b.heldWithout(out)}
+	for missing > 0 {
+		i := slices.IndexFunc(candidates, share.yields)
+		if i < 0 {
+			return nil
+		}
+		missing -= candidates[i].bytes
+		share.held[candidates[i].account] -= candidates[i].bytes
+		out = append(out, candidates[i])
+		candidates = slices.Delete(candidates, i, i+1)
+	}
+	return out
+}
+
+// heldWithout returns what each client account holds without some requests; the caller holds mu.
+func (b *Budget[O]) heldWithout(out []*Hold[O]) map[string]Bytes {
+	held := make(map[string]Bytes, len(b.byAccount))
+	for account, n := range b.byAccount {
+		held[account] = n
+	}
+	for _, one := range out {
+		held[one.account] -= one.bytes
+	}
+	return held
+}
+
+// shares compares what client accounts hold with what a request wants.
+type shares[O any] struct {
+	h    *Hold[O]
+	n    Bytes
+	held map[string]Bytes
+}
+
+// yields reports whether another request is evicted in favour of the one that wants to grow: its account holds more, or
+// both are of the same account and it began later.
+func (s shares[O]) yields(other *Hold[O]) bool {
+	if other.account == s.h.account {
+		return other.sequence > s.h.sequence
+	}
+	return s.held[other.account] > s.held[s.h.account]+s.n
+}
