pkserver, pkedge: callers of an entry hold no more than the budget

Callers saw an entry that ended: 150 bodies of 1 MB, each a byte short of its end, took 177 MB of a machine of 64, headers that do not end 69, bytes nobody reads 118; 2,000 silent connections left no descriptor for others.

Cause: bodies were read with io.ReadAll, each within its own limit only, and connections, headers and receive buffers were not counted at all.

Change: pkserver counts what arrives on each connection and asks pkbudget. Bodies grow by doubling, charged by capacity; headers beyond 4 KB and each request are charged; a connection that sends more than its request is charged for its buffer and closed if there is no room; receive buffers are 16 KB, and 128 KB for a body over 64 KB. A refusal of a request that was not read whole is sent at once, and what its client still sends is read for 2 s, since a reset could take the answer from it. The limits follow memory_mb (or GOMEMLIMIT, or the machine), max_descriptors (or RLIMIT_NOFILE) and the limits of the configuration in force; the largest legal request fits. These faults share one mechanism and were mended together.

--- a/peridotknot-edge/main.go
+++ b/peridotknot-edge/main.go
@@ -4,7 +4,6 @@
 import (
 	"errors"
 	"os"
-	"runtime/debug"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -23,20 +22,11 @@
 	os.Exit(pkcli.RunDaemon(os.Getenv(platform.SettingsVariable), pkedge.ParseSettings, serve))
 }
 
-const (
-	// memoryShare is the fraction of the VM's memory that is set as Go's soft memory limit. The rest
-	// is for memory outside of the Go runtime, such as socket buffers.
-	memoryShare = 0.6
-	bytesPerMB  = 1 << 20
-	// reloadInterval is how often the settings file is checked for changes that come without a signal.
-	reloadInterval = 2 * time.Second
-)
+// reloadInterval is how often the settings file is checked for changes that come without a signal.
+const reloadInterval = 2 * time.Second
 
 func serve(process pkcli.Daemon[pkedge.Settings]) (err error) {
 	s := process.Settings
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * bytesPerMB))
-	}
 	out := pklog.NewWriter(os.Stdout)
 	defer func() { err = errors.Join(err, out.Close()) }()
 	log := hclog.New(&hclog.LoggerOptions{Name: "peridotknot-edge", Level: hclog.Info, JSONFormat: true, Output: out})
--- a/pkedge/call.go
+++ b/pkedge/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,6 +15,7 @@
 	"peridotknot.example/pkquarantine"
 	"peridotknot.example/pkrelay"
 	"peridotknot.example/pkretry"
+	"peridotknot.example/pkserver"
 	"peridotknot.example/pkverdict"
 )
 
@@ -39,6 +39,8 @@
 	failed pkverdict.Sends
 	// relayed is the request as another entry has passed it on; nil if it came from its caller.
 	relayed *pkrelay.Request
+	// holding is what the request holds of the memory for callers.
+	holding *pkserver.Holding
 	// relays counts the entries that the request was passed on to.
 	relays pkrelay.Attempts
 	// unreachableAt is when a send last failed in a way that the links may explain; zero if none has.
@@ -80,6 +82,8 @@
 	status     int
 	retryAfter time.Duration
 	reason     string
+	// unread is set if the request was not read whole.
+	unread bool
 }
 
 // Error returns the reason and the status.
@@ -121,6 +125,10 @@
 		// that the answer is incomplete.
 		c.resetUnframed()
 		panic(http.ErrAbortHandler)
+	case rej.unread:
+		if err := c.holding.Refuse(c.w, func() { c.reject(rej) }); err != nil {
+			c.log.Debug("refused caller has disconnected", "request_id", c.req.Meta.ID, "error", err)
+		}
 	default:
 		c.reject(rej)
 	}
@@ -214,31 +222,16 @@
 // readBody reads the complete body: it may have to be sent again, and net/http detects that a
 // caller disconnects only after the body was read.
 func (c *call) readBody() error {
-	limit := c.table.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultLimits.BodyBytes
-	}
-	if c.r.ContentLength > limit {
-		c.w.Header()["Connection"] = []string{"close"}
-		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
-	}
+	c.req.Method, c.req.Host, c.req.URI, c.req.Header = c.r.Method, c.r.Host, c.r.RequestURI, c.r.Header
 	control := http.NewResponseController(c.w)
-	if err := control.SetWriteDeadline(c.deadline.Add(writeGrace)); err != nil {
+	if err := errors.Join(control.SetWriteDeadline(c.deadline.Add(writeGrace)), control.SetReadDeadline(c.began.Add(bodyTimeout))); err != nil {
 		return err
 	}
-	c.req.Method, c.req.Host, c.req.URI, c.req.Header = c.r.Method, c.r.Host, c.r.RequestURI, c.r.Header
-	if c.r.ContentLength == 0 {
-		return nil
-	}
-	if err := control.SetReadDeadline(c.began.Add(bodyTimeout)); err != nil {
-		return err
+	body, err := c.holding.ReadAll(c.r.Context(), c.r.Body, c.r.ContentLength, bodyLimit(c.table))
+	if rej := bodyRejection(err); rej != nil {
+		return rej
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
-	case err != nil:
+	if err != nil {
 		return fmt.Errorf("%w: %w", errCallerLeft, err)
 	}
 	c.req.Body = body
--- a/pkedge/callerserver.go
+++ b/pkedge/callerserver.go
@@ -51,10 +51,8 @@
 func (d *Daemon) applyLimits() {
 	d.server.limitsMu.Lock() // a configuration may come into force meanwhile
 	defer d.server.limitsMu.Unlock()
-	l := defaultLimits
-	if table := d.configs.Table(); table != nil {
-		l = table.Limits
-	}
+	l := d.callerLimits()
+	d.limitHoldings(l)
 	err := d.server.SetLimits(pkserver.Limits{HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout})
 	if err != nil {
 		d.log.Error("new limits on headers and connections are not applied", "error", err)
@@ -81,7 +79,7 @@
 // resetUnframed makes the connection of a broken answer end with a reset if the answer has no chunks, as for
 // callers of HTTP/1.0, which would take its end for that of the answer.
 func (c *call) resetUnframed() {
-	conn, found := c.r.Context().Value(callerConnKey{}).(*net.TCPConn)
+	conn, found := c.r.Context().Value(callerConnKey{}).(interface{ SetLinger(seconds int) error })
 	if !found || c.r.ProtoAtLeast(1, 1) {
 		return
 	}
@@ -93,7 +91,7 @@
 func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
 	d.active.Add(1)
 	defer d.active.Add(-1)
-	c := &call{Daemon: d, w: w, r: r, began: time.Now(), table: d.configs.Table()}
+	c := &call{Daemon: d, w: w, r: r, began: time.Now(), table: d.configs.Table(), holding: pkserver.HoldingOf(r.Context())}
 	d.refreshLoads(c.began)
 	h := w.Header()
 	// Keeps net/http from adding headers that the target did not send.
@@ -115,6 +113,10 @@
 	if err := c.resolve(); err != nil {
 		return err
 	}
+	c.holding.SetAccount(string(c.account))
+	if c.holding.Admit(c.r.Context()) != nil {
+		return bodyRejection(pkserver.ErrBusy)
+	}
 	c.deadline = c.began.Add(defaultTimeout)
 	limits := []time.Duration{c.route.Timeout, c.req.Meta.TimeBudget}
 	if c.relayed != nil {
--- a/pkedge/settings.go
+++ b/pkedge/settings.go
@@ -26,10 +26,12 @@
 	// entries with the largest processor share to serve them.
 	Bootstrap bool `yaml:"bootstrap"`
 	// MemoryMB is the memory limit in megabytes, beyond which the platform ends the process.
-	MemoryMB int   `yaml:"memory_mb"`
-	Stop     Stop  `yaml:"stop"`
-	Retry    Retry `yaml:"retry"`
-	Queue    Queue `yaml:"queue"`
+	MemoryMB int `yaml:"memory_mb"`
+	// MaxDescriptors is the limit on the descriptors of the process; zero means that of the system.
+	MaxDescriptors int   `yaml:"max_descriptors"`
+	Stop           Stop  `yaml:"stop"`
+	Retry          Retry `yaml:"retry"`
+	Queue          Queue `yaml:"queue"`
 }
 
 // Listen holds the addresses that a daemon listens on.
@@ -87,7 +89,7 @@
 // appliesWhileRunning has each setting by its name in the file, and whether a change applies while a daemon runs. Others
 // wait for a restart.
 var appliesWhileRunning = map[string]bool{
-	"entry": false, "data_center": false, "store": false, "processor_share": false, "bootstrap": false, "memory_mb": false,
+	"entry": false, "data_center": false, "store": false, "processor_share": false, "bootstrap": false, "memory_mb": false, "max_descriptors": false,
 	"listen.callers": false, "listen.ready": false, "listen.peers": false, "queue.mode": false, "queue.max_waiting": false,
 	"seeds": true, "stop.grace_s": true, "retry.ratio": true, "retry.window_s": true, "retry.slack": true,
 }
@@ -119,6 +121,7 @@
 	c.Require(s.Store != "", "store is missing", "store")
 	c.Require(s.ProcessorShare >= 0, "processor_share must not be below 0", "processor_share")
 	c.Require(s.MemoryMB >= 0, "memory_mb must not be below 0", "memory_mb")
+	c.Require(s.MaxDescriptors >= 0, "max_descriptors must not be below 0", "max_descriptors")
 	c.Require(s.Stop.GraceS > 0, "stop.grace_s must be over 0", "stop", "grace_s")
 	c.Require(s.Retry.Ratio >= 0, "retry.ratio must not be below 0", "retry", "ratio")
 	c.Require(s.Retry.WindowS > 0, "retry.window_s must be over 0", "retry", "window_s")
--- /dev/null
+++ b/pkmachine/doc.go
@@ -0,0 +1,2 @@
+// Package pkmachine reads what the machine allows a process: memory and descriptors.
+package pkmachine
--- /dev/null
+++ b/pkserver/holding.go
@@ -0,0 +1,265 @@
+package pkserver
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"peridotknot.example/pkbudget"
+)
+
+// Budget bounds what the clients of a server hold.
+type Budget = pkbudget.Budget[*Holding]
+
+// ErrBusy refuses a request for which the budget has no room: it was not run.
+var ErrBusy = errors.New("clients hold all memory that is left to them")
+
+// ErrTooLarge refuses a body over its limit.
+var ErrTooLarge = errors.New("body exceeds its limit")
+
+const (
+	// freeHeader is the size of a header that ConnectionBytes has room for.
+	freeHeader = 4 << 10
+	// headerFactor is how many times its size a header takes while it is read and once it is parsed.
+	headerFactor = 2
+	// smallBuffer is the size of a connection's receive buffer in bytes, which bounds what it holds unread, and largeBuffer
+	// that of a connection with a body over bufferThreshold bytes: a small one would slow it down over a long link.
+	smallBuffer     = 16 << 10
+	largeBuffer     = 128 << 10
+	bufferThreshold = 64 << 10
+	// grantTimeout bounds the wait for bytes that others are to release.
+	grantTimeout = 2 * time.Second
+	// firstBuffer is the size of the first buffer for a body, in bytes.
+	firstBuffer = 4 << 10
+)
+
+// phase is what a connection is reading.
+type phase int32
+
+const (
+	phaseWaiting phase = iota
+	phaseHeader
+	phaseBody
+	// phaseWhole is a request that was read whole: what arrives now was not asked for.
+	phaseWhole
+	// phaseOver is phaseWhole once more has arrived.
+	phaseOver
+)
+
+// Holding is what a client holds with a connection or a request. The methods of a nil Holding do nothing.
+type Holding struct {
+	hold *pkbudget.Hold[*Holding]
+	// abort ends a read in progress.
+	abort func()
+	// conn is nil for a request that has no connection of its own.
+	conn  *net.TCPConn
+	phase atomic.Int32
+	// header is the size of the header so far, in bytes.
+	header atomic.Int64
+	// largeBuffer is set while the connection has a large receive buffer.
+	largeBuffer bool
+}
+
+// holdingKey is the context key of the Holding of a request's connection.
+type holdingKey struct{}
+
+// HoldingOf returns the Holding of a request, nil if its server has no budget.
+func HoldingOf(ctx context.Context) *Holding {
+	h, _ := ctx.Value(holdingKey{}).(*Holding)
+	return h
+}
+
+// NewRequest returns the Holding of a request that arrives at now over a connection without one; abort ends a read
+// of it. Close must be called.
+func NewRequest(b *Budget, now time.Time, abort func()) *Holding {
+	h := &Holding{abort: abort}
+	h.phase.Store(int32(phaseBody))
+	h.hold = b.Request(now, h)
+	return h
+}
+
+// Close releases all that is held.
+func (h *Holding) Close() {
+	if h != nil {
+		h.hold.Close()
+	}
+}
+
+// SetAccount sets the client account whose share the request counts towards.
+func (h *Holding) SetAccount(account string) {
+	if h != nil {
+		h.hold.SetAccount(account)
+	}
+}
+
+// Grow takes n more bytes, and waits until others have released them. The error is ErrBusy if there are none.
+func (h *Holding) Grow(ctx context.Context, n int) error {
+	if h == nil || n <= 0 {
+		return nil
+	}
+	return h.grow(ctx, pkbudget.Bytes(n))
+}
+
+func (h *Holding) grow(ctx context.Context, n pkbudget.Bytes) error {
+	grant := h.hold.Grow(time.Now(), n)
+	for _, other := range grant.Evicted {
+		other.abort()
+	}
+	if grant.Granted {
+		return nil
+	}
+	if grant.Ready == nil {
+		return ErrBusy
+	}
+	limit := time.NewTimer(grantTimeout)
+	defer limit.Stop()
+	granted := false
+	select {
+	case <-grant.Ready:
+		granted = h.hold.Move(time.Now())
+	case <-limit.C:
+		granted = h.hold.Cancel()
+	case <-ctx.Done():
+		granted = h.hold.Cancel()
+	}
+	if !granted {
+		return ErrBusy
+	}
+	return nil
+}
+
+// Shrink releases n bytes.
+func (h *Holding) Shrink(n int) {
+	if h != nil && n > 0 {
+		h.hold.Shrink(pkbudget.Bytes(n))
+	}
+}
+
+// Admit takes what a request holds beside its body and its answer. The error is ErrBusy if there is no room.
+func (h *Holding) Admit(ctx context.Context) error {
+	if h == nil {
+		return nil
+	}
+	return h.grow(ctx, pkbudget.RequestBytes+headerFactor*pkbudget.Bytes(min(h.header.Load(), freeHeader)))
+}
+
+// LargestRequest returns what a request holds with a header and the copies of a body of a size in bytes.
+func LargestRequest(header, copies int64) pkbudget.Bytes {
+	return pkbudget.RequestBytes + pkbudget.Bytes(headerFactor*header+largeBuffer+copies)
+}
+
+// keep records that the request was read whole. The error is ErrBusy if it was evicted before.
+func (h *Holding) keep() error {
+	if h == nil {
+		return nil
+	}
+	if !h.hold.Keep() {
+		return ErrBusy
+	}
+	h.phase.Store(int32(phaseWhole))
+	return nil
+}
+
+// ReadAll reads a body of at most limit bytes to its end; length is negative if it is not known. The error is ErrBusy if
+// there is no room for it, ErrTooLarge, or that of the reader.
+func (h *Holding) ReadAll(ctx context.Context, in io.Reader, length, limit int64) ([]byte, error) {
+	if length > limit {
+		return nil, ErrTooLarge
+	}
+	if length == 0 {
+		return nil, h.keep()
+	}
+	most := length
+	if most < 0 {
+		most = limit + 1 // one more shows that there is more
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) && int64(len(body)) < most {
+			var err error
+			if body, err = h.enlarge(ctx, body, int(min(max(2*int64(cap(body)), firstBuffer), most))); err != nil {
+				return nil, err
+			}
+		}
+		n, err := in.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > limit:
+			return nil, ErrTooLarge
+		case h != nil && !h.hold.Move(time.Now()):
+			return nil, ErrBusy
+		case err == io.EOF:
+			return body, h.keep()
+		case err != nil:
+			return nil, err
+		case int64(len(body)) == length:
+			return body, h.keep()
+		}
+	}
+}
+
+// enlarge returns a copy of a body with another capacity.
+func (h *Holding) enlarge(ctx context.Context, body []byte, size int) ([]byte, error) {
+	if h != nil && h.conn != nil && !h.largeBuffer && size > bufferThreshold {
+		if err := h.Grow(ctx, largeBuffer); err != nil {
+			return nil, err
+		}
+		h.largeBuffer = true
+		h.setReceiveBuffer(largeBuffer)
+	}
+	if err := h.Grow(ctx, size); err != nil {
+		return nil, err
+	}
+	out := make([]byte, len(body), size)
+	copy(out, body)
+	h.Shrink(cap(body))
+	return out, nil
+}
+
+// setReceiveBuffer sets the size of the connection's receive buffer.
+func (h *Holding) setReceiveBuffer(bytes int) {
+	_ = h.conn.SetReadBuffer(bytes) // the connection may be closed
+}
+
+const (
+	// lingerTime bounds how long a refused client that goes on sending is read, and lingerBytes how much of it, so that
+	// it reads the answer before its connection is reset.
+	lingerTime  = 2 * time.Second
+	lingerBytes = 256 << 20
+)
+
+// Refuse answers a request that was not read whole with what write writes, and closes its connection once the client has
+// had the time to read the answer. A client that is still sending would lose it with a reset.
+func (h *Holding) Refuse(w http.ResponseWriter, write func()) error {
+	control := http.NewResponseController(w)
+	// Else net/http reads the rest of the body before it sends the answer.
+	if err := control.EnableFullDuplex(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return err
+	}
+	w.Header().Set("Connection", "close")
+	write()
+	if h == nil || h.conn == nil {
+		return nil
+	}
+	h.hold.Refuse(time.Now())
+	if err := control.Flush(); err != nil {
+		return err
+	}
+	return h.linger()
+}
+
+// linger ends the answer and reads what the client still sends.
+func (h *Holding) linger() error {
+	if err := errors.Join(h.conn.SetReadDeadline(time.Now().Add(lingerTime)), h.conn.CloseWrite()); err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(readerOnly{h.conn}, lingerBytes)) // ends with the client or the deadline
+	return h.conn.SetReadDeadline(longAgo)
+}
+
+// readerOnly hides the other methods of a connection, with which io.Copy would not read it.
+type readerOnly struct{ io.Reader }
--- a/pkserver/listener.go
+++ b/pkserver/listener.go
@@ -31,16 +31,24 @@
 // TCP listener or losing a connection.
 type sharedListener struct {
 	*net.TCPListener
+	budget  *Budget
 	retired atomic.Bool
 }
 
-// Accept returns the next connection, or errRetired once the listener is retired.
+// Accept returns the next connection for which the budget has room, or errRetired once the listener is retired.
 func (l *sharedListener) Accept() (net.Conn, error) {
-	conn, err := l.TCPListener.Accept()
-	if err != nil && l.retired.Load() {
-		return nil, errRetired
+	for {
+		tcp, err := l.AcceptTCP()
+		switch {
+		case err != nil && l.retired.Load():
+			return nil, errRetired
+		case err != nil:
+			return nil, err
+		}
+		if c := open(l.budget, tcp); c != nil {
+			return c, nil
+		}
 	}
-	return conn, err
 }
 
 // Close closes the TCP listener unless this use of it is retired.
--- a/pkserver/server.go
+++ b/pkserver/server.go
@@ -21,8 +21,11 @@
 // at once if they are idle, and else after the answer to their next request.
 type Server struct {
 	Handler     http.Handler
+	BaseContext func(net.Listener) context.Context
 	ConnContext func(context.Context, net.Conn) context.Context
 	ErrorLog    *log.Logger
+	// Budget bounds what clients hold; HoldingOf returns what a request holds of it.
+	Budget Budget
 
 	mu     sync.Mutex
 	tcp    *net.TCPListener
@@ -46,6 +49,7 @@
 type clientConn struct {
 	// idle is set between two requests, closed once the connection was closed then.
 	idle, closed bool
+	holding      *Holding
 }
 
 // clientConnKey is the context key of a request's clientConn.
@@ -98,59 +102,67 @@
 		s.former = map[*generation]struct{}{}
 	}
 	s.former[g] = struct{}{}
-	for conn, c := range g.conns {
-		c.closeIfIdle(conn)
+	for accepted, c := range g.conns {
+		c.closeIfIdle(accepted)
 	}
 }
 
 // closeIfIdle closes a connection of a former generation that has no request; the caller holds the lock.
-func (c *clientConn) closeIfIdle(conn net.Conn) {
+func (c *clientConn) closeIfIdle(accepted net.Conn) {
 	if c.idle && !c.closed {
 		c.closed = true
-		_ = conn.Close() // the client may have closed it
+		_ = accepted.Close() // the client may have closed it
 	}
 }
 
 func (s *Server) newGeneration() *generation {
-	g := &generation{accepts: &sharedListener{TCPListener: s.tcp}, conns: map[net.Conn]*clientConn{}}
+	g := &generation{accepts: &sharedListener{TCPListener: s.tcp, budget: &s.Budget}, conns: map[net.Conn]*clientConn{}}
 	g.Server = http.Server{
-		Handler: http.HandlerFunc(s.serve), ErrorLog: s.ErrorLog,
+		Handler: http.HandlerFunc(s.serve), ErrorLog: s.ErrorLog, BaseContext: s.BaseContext,
 		MaxHeaderBytes: s.limits.HeaderBytes, ReadHeaderTimeout: s.limits.HeaderTimeout, IdleTimeout: s.limits.IdleTimeout,
-		ConnContext: func(ctx context.Context, conn net.Conn) context.Context { return s.addConn(ctx, g, conn) },
-		ConnState:   func(conn net.Conn, state http.ConnState) { s.recordState(g, conn, state) },
+		ConnContext: func(ctx context.Context, accepted net.Conn) context.Context { return s.addConn(ctx, g, accepted) },
+		ConnState:   func(accepted net.Conn, state http.ConnState) { s.recordState(g, accepted, state) },
 	}
 	return g
 }
 
-func (s *Server) addConn(ctx context.Context, g *generation, conn net.Conn) context.Context {
+func (s *Server) addConn(ctx context.Context, g *generation, accepted net.Conn) context.Context {
 	c := &clientConn{}
 	s.mu.Lock()
-	g.conns[conn] = c
+	g.conns[accepted] = c
 	s.mu.Unlock()
 	ctx = context.WithValue(ctx, clientConnKey{}, c)
+	if counted, isConn := accepted.(*conn); isConn {
+		c.holding = counted.holding
+		ctx = context.WithValue(ctx, holdingKey{}, c.holding)
+	}
 	if s.ConnContext == nil {
 		return ctx
 	}
-	return s.ConnContext(ctx, conn)
+	return s.ConnContext(ctx, accepted)
 }
 
 // recordState records the state of a connection. One of a former generation is closed as soon as it is idle.
-func (s *Server) recordState(g *generation, conn net.Conn, state http.ConnState) {
+func (s *Server) recordState(g *generation, accepted net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c, found := g.conns[conn]
+	c, found := g.conns[accepted]
 	if !found {
 		return
 	}
 	c.idle = state == http.StateIdle
+	if c.idle && c.holding != nil {
+		c.holding.end()
+	}
 	switch {
 	case state == http.StateClosed:
-		delete(g.conns, conn)
+		c.holding.Close()
+		delete(g.conns, accepted)
 		if len(g.conns) == 0 {
 			delete(s.former, g)
 		}
 	case g != s.current:
-		c.closeIfIdle(conn)
+		c.closeIfIdle(accepted)
 	}
 }
 
@@ -163,6 +175,9 @@
 	if closed {
 		panic(http.ErrAbortHandler)
 	}
+	if c != nil && c.holding != nil {
+		c.holding.beginBody()
+	}
 	s.Handler.ServeHTTP(w, r)
 }
 
