pkentry, pkopenai: callers of peridotknotd hold no more than the budget

Callers saw a daemon that ended: 150 bodies of 1 MB short of their end took 224 MB of a machine of 64, lists of empty objects 1,296, headers 78; calls to a service held their place before their body was there, and clients that sent too much lost the answer that says so.

Cause: as in pkedge, the sum over all callers was not bounded. A JSON list of empty objects decodes to 32 bytes for 3, and slices grow by doubling.

Change: callers are served by pkserver.Server with its budget, from memory_mb, GOMEMLIMIT or the machine. Bodies are read whole before a call is admitted. Model requests are charged for six more copies while they are decoded and for two of their prompt after it; lists of messages, parts and prompts are decoded element by element (pkopenai.Messages is the joined text). pkserver.Guard applies limits, logs and counts for both daemons.

A call whose body needs more time than its deadline is not affected: the read deadline is the call's, as before.

--- a/pkedge/callerserver.go
+++ b/pkedge/callerserver.go
@@ -33,6 +33,7 @@
 // callerServer serves the HTTP requests of callers.
 type callerServer struct {
 	pkserver.Server
+	guard pkserver.Guard
 	// limitsMu guards the order in which limits are applied.
 	limitsMu sync.Mutex
 }
@@ -52,7 +53,7 @@
 	d.server.limitsMu.Lock() // a configuration may come into force meanwhile
 	defer d.server.limitsMu.Unlock()
 	l := d.callerLimits()
-	d.limitHoldings(l)
+	d.server.guard.Apply()
 	err := d.server.SetLimits(pkserver.Limits{HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout})
 	if err != nil {
 		d.log.Error("new limits on headers and connections are not applied", "error", err)
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -15,7 +15,6 @@
 	"github.com/oklog/run"
 	"golang.org/x/sync/singleflight"
 
-	"peridotknot.example/pkbudget"
 	"peridotknot.example/pkconfig"
 	"peridotknot.example/pkconn"
 	"peridotknot.example/pkforward"
@@ -136,11 +135,7 @@
 
 	callers *net.TCPListener
 	server  callerServer
-	// memory is the memory limit of the process; oversized is set if a request of the largest legal size does not fit
-	// into it.
-	memory    pkbudget.Bytes
-	oversized atomic.Bool
-	ready     net.Listener
+	ready   net.Listener
 
 	// configured is closed once a configuration is in force.
 	configured  chan struct{}
@@ -166,11 +161,12 @@
 	d.rooms.wake = make(chan struct{}, 1)
 	d.refusalCauses = make(chan refusalCause, maxRefusalCauses)
 	d.suspected.pending = make(chan pendingSuspicion, maxPendingSuspicions)
-	d.metrics = newMetrics(d)
-	var err error
-	if d.memory, err = pkmachine.LimitMemory(s.MemoryMB); err != nil {
+	memory, err := pkmachine.LimitMemory(s.MemoryMB)
+	if err != nil {
 		return nil, fmt.Errorf("read the memory of the machine: %w", err)
 	}
+	d.server.guard = pkserver.Guard{Budget: &d.server.Budget, Memory: memory, Descriptors: s.MaxDescriptors, Largest: d.largestRequest, Log: log}
+	d.metrics = newMetrics(d)
 	d.relayClient = pkrelay.NewClient(pkconn.DefaultOptions())
 	if d.callers, err = pkserver.Listen(s.Listen.Callers); err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
@@ -226,7 +222,7 @@
 		peers := &http.Server{Handler: d.peersHandler(inner), ReadHeaderTimeout: readHeaderTimeout}
 		g.Add(func() error { return untilDone(inner, peers.Serve(d.gossip.listener)) }, func(error) { _ = peers.Close() })
 	}
-	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.pollConfig, d.maintainLease, d.reconcilePools, d.sendToPeers, d.updateLoads, d.rerouteStreams, d.monitorEngines, d.pollPaces, d.logStoreCalls, d.detectCrashes, d.saveQuarantined, d.saveSuspects, d.checkRefusalCauses, d.confirmSuspicions, d.watchLinks, d.watchHoldings, d.saveSize, d.dispatchRooms} {
+	for _, loop := range []func(context.Context){d.followConfig, d.followReplicas, d.followMembers, d.pollConfig, d.maintainLease, d.reconcilePools, d.sendToPeers, d.updateLoads, d.rerouteStreams, d.monitorEngines, d.pollPaces, d.logStoreCalls, d.detectCrashes, d.saveQuarantined, d.saveSuspects, d.checkRefusalCauses, d.confirmSuspicions, d.watchLinks, d.server.guard.Run, d.saveSize, d.dispatchRooms} {
 		g.Add(func() error { loop(inner); return nil }, func(error) { cancel() })
 	}
 	return g.Run()
--- a/pkedge/metrics.go
+++ b/pkedge/metrics.go
@@ -90,7 +90,7 @@
 		gauge("peridotknot_active_requests", "Requests in progress.", func() float64 { return float64(d.active.Load()) }),
 	)
 	m.registry.MustRegister(fleetGauges(d)...)
-	m.registry.MustRegister(holdingMetrics(d)...)
+	m.registry.MustRegister(d.server.guard.Metrics()...)
 	return m
 }
 
--- a/pkentry/callers.go
+++ b/pkentry/callers.go
@@ -17,6 +17,7 @@
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkmanifest"
 	"peridotknot.example/pkopenai"
+	"peridotknot.example/pkserver"
 	"peridotknot.example/pkverdict"
 )
 
@@ -44,11 +45,14 @@
 // call is a client's request while the entry handles it.
 type call struct {
 	*Entry
-	w       http.ResponseWriter
-	r       *http.Request
-	id      pkid.RequestID
-	began   time.Time
-	view    *pkmanifest.View
+	w     http.ResponseWriter
+	r     *http.Request
+	id    pkid.RequestID
+	began time.Time
+	view  *pkmanifest.View
+	// holding is what the call holds of the memory for callers, unread is set if it was not read whole.
+	holding *pkserver.Holding
+	unread  bool
 	account *pkmanifest.Account
 	span    trace.Span
 	// resource is what the request addresses, for logs and metrics: "models:", "model:ID" or
@@ -63,7 +67,7 @@
 		ctx := w3c.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 		ctx, span := e.tracer.Start(ctx, "call", trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
-		c := &call{Entry: e, w: w, r: r.WithContext(ctx), id: pkid.RequestID(ulid.Make().String()), began: time.Now(), span: span}
+		c := &call{Entry: e, w: w, r: r.WithContext(ctx), id: pkid.RequestID(ulid.Make().String()), began: time.Now(), span: span, holding: pkserver.HoldingOf(r.Context())}
 		w.Header().Set(pkopenai.HeaderRequestID, c.requestID())
 		span.SetAttributes(attribute.String("request_id", c.requestID()))
 		err := c.authenticate()
@@ -104,6 +108,10 @@
 		return c.unauthorized("the API key is not known")
 	}
 	c.account = account
+	c.holding.SetAccount(string(account.ID))
+	if err := c.holding.Admit(c.r.Context()); err != nil {
+		return c.busyOr(err, err)
+	}
 	c.span.SetAttributes(attribute.String("account", string(account.ID)))
 	return nil
 }
@@ -236,7 +244,12 @@
 	if errors.Is(err, errResponseStarted) {
 		return nil
 	}
-	return f.Write(c.w)
+	if !c.unread {
+		return f.Write(c.w)
+	}
+	var written error
+	refused := c.holding.Refuse(c.w, func() { written = f.Write(c.w) })
+	return errors.Join(written, refused)
 }
 
 func (c *call) kind() string {
--- a/pkentry/chat.go
+++ b/pkentry/chat.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -64,6 +63,7 @@
 		Priority:     c.account.Priority,
 		Deadline:     deadline,
 	}
+	c.holding.ShrinkTo(promptCopies * len(prompt))
 	if run.PromptTokens > limits.MaxPromptTokens {
 		return c.invalid(http.StatusBadRequest, "context_length_exceeded", fmt.Sprintf("the prompt has about %d tokens, %d are allowed", run.PromptTokens, limits.MaxPromptTokens))
 	}
@@ -78,22 +78,20 @@
 }
 
 func (c *call) decode(endpoint pkopenai.Endpoint) (pkopenai.Request, error) {
-	limit := c.view.Manifest.Limits.MaxBody
-	if c.r.ContentLength > limit {
-		c.w.Header().Set("Connection", "close")
-		return pkopenai.Request{}, c.invalid(http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("the body may have %d bytes", limit))
-	}
 	control := http.NewResponseController(c.w)
 	// A slow client must not hold memory and a connection indefinitely.
 	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return pkopenai.Request{}, err
 	}
-	req, err := pkopenai.Decode(http.MaxBytesReader(c.w, c.r.Body, limit), endpoint)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return req, c.invalid(http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("the body may have %d bytes", limit))
-	case err != nil:
+	body, err := c.readBody()
+	if err != nil {
+		return pkopenai.Request{}, err
+	}
+	if err := c.holding.Grow(c.r.Context(), decodeCopies*len(body)); err != nil {
+		return pkopenai.Request{}, c.busyOr(err, err)
+	}
+	req, err := pkopenai.Decode(body, endpoint)
+	if err != nil {
 		return req, c.invalid(http.StatusBadRequest, "invalid_body", err.Error())
 	}
 	return req, control.SetReadDeadline(time.Time{})
--- a/pkentry/entry.go
+++ b/pkentry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -14,7 +15,9 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"peridotknot.example/pkanswer"
+	"peridotknot.example/pkmachine"
 	"peridotknot.example/pkmanifest"
+	"peridotknot.example/pkserver"
 	"peridotknot.example/pktarget"
 	"peridotknot.example/pkverdict"
 )
@@ -55,7 +58,9 @@
 	peers          *peers
 	owners         owners
 	claims         claims
-	callerListener net.Listener
+	callers        pkserver.Server
+	guard          pkserver.Guard
+	callerListener *net.TCPListener
 	peerListener   net.Listener
 	adminListener  net.Listener
 	manifest       manifestState
@@ -78,8 +83,12 @@
 	e.routes.links = s.links()
 	e.routes.from = s.DataCenter
 	e.runner = &pkanswer.Runner{Engine: p.Engines, Router: e, Options: pkanswer.DefaultOptions(), Cancel: e.queueCancel}
+	memory, err := pkmachine.LimitMemory(s.MemoryMB)
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("read the memory of the machine: %w", err), p.close())
+	}
+	e.guard = pkserver.Guard{Budget: &e.callers.Budget, Memory: memory, Descriptors: s.MaxDescriptors, Largest: e.largestRequest, Log: e.log}
 	e.metrics.registerGauges(e)
-	var err error
 	if e.recorder, err = newRecorder(s.Record); err != nil {
 		return nil, errors.Join(err, p.close())
 	}
@@ -92,7 +101,7 @@
 
 func (e *Entry) listen() error {
 	var err error
-	if e.callerListener, err = net.Listen("tcp", e.settings.Listen.Callers); err != nil {
+	if e.callerListener, err = pkserver.Listen(e.settings.Listen.Callers); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	if e.adminListener, err = net.Listen("tcp", e.settings.Listen.Admin); err != nil {
@@ -129,13 +138,15 @@
 	defer cancel()
 	calls, abortCalls := context.WithCancelCause(loopCtx)
 	defer abortCalls(nil)
-	callers := e.server(calls, e.callersHandler())
+	if err := e.prepareCallers(calls); err != nil {
+		return errors.Join(err, e.close())
+	}
 	admin := e.server(loopCtx, e.adminHandler())
 	var g run.Group
-	g.Add(func() error { return e.waitAndStop(ctx, callers, abortCalls) }, func(error) { cancel() })
-	g.Add(func() error { return serve(callers, e.callerListener, loopCtx) }, func(error) { _ = callers.Close() })
+	g.Add(func() error { return e.waitAndStop(ctx, abortCalls) }, func(error) { cancel() })
+	g.Add(func() error { return serve(&e.callers, e.callerListener, loopCtx) }, func(error) { _ = e.callers.Close() })
 	g.Add(func() error { return serve(admin, e.adminListener, loopCtx) }, func(error) { _ = admin.Close() })
-	loops := []func(context.Context){e.syncManifest, e.pollVMs, e.pollLoads, e.maintainGates, e.sendCancels, e.reconcilePools}
+	loops := []func(context.Context){e.syncManifest, e.pollVMs, e.pollLoads, e.maintainGates, e.sendCancels, e.reconcilePools, e.guard.Run}
 	if e.peerListener != nil {
 		peers := e.server(loopCtx, e.peersHandler())
 		g.Add(func() error { return serve(peers, e.peers.net.Listen(e.peerListener), loopCtx) }, func(error) { _ = peers.Close() })
@@ -148,6 +159,20 @@
 	return errors.Join(err, e.close())
 }
 
+// prepareCallers sets what the server of callers does; the contexts of calls derive from ctx.
+func (e *Entry) prepareCallers(ctx context.Context) error {
+	e.callers.Handler = e.callersHandler()
+	e.callers.BaseContext = func(net.Listener) context.Context { return ctx }
+	e.callers.ErrorLog = e.errorLog()
+	e.guard.Apply()
+	return e.callers.SetLimits(pkserver.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
+}
+
+// errorLog returns the log of HTTP servers.
+func (e *Entry) errorLog() *log.Logger {
+	return e.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
+}
+
 // server returns an HTTP server whose request contexts derive from ctx.
 func (e *Entry) server(ctx context.Context, h http.Handler) *http.Server {
 	return &http.Server{
@@ -156,13 +181,13 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          e.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		ErrorLog:          e.errorLog(),
 	}
 }
 
 // serve runs s on l. After s is closed it blocks until ctx is done, so that a closed server does
 // not end the run group before the shutdown is complete.
-func serve(s *http.Server, l net.Listener, ctx context.Context) error {
+func serve[L net.Listener](s interface{ Serve(l L) error }, l L, ctx context.Context) error {
 	err := s.Serve(l)
 	if !errors.Is(err, http.ErrServerClosed) {
 		return err
@@ -175,7 +200,7 @@
 // drains, then rejects new requests, then waits up to the stop limit for requests in progress.
 // Requests that are still running are aborted with an error, so that their clients get a verdict
 // and not just a closed connection.
-func (e *Entry) waitAndStop(ctx context.Context, callers *http.Server, abortCalls context.CancelCauseFunc) error {
+func (e *Entry) waitAndStop(ctx context.Context, abortCalls context.CancelCauseFunc) error {
 	<-ctx.Done()
 	e.log.Info("stopping", "delay", e.settings.Stop.Delay, "limit", e.settings.Stop.Limit)
 	e.stopping.Store(true)
@@ -201,13 +226,13 @@
 		e.handOverClaims(context.WithoutCancel(ctx), e.peers.neighbors(time.Now()))
 		e.leaving.Store(true)
 	}()
-	if err := callers.Shutdown(shutdownCtx); err != nil {
+	if err := e.callers.Shutdown(shutdownCtx); err != nil {
 		e.log.Warn("shutdown limit reached; aborting requests in progress")
 		abortCalls(pkverdict.ErrStopping)
 		abortCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abortGrace)
 		defer cancel()
-		if err := callers.Shutdown(abortCtx); err != nil {
-			return callers.Close()
+		if err := e.callers.Shutdown(abortCtx); err != nil {
+			return e.callers.Close()
 		}
 	}
 	return nil
@@ -215,7 +240,11 @@
 
 func (e *Entry) close() error {
 	var errs []error
-	for _, l := range []net.Listener{e.callerListener, e.adminListener, e.peerListener} {
+	listeners := []net.Listener{e.adminListener, e.peerListener}
+	if e.callerListener != nil {
+		listeners = append(listeners, e.callerListener)
+	}
+	for _, l := range listeners {
 		if l != nil {
 			if err := l.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 				errs = append(errs, err)
--- a/pkentry/metrics.go
+++ b/pkentry/metrics.go
@@ -62,6 +62,7 @@
 		}
 		return 0
 	})
+	m.registry.MustRegister(e.guard.Metrics()...)
 	m.gauge("peridotknot_in_flight", "Requests in progress.", func() float64 {
 		running, _ := e.requestCounts()
 		return float64(running)
--- a/pkentry/service.go
+++ b/pkentry/service.go
@@ -1,6 +1,7 @@
 package pkentry
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -39,14 +40,18 @@
 	if err != nil {
 		return err
 	}
-	limit := c.view.Manifest.Limits.MaxBody
-	if c.r.ContentLength > limit {
-		c.w.Header().Set("Connection", "close")
-		return c.invalid(http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("the body may have %d bytes", limit))
-	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), deadline)
 	defer cancel()
-	if err := http.NewResponseController(c.w).SetReadDeadline(deadline); err != nil {
+	control := http.NewResponseController(c.w)
+	if err := control.SetReadDeadline(deadline); err != nil {
+		return err
+	}
+	// A call whose body does not come must not hold a place.
+	body, err := c.readBody()
+	if err != nil {
+		return err
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		return err
 	}
 	g := c.gate(s.Pool)
@@ -66,14 +71,14 @@
 	if err != nil {
 		return err
 	}
-	err = c.forward(ctx, s, deadline, limit, g)
+	err = c.forward(ctx, s, deadline, body, g)
 	if err != nil && failure(err).Verdict == pkverdict.NotRun {
 		release()
 	}
 	return err
 }
 
-func (c *call) forward(ctx context.Context, s *pkmanifest.Service, deadline time.Time, limit int64, g *gate) error {
+func (c *call) forward(ctx context.Context, s *pkmanifest.Service, deadline time.Time, body []byte, g *gate) error {
 	uri := servicePath(c.r.URL, s.ID)
 	idempotent := s.Retryable(c.r.Method, uri.Path)
 	ctx, span := c.tracer.Start(ctx, "service", trace.WithSpanKind(trace.SpanKindClient))
@@ -87,8 +92,8 @@
 		Method:     c.r.Method,
 		URI:        uri,
 		Header:     header,
-		Body:       http.MaxBytesReader(c.w, c.r.Body, limit),
-		Size:       c.r.ContentLength,
+		Body:       bytes.NewReader(body),
+		Size:       int64(len(body)),
 		Idempotent: idempotent,
 	}
 	reply, err := c.ports.Services.Do(ctx, out, c.chooseService(s.Pool), g.budget)
--- a/pkentry/settings.go
+++ b/pkentry/settings.go
@@ -25,6 +25,10 @@
 	Log      Log           `yaml:"log"`
 	Stop     Stop          `yaml:"stop"`
 	Trace    TraceExport   `yaml:"trace"`
+	// MemoryMB is the memory limit in megabytes; zero means GOMEMLIMIT, or else the memory of the machine.
+	MemoryMB int `yaml:"memory_mb"`
+	// MaxDescriptors is the limit on the descriptors of the process; zero means that of the system.
+	MaxDescriptors int `yaml:"max_descriptors"`
 	// Policy selects how targets are chosen. Empty is the default, by cost; the others serve
 	// comparisons.
 	Policy pkroute.Policy `yaml:"policy"`
@@ -109,6 +113,8 @@
 	for i, seed := range s.Peers.Seeds {
 		c.Require(isAddress(seed), "peers.seeds: expected IP:port", "peers", "seeds", i)
 	}
+	c.Require(s.MemoryMB >= 0, "memory_mb must not be below 0", "memory_mb")
+	c.Require(s.MaxDescriptors >= 0, "max_descriptors must not be below 0", "max_descriptors")
 	n := s.Peers.Neighborhood
 	c.Require(n == "" || n == NeighborhoodDataCenter || n == NeighborhoodRegion, "expected data_center or region", "peers", "neighborhood")
 	policies := []pkroute.Policy{pkroute.ByCost, pkroute.Random, pkroute.BestOfTwo, pkroute.LeastConnections}
--- a/pkopenai/openai_test.go
+++ b/pkopenai/openai_test.go
@@ -28,13 +28,50 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			r, err := Decode(strings.NewReader(c.body), c.endpoint)
+			r, err := Decode([]byte(c.body), c.endpoint)
 			assert.NilError(t, err)
 			assert.Equal(t, r.PromptText(c.endpoint), c.text)
 		})
 	}
 }
 
+// Guards against values that are taken for others, since lists are decoded element by element.
+func TestDecodeRefusesOtherForms(t *testing.T) {
+	cases := map[string]struct {
+		body     string
+		endpoint Endpoint
+		want     string
+	}{
+		"two values":      {`{"model":"m","messages":[{}]}{}`, Chat, "the body is not a JSON request"},
+		"no messages":     {`{"model":"m","messages":null}`, Chat, "messages is missing or empty"},
+		"empty messages":  {`{"model":"m","messages":[]}`, Chat, "messages is missing or empty"},
+		"one message":     {`{"model":"m","messages":{}}`, Chat, "messages must be a list"},
+		"text as message": {`{"model":"m","messages":["x"]}`, Chat, "the body is not a JSON request"},
+		"number":          {`{"model":"m","messages":[{"content":5}]}`, Chat, "content must be a string or a list of parts"},
+		"numbers":         {`{"model":"m","messages":[{"content":[5]}]}`, Chat, "content must be a string or a list of parts"},
+		"image":           {`{"model":"m","messages":[{"content":[{"type":"image"}]}]}`, Chat, "content part of type \"image\" is not served"},
+		"no prompt":       {`{"model":"m","prompt":[]}`, Completion, "prompt must be a string or a list of one string"},
+		"two prompts":     {`{"model":"m","prompt":["p","q"]}`, Completion, "prompt must be a string or a list of one string"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := Decode([]byte(c.body), c.endpoint)
+			assert.ErrorContains(t, err, c.want)
+		})
+	}
+}
+
+// Guards against short elements of a list that take many times their size once they are decoded.
+func BenchmarkDecodeEmptyObjects(b *testing.B) {
+	body := []byte(`{"model":"m","messages":[` + strings.Repeat("{},", 350_000) + `{}]}`)
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		if _, err := Decode(body, Chat); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 // Guards against chunks whose JSON does not decode to the text that the model generated.
 func FuzzStream(f *testing.F) {
 	f.Add("plain", "with \"quotes\" \\ and \n lines")
--- a/pkopenai/request.go
+++ b/pkopenai/request.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"strings"
 
 	"peridotknot.example/pkid"
@@ -14,10 +13,10 @@
 // Request is a chat completion or completion request. It holds the fields that the router uses;
 // other fields of the API are accepted and ignored.
 type Request struct {
-	Model    string    `json:"model"`
-	Messages []Message `json:"messages"`
-	Prompt   Prompt    `json:"prompt"`
-	Stream   bool      `json:"stream"`
+	Model    string   `json:"model"`
+	Messages Messages `json:"messages"`
+	Prompt   Prompt   `json:"prompt"`
+	Stream   bool     `json:"stream"`
 
 	MaxTokens           *int           `json:"max_tokens"`
 	MaxCompletionTokens *int           `json:"max_completion_tokens"`
@@ -36,6 +35,43 @@
 	Content Content `json:"content"`
 }
 
+// Messages are those of a chat, joined with their roles as one text.
+type Messages string
+
+// UnmarshalJSON decodes a list of messages.
+func (m *Messages) UnmarshalJSON(raw []byte) error {
+	switch {
+	case bytes.Equal(raw, []byte("null")):
+		return nil
+	case len(raw) == 0 || raw[0] != '[':
+		return errors.New("messages must be a list")
+	}
+	var all strings.Builder
+	err := eachElement(raw, func(one Message) error {
+		one.write(&all)
+		return nil
+	})
+	*m = Messages(all.String())
+	return err
+}
+
+// NewMessages returns the messages of a chat.
+func NewMessages(list ...Message) Messages {
+	var all strings.Builder
+	for _, one := range list {
+		one.write(&all)
+	}
+	return Messages(all.String())
+}
+
+func (m Message) write(to *strings.Builder) {
+	to.WriteString("<|")
+	to.WriteString(m.Role)
+	to.WriteString("|>")
+	to.WriteString(string(m.Content))
+	to.WriteByte('\n')
+}
+
 // Content is the text of a message, encoded as a string or as a list of text parts.
 type Content string
 
@@ -47,22 +83,30 @@
 	if len(raw) > 0 && raw[0] == '"' {
 		return json.Unmarshal(raw, (*string)(c))
 	}
-	var parts []struct {
-		Type string `json:"type"`
-		Text string `json:"text"`
-	}
-	if err := json.Unmarshal(raw, &parts); err != nil {
-		return errors.New("content must be a string or a list of parts")
+	notText := errors.New("content must be a string or a list of parts")
+	if len(raw) == 0 || raw[0] != '[' {
+		return notText
 	}
 	var all strings.Builder
-	for _, p := range parts {
+	err := eachElement(raw, func(p contentPart) error {
 		if p.Type != "text" {
 			return fmt.Errorf("content part of type %q is not served", p.Type)
 		}
 		all.WriteString(p.Text)
+		return nil
+	})
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return notText
 	}
 	*c = Content(all.String())
-	return nil
+	return err
+}
+
+// contentPart is a part of a message's content.
+type contentPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
 }
 
 // Prompt is the prompt of a completion, encoded as a string or as a list of one string.
@@ -73,11 +117,21 @@
 	if len(raw) > 0 && raw[0] == '"' {
 		return json.Unmarshal(raw, (*string)(p))
 	}
-	var list []string
-	if err := json.Unmarshal(raw, &list); err != nil || len(list) != 1 {
-		return errors.New("prompt must be a string or a list of one string")
+	notOne := errors.New("prompt must be a string or a list of one string")
+	if len(raw) == 0 || raw[0] != '[' {
+		return notOne
+	}
+	count := 0
+	err := eachElement(raw, func(text string) error {
+		*p = Prompt(text)
+		if count++; count > 1 {
+			return notOne
+		}
+		return nil
+	})
+	if err != nil || count != 1 {
+		return notOne
 	}
-	*p = Prompt(list[0])
 	return nil
 }
 
@@ -91,15 +145,11 @@
 )
 
 // Decode reads and validates a request. The text of the error is meant for the client.
-func Decode(body io.Reader, e Endpoint) (Request, error) {
+func Decode(body []byte, e Endpoint) (Request, error) {
 	var r Request
-	dec := json.NewDecoder(body)
-	if err := dec.Decode(&r); err != nil {
+	if err := json.Unmarshal(body, &r); err != nil {
 		return r, fmt.Errorf("the body is not a JSON request: %w", err)
 	}
-	if dec.More() {
-		return r, errors.New("the body holds more than one JSON value")
-	}
 	switch {
 	case r.Model == "":
 		return r, errors.New("model is missing")
@@ -120,15 +170,7 @@
 	if e == Completion {
 		return string(r.Prompt)
 	}
-	var all strings.Builder
-	for _, m := range r.Messages {
-		all.WriteString("<|")
-		all.WriteString(m.Role)
-		all.WriteString("|>")
-		all.WriteString(string(m.Content))
-		all.WriteByte('\n')
-	}
-	return all.String()
+	return string(r.Messages)
 }
 
 // MaxTokensOr returns the requested limit of output tokens, or fallback if the request sets none.
--- a/pkserver/holding.go
+++ b/pkserver/holding.go
@@ -28,7 +28,7 @@
 	headerFactor = 2
 	// smallBuffer is the size of a connection's receive buffer in bytes, which bounds what it holds unread, and largeBuffer
 	// that of a connection with a body over bufferThreshold bytes: a small one would slow it down over a long link.
-	smallBuffer     = 16 << 10
+	smallBuffer     = int(pkbudget.ReceiveBytes)
 	largeBuffer     = 128 << 10
 	bufferThreshold = 64 << 10
 	// grantTimeout bounds the wait for bytes that others are to release.
@@ -139,6 +139,16 @@
 	}
 }
 
+// ShrinkTo releases all but n bytes of what a request was granted beside what each holds.
+func (h *Holding) ShrinkTo(n int) {
+	if h == nil {
+		return
+	}
+	if spare := h.hold.Bytes() - pkbudget.RequestBytes - pkbudget.Bytes(n); spare > 0 {
+		h.hold.Shrink(spare)
+	}
+}
+
 // Admit takes what a request holds beside its body and its answer. The error is ErrBusy if there is no room.
 func (h *Holding) Admit(ctx context.Context) error {
 	if h == nil {
--- a/pktrace/exchange.go
+++ b/pktrace/exchange.go
@@ -50,7 +50,7 @@
 
 // chatMark returns the mark for a prompt that is sent as the only message of a chat.
 func chatMark(prompt string) string {
-	r := pkopenai.Request{Messages: []pkopenai.Message{{Role: "user", Content: pkopenai.Content(prompt)}}}
+	r := pkopenai.Request{Messages: pkopenai.NewMessages(pkopenai.Message{Role: "user", Content: pkopenai.Content(prompt)})}
 	return TokenMark(r.PromptText(pkopenai.Chat))
 }
 
