pkbudget, pkserver: several waits of one hold, refusals with a length, receive buffers of 32 KB

A client that sends more than its request makes net/http's background read ask for bytes while the handler asks as well; a hold had one wait only. Waits are values of their own now, and the model has several a hold. - pklab TestBadInput: a refusal without a length was cut, since the write side is closed before the handler ends its chunks. Failures have a length. - A buffer of 16 KB is smaller than a segment on loopback: a body of 60 KB took 205 ms, with 32 KB 1 ms. Headers that are not whole yield to new connections, without a pause in accept: connections that were not accepted held 24 MB unread before.

--- a/pkbudget/budget.go
+++ b/pkbudget/budget.go
@@ -17,8 +17,8 @@
 	byAccount   map[string]Bytes
 	// freeing and freeingLarge are the bytes of evicted holds that their owners have not released yet.
 	freeing, freeingLarge Bytes
-	// waiting are the holds that wait for bytes, in the order in which they are granted.
-	waiting  []*Hold[O]
+	// waiting are the waits for bytes, in the order in which they are granted.
+	waiting  []*Wait[O]
 	sequence uint64
 	shortage shortage
 	counts   Counts
@@ -51,12 +51,10 @@
 
 // Connect is the decision on a new connection.
 type Connect[O any] struct {
-	// Hold is that of the connection; nil if it is not accepted.
+	// Hold is that of the connection; nil if it is refused.
 	Hold *Hold[O]
 	// Evicted are the owners that must close their connections.
 	Evicted []O
-	// Wait is after what time to ask again; zero if Hold is set, or if the connection must be refused.
-	Wait time.Duration
 }
 
 // Connect decides on a new connection at now. If there are too many, the least useful one is evicted.
@@ -65,12 +63,10 @@
 	defer b.mu.Unlock()
 	var out Connect[O]
 	if b.limits.Connections > 0 && b.connections >= b.limits.Connections {
-		victim, wait := b.chooseConnection(now)
+		victim := b.chooseConnection(now)
 		if victim == nil {
-			if wait == 0 {
-				b.recordShort(now, &b.counts.RefusedConnections)
-			}
-			return Connect[O]{Wait: wait}
+			b.recordShort(now, &b.counts.RefusedConnections)
+			return out
 		}
 		b.evict(victim)
 		victim.closing = true
@@ -90,6 +86,7 @@
 	defer b.mu.Unlock()
 	h := b.add(now, owner)
 	h.begin(now)
+	h.stage = arriving
 	return h
 }
 
@@ -136,8 +133,8 @@
 	}
 	wanted, wantedLarge := n, h.largeGrowth(n)
 	for _, w := range b.waiting {
-		wanted += w.wants
-		wantedLarge += w.largeGrowth(w.wants)
+		wanted += w.bytes
+		wantedLarge += w.hold.largeGrowth(w.bytes)
 	}
 	missing = b.used - b.freeing + wanted - b.limits.Requests
 	missingLarge := b.large - b.freeingLarge + wantedLarge - b.limits.Large
@@ -164,34 +161,5 @@
 	h.evicted = true
 	b.freeing += h.bytes
 	b.freeingLarge += h.largeBytes()
-	b.stopWaiting(h)
-}
-
-// stopWaiting ends the wait of a hold without a grant; the caller holds mu.
-func (b *Budget[O]) stopWaiting(h *Hold[O]) {
-	if h.ready == nil {
-		return
-	}
-	for i, w := range b.waiting {
-		if w == h {
-			b.waiting = append(b.waiting[:i], b.waiting[i+1:]...)
-			break
-		}
-	}
-	close(h.ready)
-	h.ready, h.wants = nil, 0
-}
-
-// grantWaiting grants bytes to the holds that have waited longest; the caller holds mu.
-func (b *Budget[O]) grantWaiting() {
-	for len(b.waiting) > 0 {
-		h := b.waiting[0]
-		if !b.fits(h, h.wants) {
-			return
-		}
-		b.charge(h, h.wants)
-		b.waiting = b.waiting[1:]
-		close(h.ready)
-		h.ready, h.wants = nil, 0
-	}
+	b.stopWaiting(func(w *Wait[O]) bool { return w.hold == h })
 }
--- a/pkbudget/hold.go
+++ b/pkbudget/hold.go
@@ -8,7 +8,8 @@
 const (
 	// waiting is a connection without a request.
 	waiting stage = iota
-	// arriving is a request that has not arrived whole.
+	// opening is a request whose header has not arrived whole, arriving one whose body has not.
+	opening
 	arriving
 	// kept is a request that has arrived whole, until its answer is sent.
 	kept
@@ -32,9 +33,6 @@
 	// evicted is set once the owner must release what the request holds, closing once it must close the connection.
 	evicted, closing bool
 	closed           bool
-	// wants is what the hold waits for, until ready is closed.
-	wants Bytes
-	ready chan struct{}
 }
 
 // Grant is the decision on more bytes. The zero value refuses them.
@@ -42,9 +40,8 @@
 	Granted bool
 	// Evicted are the owners that must release what they hold.
 	Evicted []O
-	// Ready is closed once the bytes are granted, or the hold itself is evicted; see Hold.Move. It is nil if the decision
-	// stands already.
-	Ready <-chan struct{}
+	// Wait is the wait until they have; nil if the decision stands already. Its End must be called.
+	Wait *Wait[O]
 }
 
 // Begin records that the first bytes of a request have arrived at now.
@@ -57,9 +54,19 @@
 // begin is Begin for a caller that holds mu.
 func (h *Hold[O]) begin(now time.Time) {
 	h.budget.sequence++
-	h.stage, h.sequence, h.movedAt, h.served = arriving, h.budget.sequence, now, true
+	h.stage, h.sequence, h.movedAt = opening, h.budget.sequence, now
 }
 
+// Arrive records that the header of the request has arrived whole.
+func (h *Hold[O]) Arrive() {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.stage, h.served = arriving, true
+}
+
+// arriving reports whether the request has not arrived whole.
+func (h *Hold[O]) arriving() bool { return h.stage == opening || h.stage == arriving }
+
 // SetAccount sets the client account of the request.
 func (h *Hold[O]) SetAccount(account string) {
 	b := h.budget
@@ -107,26 +114,12 @@
 			out.Evicted = append(out.Evicted, v.owner)
 		}
 	}
-	h.wants, h.ready = n, make(chan struct{})
-	out.Ready = h.ready
-	b.waiting = append(b.waiting, h)
+	out.Wait = &Wait[O]{hold: h, bytes: n, ready: make(chan struct{})}
+	b.waiting = append(b.waiting, out.Wait)
 	b.grantWaiting()
 	return out
 }
 
-// Cancel ends a wait for more bytes, and reports whether they were granted: they are the owner's then.
-func (h *Hold[O]) Cancel() (granted bool) {
-	b := h.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if h.ready == nil {
-		return !h.evicted
-	}
-	b.stopWaiting(h)
-	b.grantWaiting()
-	return false
-}
-
 // Shrink releases n bytes.
 func (h *Hold[O]) Shrink(n Bytes) {
 	h.budget.mu.Lock()
@@ -177,7 +170,7 @@
 		return
 	}
 	h.closed = true
-	b.stopWaiting(h)
+	b.stopWaiting(func(w *Wait[O]) bool { return w.hold == h })
 	b.charge(h, -h.bytes)
 	if h.connection && !h.closing {
 		b.connections--
--- a/pkbudget/limits.go
+++ b/pkbudget/limits.go
@@ -7,7 +7,7 @@
 	// ConnectionBytes is what a connection without a request holds.
 	ConnectionBytes Bytes = 8 << 10
 	// ReceiveBytes is what a connection may have received that is not read yet, in the memory of the system.
-	ReceiveBytes Bytes = 16 << 10
+	ReceiveBytes Bytes = 32 << 10
 	// RequestBytes is what a request holds beside its header, body and answer.
 	RequestBytes Bytes = 16 << 10
 	// SmallBytes is the size up to which a request may use the reserve.
@@ -18,9 +18,11 @@
 	maxCallerShare = 0.875
 	// connectionShare is the fraction of the callers' memory that connections may hold.
 	connectionShare = 1.0 / 3
-	// receiveShare is how much connections may have received and not read, as a fraction of the memory of the process: it
-	// counts towards the memory of the machine.
-	receiveShare = 0.25
+	// receiveShare is how much connections may have received and not read, with programBytes, as a fraction of the memory
+	// of the process: both count towards the memory of the machine only.
+	receiveShare = 0.5
+	// programBytes is what the program takes outside of the memory of the process.
+	programBytes Bytes = 10 << 20
 	// reserveShare is the fraction of the memory of requests that only small ones may use.
 	reserveShare = 0.25
 	// descriptorShare is the fraction of the descriptors of a process that its callers may hold.
@@ -50,7 +52,8 @@
 		return l, true
 	}
 	callers := Bytes(callerShare * float64(m.Memory))
-	byMemory := max(int(min(connectionShare*float64(callers)/float64(ConnectionBytes), receiveShare*float64(m.Memory)/float64(ReceiveBytes))), 1)
+	received := Bytes(receiveShare*float64(m.Memory)) - programBytes
+	byMemory := max(int(min(Bytes(connectionShare*float64(callers))/ConnectionBytes, received/ReceiveBytes)), 1)
 	if l.Connections == 0 || byMemory < l.Connections {
 		l.Connections = byMemory
 	}
--- a/pkbudget/victim.go
+++ b/pkbudget/victim.go
@@ -6,12 +6,8 @@
 	"time"
 )
 
-const (
-	// stallTime is how long a request may receive nothing before it is evicted in favour of others.
-	stallTime = 500 * time.Millisecond
-	// connectTime is how long a new connection may have no request before it is closed in favour of others.
-	connectTime = 250 * time.Millisecond
-)
+// stallTime is how long a request may receive nothing before it is evicted in favour of others.
+const stallTime = 500 * time.Millisecond
 
 // rank orders connections by how soon they are closed in favour of others.
 type rank uint8
@@ -19,36 +15,38 @@
 const (
 	// rankRefused have had their final answer.
 	rankRefused rank = iota
-	// rankSilent have had no request, or none that moves.
+	// rankSilent have had no request, or one that has stalled.
 	rankSilent
 	// rankIdle are between two requests.
 	rankIdle
-	// rankNew may still send their first request.
+	// rankNew may still send the header of a request.
 	rankNew
 	// rankActive have a request in progress.
 	rankActive
 )
 
 func (h *Hold[O]) rank(now time.Time) rank {
-	idle := now.Sub(h.movedAt)
+	stalled := now.Sub(h.movedAt) >= stallTime
 	switch {
 	case h.stage == refused:
 		return rankRefused
+	case h.stage == kept:
+		return rankActive
 	case h.stage == waiting && h.served:
 		return rankIdle
-	case h.stage == waiting && idle < connectTime:
-		return rankNew
-	case h.stage == waiting, h.stage == arriving && idle >= stallTime:
+	case stalled:
 		return rankSilent
-	default:
+	case h.stage == arriving:
 		return rankActive
+	default:
+		return rankNew
 	}
 }
 
-// chooseConnection returns the connection to close in favour of a new one, the longest idle one of the lowest rank. If all
-// may still send a request, it returns after what time one of them has had its time; zero if all have requests. The
-// caller holds mu.
-func (b *Budget[O]) chooseConnection(now time.Time) (victim *Hold[O], wait time.Duration) {
+// chooseConnection returns the connection to close in favour of a new one, the longest idle one of the lowest rank; nil
+// if all have requests. The caller holds mu.
+func (b *Budget[O]) chooseConnection(now time.Time) *Hold[O] {
+	var victim *Hold[O]
 	lowest := rankActive
 	for _, h := range b.holds {
 		if !h.connection || h.closing {
@@ -59,10 +57,7 @@
 			lowest, victim = r, h
 		}
 	}
-	if lowest == rankNew {
-		return nil, connectTime - now.Sub(victim.movedAt)
-	}
-	return victim, 0
+	return victim
 }
 
 // chooseRequests returns the requests to evict for missing bytes, so that one can grow by n; nil if it must be refused.
@@ -70,7 +65,7 @@
 func (b *Budget[O]) chooseRequests(now time.Time, h *Hold[O], n, missing Bytes, largeOnly bool) []*Hold[O] {
 	var candidates []*Hold[O] // without the one that grows, which has just moved and does not yield to itself
 	for _, one := range b.holds {
-		if one.stage == arriving && !one.evicted && one.bytes > 0 && (!largeOnly || one.largeBytes() > 0) {
+		if one.arriving() && !one.evicted && one.bytes > 0 && (!largeOnly || one.largeBytes() > 0) {
 			candidates = append(candidates, one)
 		}
 	}
--- a/pkedge/metrics.go
+++ b/pkedge/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"peridotknot.example/pkretry"
+	"peridotknot.example/pkserver"
 	"peridotknot.example/pktimer"
 )
 
@@ -90,7 +91,7 @@
 		gauge("peridotknot_active_requests", "Requests in progress.", func() float64 { return float64(d.active.Load()) }),
 	)
 	m.registry.MustRegister(fleetGauges(d)...)
-	m.registry.MustRegister(d.server.guard.Metrics()...)
+	m.registry.MustRegister(pkserver.Metrics(&d.server.Budget)...)
 	return m
 }
 
--- a/pkentry/metrics.go
+++ b/pkentry/metrics.go
@@ -5,6 +5,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"peridotknot.example/pkserver"
 )
 
 // metrics holds the collectors behind /metrics. Accounts, models and targets are not used as labels,
@@ -62,7 +64,7 @@
 		}
 		return 0
 	})
-	m.registry.MustRegister(e.guard.Metrics()...)
+	m.registry.MustRegister(pkserver.Metrics(&e.callers.Budget)...)
 	m.gauge("peridotknot_in_flight", "Requests in progress.", func() float64 {
 		running, _ := e.requestCounts()
 		return float64(running)
--- a/pkopenai/failure.go
+++ b/pkopenai/failure.go
@@ -74,6 +74,14 @@
 		seconds := (f.RetryAfter + time.Second - 1) / time.Second
 		h.Set("Retry-After", strconv.Itoa(int(seconds)))
 	}
+	body, err := json.Marshal(f.body())
+	if err != nil {
+		return err
+	}
+	body = append(body, '\n')
+	// A refused client may not wait for the end of chunks.
+	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(f.Status)
-	return json.NewEncoder(w).Encode(f.body())
+	_, err = w.Write(body)
+	return err
 }
--- a/pkserver/conn.go
+++ b/pkserver/conn.go
@@ -18,28 +18,23 @@
 	holding *Holding
 }
 
-// open returns a connection with its Holding once the budget has room for it, and nil if it was refused.
+// open returns a connection with its Holding, and nil if it was refused.
 func open(b *Budget, tcp *net.TCPConn) *conn {
 	h := &Holding{conn: tcp, abort: func() {
 		_ = tcp.SetReadDeadline(longAgo) // it may be closed
 	}}
-	for {
-		decision := b.Connect(time.Now(), h)
-		for _, other := range decision.Evicted {
-			_ = other.conn.Close() // its client may have closed it
-		}
-		if decision.Hold != nil {
-			h.hold = decision.Hold
-			h.setReceiveBuffer(smallBuffer)
-			return &conn{TCPConn: tcp, holding: h}
-		}
-		if decision.Wait == 0 {
-			_, _ = tcp.Write([]byte(refusal)) // a new connection has room for it
-			_ = tcp.Close()
-			return nil
-		}
-		time.Sleep(decision.Wait)
+	decision := b.Connect(time.Now(), h)
+	for _, other := range decision.Evicted {
+		_ = other.conn.Close() // its client may have closed it
 	}
+	if decision.Hold == nil {
+		_, _ = tcp.Write([]byte(refusal)) // a new connection has room for it
+		_ = tcp.Close()
+		return nil
+	}
+	h.hold = decision.Hold
+	h.setReceiveBuffer(smallBuffer)
+	return &conn{TCPConn: tcp, holding: h}
 }
 
 // Read reads from the connection and charges what has arrived.
@@ -93,6 +88,7 @@
 	if phase(h.phase.Load()) == phaseWaiting { // read together with the request before
 		h.begin()
 	}
+	h.hold.Arrive()
 	h.phase.Store(int32(phaseBody))
 }
 
--- a/pkserver/guard.go
+++ b/pkserver/guard.go
@@ -16,7 +16,7 @@
 // guardInterval is how often the limits are applied anew and a shortage is logged.
 const guardInterval = time.Second
 
-// Guard keeps the limits of a Budget at those of the machine.
+// Guard keeps the limits of a Budget at those of the machine. The zero value guards nothing.
 type Guard struct {
 	Budget *Budget
 	// Memory is the memory limit of the process in bytes.
@@ -33,6 +33,9 @@
 
 // Apply applies the limits.
 func (g *Guard) Apply() {
+	if g.Budget == nil {
+		return
+	}
 	descriptors, err := pkmachine.Descriptors(g.Descriptors)
 	if err != nil {
 		g.Log.Error("limit of descriptors not read", "error", err)
@@ -66,16 +69,16 @@
 		"refused_connections", r.Counts.RefusedConnections, "evicted_connections", r.Counts.EvictedConnections)
 }
 
-// Metrics returns the metrics of what callers hold.
-func (g *Guard) Metrics() []prometheus.Collector {
+// Metrics returns the metrics of a Budget.
+func Metrics(b *Budget) []prometheus.Collector {
 	gauge := func(name, help string, value func(pkbudget.Usage) int64) prometheus.Collector {
-		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return float64(value(g.Budget.Usage())) })
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return float64(value(b.Usage())) })
 	}
 	count := func(cause string, value func(pkbudget.Counts) int64) prometheus.Collector {
 		return prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "peridotknot_callers_refused_total", Help: "Requests and connections refused, or evicted in favour of others, since callers held too much.",
 			ConstLabels: prometheus.Labels{"cause": cause},
-		}, func() float64 { return float64(value(g.Budget.Usage().Counts)) })
+		}, func() float64 { return float64(value(b.Usage().Counts)) })
 	}
 	return []prometheus.Collector{
 		gauge("peridotknot_caller_bytes", "Bytes that requests and answers of callers hold.", func(u pkbudget.Usage) int64 { return int64(u.Bytes) }),
--- a/pkserver/holding.go
+++ b/pkserver/holding.go
@@ -112,21 +112,17 @@
 	if grant.Granted {
 		return nil
 	}
-	if grant.Ready == nil {
+	if grant.Wait == nil {
 		return ErrBusy
 	}
 	limit := time.NewTimer(grantTimeout)
 	defer limit.Stop()
-	granted := false
 	select {
-	case <-grant.Ready:
-		granted = h.hold.Move(time.Now())
+	case <-grant.Wait.Ready():
 	case <-limit.C:
-		granted = h.hold.Cancel()
 	case <-ctx.Done():
-		granted = h.hold.Cancel()
 	}
-	if !granted {
+	if !grant.Wait.End() {
 		return ErrBusy
 	}
 	return nil
@@ -242,7 +238,7 @@
 	lingerBytes = 256 << 20
 )
 
-// Refuse answers a request that was not read whole with what write writes, and closes its connection once the client has
+// Refuse answers a request that was not read whole with what write writes, with its length, and closes its connection once the client has
 // had the time to read the answer. A client that is still sending would lose it with a reset.
 func (h *Holding) Refuse(w http.ResponseWriter, write func()) error {
 	control := http.NewResponseController(w)
