pkedge, pkserver, pkrelay: relayed requests and answers count towards the budget

Cause: bodies that other entries relay were read, decoded and read once more (three copies), bodies to relay were encoded, and answers were read whole (1 MB each) without a bound on their sum.

Change: a relayed request has a hold of its own; one without room is passed back as callers_hold_too_much, so that another entry is asked, and its body is not copied a third time. Encoding charges two copies while it lasts; an entry without room for them counts it as an entry that has failed. Answers are charged as they are read; one without room is forwarded as it comes, as a target has run the request, and is cut if it breaks off.

--- a/pkedge/call.go
+++ b/pkedge/call.go
@@ -227,6 +227,10 @@
 	if err := errors.Join(control.SetWriteDeadline(c.deadline.Add(writeGrace)), control.SetReadDeadline(c.began.Add(bodyTimeout))); err != nil {
 		return err
 	}
+	if c.relayed != nil {
+		c.req.Body = c.relayed.Body
+		return control.SetReadDeadline(time.Time{})
+	}
 	body, err := c.holding.ReadAll(c.r.Context(), c.r.Body, c.r.ContentLength, bodyLimit(c.table))
 	if rej := bodyRejection(err); rej != nil {
 		return rej
--- a/pkedge/callerserver.go
+++ b/pkedge/callerserver.go
@@ -115,19 +115,10 @@
 		return err
 	}
 	c.holding.SetAccount(string(c.account))
-	if c.holding.Admit(c.r.Context()) != nil {
+	if c.relayed == nil && c.holding.Admit(c.r.Context()) != nil {
 		return bodyRejection(pkserver.ErrBusy)
 	}
-	c.deadline = c.began.Add(defaultTimeout)
-	limits := []time.Duration{c.route.Timeout, c.req.Meta.TimeBudget}
-	if c.relayed != nil {
-		limits = append(limits, c.relayed.Remaining())
-	}
-	for _, limit := range limits {
-		if limit > 0 && c.began.Add(limit).Before(c.deadline) {
-			c.deadline = c.began.Add(limit)
-		}
-	}
+	c.setDeadline()
 	if err := c.readBody(); err != nil {
 		return err
 	}
@@ -150,6 +141,20 @@
 	return c.servePlain(ctx)
 }
 
+// setDeadline sets the earliest of the deadlines of the request.
+func (c *call) setDeadline() {
+	c.deadline = c.began.Add(defaultTimeout)
+	limits := []time.Duration{c.route.Timeout, c.req.Meta.TimeBudget}
+	if c.relayed != nil {
+		limits = append(limits, c.relayed.Remaining())
+	}
+	for _, limit := range limits {
+		if limit > 0 && c.began.Add(limit).Before(c.deadline) {
+			c.deadline = c.began.Add(limit)
+		}
+	}
+}
+
 const (
 	// retryAfterFailure is the Retry-After delay if all targets refused or could not be reached:
 	// failed targets are avoided by then.
--- a/pkedge/holdings.go
+++ b/pkedge/holdings.go
@@ -7,6 +7,7 @@
 
 	"peridotknot.example/pkbudget"
 	"peridotknot.example/pkconfig"
+	"peridotknot.example/pkrelay"
 	"peridotknot.example/pkserver"
 )
 
@@ -45,7 +46,7 @@
 	case errors.Is(err, pkserver.ErrTooLarge):
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "body_too_large", unread: true}
 	case errors.Is(err, pkserver.ErrBusy):
-		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterBusy, reason: "callers_hold_too_much", unread: true}
+		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterBusy, reason: pkrelay.ReasonBusy, unread: true}
 	default:
 		return nil
 	}
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -15,6 +15,7 @@
 	"peridotknot.example/pkforward"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkreplica"
+	"peridotknot.example/pkserver"
 	"peridotknot.example/pkverdict"
 )
 
@@ -120,6 +121,10 @@
 		c.recordSuccess(time.Now())
 		return sendResult{final: true, err: c.forward(resp.Status, resp.Header, body)}
 	}
+	var sent *forwarded
+	if errors.As(err, &sent) {
+		return sendResult{final: true, err: sent.err}
+	}
 	c.recordIfInterrupted(time.Now(), err, t)
 	verdict = pkverdict.Join(verdict, c.recordSendFailure(t, err))
 	last := !verdict.MayRetry(c.route.Retryable())
@@ -224,7 +229,10 @@
 		return nil, nil, err
 	}
 	defer resp.Close()
-	body, err := resp.ReadAll(maxBufferedAnswer)
+	body, err := c.readAnswer(ctx, resp.Body, resp.Length)
+	if errors.Is(err, pkserver.ErrBusy) {
+		return resp, nil, c.forwardUnbuffered(ctx, resp, t, body)
+	}
 	if err == nil {
 		err = c.checkBodyEnd(ctx, resp, t)
 	}
--- a/pkedge/relay.go
+++ b/pkedge/relay.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"peridotknot.example/pkexchange"
-	"peridotknot.example/pkforward"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkreach"
 	"peridotknot.example/pkrelay"
+	"peridotknot.example/pkserver"
 	"peridotknot.example/pktimer"
 	"peridotknot.example/pkverdict"
 )
@@ -24,6 +24,8 @@
 	lostCheckInterval = 500 * time.Millisecond
 	// maxCutOffSends bounds the sends of a request over links that reach almost no target.
 	maxCutOffSends = 2
+	// relayCopies is how many times its size a body takes while it is encoded for another entry.
+	relayCopies = 2
 )
 
 // relay is one pass of a request to another entry.
@@ -98,6 +100,12 @@
 // send passes the request on and returns the response of a target, or the failure.
 func (r relay) send(ctx context.Context, c *call, lastEventID string) (*http.Response, error) {
 	now := time.Now()
+	copies := relayCopies * len(c.req.Body)
+	if err := c.holding.Grow(ctx, copies); err != nil {
+		c.relays.Record(now, false)
+		return nil, &pkverdict.Error{Verdict: pkverdict.NotRun, Reason: pkverdict.ReasonUnreachable, Err: err}
+	}
+	defer c.holding.Shrink(copies)
 	resp, err := c.relayClient.Do(ctx, r.peer.Addr, &pkrelay.Request{
 		From: c.settings.Entry, Method: c.req.Method, Host: c.req.Host, URI: c.req.URI, Header: c.req.Header, Body: c.req.Body,
 		RemainingMS: max(c.deadline.Sub(now).Milliseconds(), 1), Version: c.version(), Runs: c.failed.Attempts(), LastEventID: lastEventID,
@@ -187,7 +195,10 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := pkforward.ReadBody(resp.Body, resp.ContentLength, maxBufferedAnswer)
+	body, err := c.readAnswer(ctx, resp.Body, resp.ContentLength)
+	if errors.Is(err, pkserver.ErrBusy) {
+		return c.copyAnswer(resp.StatusCode, resp.Header, resp.ContentLength, body, resp.Body)
+	}
 	if err != nil {
 		return err
 	}
@@ -204,7 +215,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode/100 != 2 {
-		body, err := pkforward.ReadBody(resp.Body, resp.ContentLength, maxBufferedAnswer)
+		body, err := c.readAnswer(ctx, resp.Body, resp.ContentLength)
 		switch {
 		case err != nil:
 			return err
@@ -278,6 +289,11 @@
 	d.relayedActive.Add(1)
 	defer d.relayedActive.Add(-1)
 	c := &call{Daemon: d, w: w, r: r, began: time.Now(), table: d.configs.Table(), relayed: &pkrelay.Request{}}
+	control := http.NewResponseController(w)
+	c.holding = pkserver.NewRequest(&d.server.Budget, c.began, func() {
+		_ = control.SetReadDeadline(c.began) // the connection may be closed
+	})
+	defer c.holding.Close()
 	h := w.Header()
 	h["Date"], h["Content-Type"] = nil, nil
 	if err := c.acceptRelayed(r); err != nil {
@@ -291,15 +307,14 @@
 
 // acceptRelayed reads a relayed request. The error is its final answer.
 func (c *call) acceptRelayed(r *http.Request) error {
-	limit := defaultLimits.BodyBytes
-	if c.table != nil && c.table.Limits.BodyBytes > 0 {
-		limit = c.table.Limits.BodyBytes
-	}
 	control := http.NewResponseController(c.w)
 	if err := control.SetReadDeadline(c.began.Add(bodyTimeout)); err != nil {
 		return err
 	}
-	in, err := pkrelay.Read(r.Body, limit)
+	in, err := c.readRelayed(r)
+	if errors.Is(err, pkserver.ErrBusy) {
+		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterBusy, reason: pkrelay.ReasonBusy}
+	}
 	if err != nil {
 		c.log.Warn("invalid relayed request", "addr", r.RemoteAddr, "error", err)
 		return &rejection{status: http.StatusBadRequest, reason: pkrelay.ReasonInvalid}
@@ -323,6 +338,27 @@
 	return nil
 }
 
+// readRelayed reads and decodes a relayed request.
+func (c *call) readRelayed(r *http.Request) (*pkrelay.Request, error) {
+	if err := c.holding.Admit(r.Context()); err != nil {
+		return nil, err
+	}
+	limit := bodyLimit(c.table)
+	raw, err := c.holding.ReadAll(r.Context(), r.Body, r.ContentLength, pkrelay.MaxBytes(limit))
+	if err != nil {
+		return nil, err
+	}
+	if err := c.holding.Grow(r.Context(), len(raw)); err != nil {
+		return nil, err
+	}
+	in, err := pkrelay.Decode(raw, limit)
+	if err != nil {
+		return nil, err
+	}
+	c.holding.ShrinkTo(len(in.Body))
+	return in, nil
+}
+
 // setRelayVerdict marks an answer of this entry itself to the entry that has passed a request on.
 func (c *call) setRelayVerdict(rej *rejection) {
 	verdict := pkverdict.NotRun
--- a/pkrelay/client.go
+++ b/pkrelay/client.go
@@ -66,7 +66,7 @@
 // that another entry can take it.
 func PassedBack(resp *http.Response) bool {
 	switch resp.Header.Get(HeaderReason) {
-	case ReasonCutOff, ReasonStopping, ReasonOlderConfig, ReasonInvalid:
+	case ReasonCutOff, ReasonStopping, ReasonOlderConfig, ReasonInvalid, ReasonBusy:
 		return true
 	default:
 		return false
--- a/pkrelay/request.go
+++ b/pkrelay/request.go
@@ -33,6 +33,7 @@
 	ReasonStopping    = "stopping"
 	ReasonOlderConfig = "older_configuration"
 	ReasonInvalid     = "invalid_relay"
+	ReasonBusy        = "callers_hold_too_much"
 )
 
 // ReasonLinksCut is the reason for which an entry gives up a relayed request that targets may have run: its links were cut
@@ -69,14 +70,12 @@
 // Encode returns the encoded request.
 func (r *Request) Encode() ([]byte, error) { return pkpeer.Encode(*r) }
 
-// Read reads and checks an encoded request whose body has at most maxBody bytes.
-func Read(in io.Reader, maxBody int64) (*Request, error) {
-	limit := maxBody + maxOverhead
-	raw, err := io.ReadAll(io.LimitReader(in, limit+1))
-	if err != nil {
-		return nil, fmt.Errorf("read relayed request: %w", err)
-	}
-	if int64(len(raw)) > limit {
+// MaxBytes returns the largest size of an encoded request whose body has at most maxBody bytes.
+func MaxBytes(maxBody int64) int64 { return maxBody + maxOverhead }
+
+// Decode decodes and checks an encoded request whose body has at most maxBody bytes.
+func Decode(raw []byte, maxBody int64) (*Request, error) {
+	if limit := MaxBytes(maxBody); int64(len(raw)) > limit {
 		return nil, fmt.Errorf("relayed request exceeds %d bytes", limit)
 	}
 	r, err := pkpeer.Decode[Request](raw)
--- a/pkrelay/request_test.go
+++ b/pkrelay/request_test.go
@@ -1,7 +1,6 @@
 package pkrelay
 
 import (
-	"bytes"
 	"io"
 	"testing"
 
@@ -21,7 +20,7 @@
 	want := valid()
 	raw, err := want.Encode()
 	assert.NilError(t, err)
-	got, err := Read(bytes.NewReader(raw), maxTestBody)
+	got, err := Decode(raw, maxTestBody)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, *got, want)
 	r, err := got.HTTP(t.Context())
@@ -50,7 +49,7 @@
 		change(&r)
 		raw, err := r.Encode()
 		assert.NilError(t, err)
-		_, err = Read(bytes.NewReader(raw), maxTestBody)
+		_, err = Decode(raw, maxTestBody)
 		assert.Assert(t, err != nil, name)
 	}
 	r := valid()
@@ -59,7 +58,7 @@
 	assert.ErrorContains(t, err, "invalid path")
 }
 
-func FuzzRead(f *testing.F) {
+func FuzzDecode(f *testing.F) {
 	r := valid()
 	raw, err := pkpeer.Encode(r)
 	if err != nil {
@@ -68,7 +67,7 @@
 	f.Add(raw)
 	f.Add([]byte{0xa1, 0x01})
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		r, err := Read(bytes.NewReader(raw), maxTestBody)
+		r, err := Decode(raw, maxTestBody)
 		if err != nil {
 			return
 		}
--- a/pkserver/holding.go
+++ b/pkserver/holding.go
@@ -170,46 +170,72 @@
 	return nil
 }
 
-// ReadAll reads a body of at most limit bytes to its end; length is negative if it is not known. The error is ErrBusy if
-// there is no room for it, ErrTooLarge, or that of the reader.
+// ReadAll reads the body of the request, of at most limit bytes, to its end; length is negative if it is not known. The
+// error is ErrBusy if there is no room for it, ErrTooLarge, or that of the reader.
 func (h *Holding) ReadAll(ctx context.Context, in io.Reader, length, limit int64) ([]byte, error) {
+	body, err := h.read(ctx, in, length, limit, h.enlargeBody)
+	if err != nil {
+		return nil, err
+	}
+	return body, h.keep()
+}
+
+// ReadAnswer reads the answer to the request like ReadAll. If the error is ErrBusy, it returns what it has read, and the
+// rest is still to be read.
+func (h *Holding) ReadAnswer(ctx context.Context, in io.Reader, length, limit int64) ([]byte, error) {
+	return h.read(ctx, in, length, limit, h.enlarge)
+}
+
+// read reads to the end of a reader into a buffer that enlarge enlarges.
+func (h *Holding) read(ctx context.Context, in io.Reader, length, limit int64, enlarge enlarger) ([]byte, error) {
 	if length > limit {
 		return nil, ErrTooLarge
 	}
-	if length == 0 {
-		return nil, h.keep()
-	}
-	most := length
-	if most < 0 {
-		most = limit + 1 // one more shows that there is more
+	most := limit + 1 // one more shows that there is more
+	if length >= 0 {
+		most = length
 	}
 	var body []byte
-	for {
-		if len(body) == cap(body) && int64(len(body)) < most {
-			var err error
-			if body, err = h.enlarge(ctx, body, int(min(max(2*int64(cap(body)), firstBuffer), most))); err != nil {
-				return nil, err
+	for int64(len(body)) != length {
+		if len(body) == cap(body) {
+			larger, err := enlarge(ctx, body, int(min(max(2*int64(cap(body)), firstBuffer), most)))
+			if err != nil {
+				return body, err
 			}
+			body = larger
 		}
 		n, err := in.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
 		case int64(len(body)) > limit:
 			return nil, ErrTooLarge
-		case h != nil && !h.hold.Move(time.Now()):
-			return nil, ErrBusy
-		case err == io.EOF:
-			return body, h.keep()
+		case !h.move(time.Now()):
+			return body, ErrBusy
+		case errors.Is(err, io.EOF):
+			return body, endOfBody(int64(len(body)), length)
 		case err != nil:
 			return nil, err
-		case int64(len(body)) == length:
-			return body, h.keep()
 		}
 	}
+	return body, nil
 }
 
-// enlarge returns a copy of a body with another capacity.
-func (h *Holding) enlarge(ctx context.Context, body []byte, size int) ([]byte, error) {
+// endOfBody returns an error if a body that has ended lacks a part.
+func endOfBody(read, length int64) error {
+	if length >= 0 && read < length {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
+// move records that something has arrived at now, and reports whether the request may go on.
+func (h *Holding) move(now time.Time) bool { return h == nil || h.hold.Move(now) }
+
+// enlarger returns a copy of a buffer with another capacity.
+type enlarger func(ctx context.Context, buffer []byte, size int) ([]byte, error)
+
+// enlargeBody is enlarge for the body of the request, a large one of which gets a large receive buffer.
+func (h *Holding) enlargeBody(ctx context.Context, body []byte, size int) ([]byte, error) {
 	if h != nil && h.conn != nil && !h.largeBuffer && size > bufferThreshold {
 		if err := h.Grow(ctx, largeBuffer); err != nil {
 			return nil, err
@@ -217,12 +243,17 @@
 		h.largeBuffer = true
 		h.setReceiveBuffer(largeBuffer)
 	}
+	return h.enlarge(ctx, body, size)
+}
+
+// enlarge is the enlarger that charges the larger buffer before the smaller one is released.
+func (h *Holding) enlarge(ctx context.Context, buffer []byte, size int) ([]byte, error) {
 	if err := h.Grow(ctx, size); err != nil {
 		return nil, err
 	}
-	out := make([]byte, len(body), size)
-	copy(out, body)
-	h.Shrink(cap(body))
+	out := make([]byte, len(buffer), size)
+	copy(out, buffer)
+	h.Shrink(cap(buffer))
 	return out, nil
 }
 
