--- a/pkbudget/budget_test.go
+++ b/pkbudget/budget_test.go
@@ -395,3 +395,39 @@
 	_, changed = b.Report(start.Add(2 * shortageTime))
 	assert.Assert(t, !changed)
 }
+
+// BenchmarkRequest is what a request with a small body costs beside 2,000 other connections.
+func BenchmarkRequest(b *testing.B) {
+	var budget Budget[int]
+	budget.SetLimits(Limits{Connections: 3000, Requests: 64 * mb, Large: 48 * mb})
+	var h *Hold[int]
+	for i := range 2000 {
+		h = budget.Connect(start, i).Hold
+	}
+	for b.Loop() {
+		h.Begin(start)
+		h.Arrive()
+		h.SetAccount("one")
+		h.Grow(start, RequestBytes)
+		h.Grow(start, 4<<10)
+		h.Move(start)
+		h.Keep()
+		h.End(start)
+	}
+}
+
+// BenchmarkConnectBesideACrowd is what a new connection costs while 3,000 silent ones take all places.
+func BenchmarkConnectBesideACrowd(b *testing.B) {
+	var crowd Budget[int]
+	crowd.SetLimits(Limits{Connections: 3000})
+	holds := make([]*Hold[int], 0, 3000)
+	for i := range 3000 {
+		holds = append(holds, crowd.Connect(start.Add(time.Duration(i)), i).Hold)
+	}
+	for now := start.Add(time.Second); b.Loop(); now = now.Add(1) {
+		hold := holds[0] // the oldest
+		decision := crowd.Connect(now, 0)
+		hold.Close()
+		holds = append(holds[1:], decision.Hold)
+	}
+}
