pkedge, pkentry, pkbudget: refused callers need not send their body

Callers with an unknown key or route, or a large body to an entry without a configuration, learnt that only once the rest of their body had come: net/http discards up to 256 KB before it sends an answer, without a time limit.

Change: a refusal while the body may still be arriving is sent like one for want of room; bodies of at most 4 KB are still read, for at most 10 s, so that their connection is used again. A connection whose request was evicted may have another one: its hold is no longer evicted once the request has ended, else each later request on it was refused.

TestEvictedRequestsGetNothing asks for the second request.

--- a/pkbudget/budget_test.go
+++ b/pkbudget/budget_test.go
@@ -132,7 +132,7 @@
 	case 7:
 		if len(o.waits) == 0 {
 			o.hold.End(s.now)
-			o.held = 0
+			o.held, o.aborted = 0, o.hold.closing
 		}
 	case 8:
 		for _, w := range o.waits {
@@ -286,6 +286,8 @@
 	assert.Assert(t, !grant.Wait.End())
 	refused := second.Grow(now, 1)
 	assert.Assert(t, !refused.Granted && refused.Wait == nil)
+	second.End(now)
+	assert.Assert(t, second.Grow(now, 1).Granted, "its connection has another request")
 }
 
 // Guards against requests that have arrived whole, and may run, and are evicted.
--- a/pkbudget/hold.go
+++ b/pkbudget/hold.go
@@ -157,6 +157,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.charge(h, -h.bytes)
+	h.evicted = h.closing
 	h.stage, h.account, h.movedAt = next, "", now
 	b.grantWaiting()
 }
--- a/pkedge/call.go
+++ b/pkedge/call.go
@@ -39,6 +39,8 @@
 	failed pkverdict.Sends
 	// relayed is the request as another entry has passed it on; nil if it came from its caller.
 	relayed *pkrelay.Request
+	// bodyRead is set once the body was read to its end.
+	bodyRead bool
 	// holding is what the request holds of the memory for callers.
 	holding *pkserver.Holding
 	// relays counts the entries that the request was passed on to.
@@ -82,8 +84,6 @@
 	status     int
 	retryAfter time.Duration
 	reason     string
-	// unread is set if the request was not read whole.
-	unread bool
 }
 
 // Error returns the reason and the status.
@@ -125,7 +125,7 @@
 		// that the answer is incomplete.
 		c.resetUnframed()
 		panic(http.ErrAbortHandler)
-	case rej.unread:
+	case c.leavesBody():
 		if err := c.holding.Refuse(c.w, func() { c.reject(rej) }); err != nil {
 			c.log.Debug("refused caller has disconnected", "request_id", c.req.Meta.ID, "error", err)
 		}
@@ -134,6 +134,14 @@
 	}
 }
 
+// maxDiscard is the size of an unread body, in bytes, that is read in vain so that its connection can be used again.
+const maxDiscard = 4 << 10
+
+// leavesBody reports whether the request is refused while its body may still be arriving.
+func (c *call) leavesBody() bool {
+	return c.relayed == nil && !c.bodyRead && (c.r.ContentLength < 0 || c.r.ContentLength > maxDiscard)
+}
+
 // priority returns the priority of the client account, or else that of the route.
 func (c *call) priority() int {
 	if c.route == nil {
@@ -224,12 +232,12 @@
 func (c *call) readBody() error {
 	c.req.Method, c.req.Host, c.req.URI, c.req.Header = c.r.Method, c.r.Host, c.r.RequestURI, c.r.Header
 	control := http.NewResponseController(c.w)
-	if err := errors.Join(control.SetWriteDeadline(c.deadline.Add(writeGrace)), control.SetReadDeadline(c.began.Add(bodyTimeout))); err != nil {
+	if err := control.SetWriteDeadline(c.deadline.Add(writeGrace)); err != nil {
 		return err
 	}
 	if c.relayed != nil {
 		c.req.Body = c.relayed.Body
-		return control.SetReadDeadline(time.Time{})
+		return nil
 	}
 	body, err := c.holding.ReadAll(c.r.Context(), c.r.Body, c.r.ContentLength, bodyLimit(c.table))
 	if rej := bodyRejection(err); rej != nil {
@@ -238,7 +246,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", errCallerLeft, err)
 	}
-	c.req.Body = body
+	c.req.Body, c.bodyRead = body, true
 	return control.SetReadDeadline(time.Time{})
 }
 
--- a/pkedge/callerserver.go
+++ b/pkedge/callerserver.go
@@ -101,10 +101,21 @@
 	if d.stopping.Load() {
 		h["Connection"] = []string{"close"}
 	}
-	err := c.run()
+	err := c.boundBody()
+	if err == nil {
+		err = c.run()
+	}
 	c.finish(err)
 }
 
+// boundBody bounds the time that the caller may take to send a body, also one that is only read to be discarded.
+func (c *call) boundBody() error {
+	if c.r.ContentLength == 0 {
+		return nil
+	}
+	return http.NewResponseController(c.w).SetReadDeadline(c.began.Add(bodyTimeout))
+}
+
 // run serves one request and returns once the answer was sent or cannot be.
 func (c *call) run() error {
 	if c.table == nil {
--- a/pkedge/holdings.go
+++ b/pkedge/holdings.go
@@ -44,9 +44,9 @@
 func bodyRejection(err error) *rejection {
 	switch {
 	case errors.Is(err, pkserver.ErrTooLarge):
-		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "body_too_large", unread: true}
+		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
 	case errors.Is(err, pkserver.ErrBusy):
-		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterBusy, reason: pkrelay.ReasonBusy, unread: true}
+		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterBusy, reason: pkrelay.ReasonBusy}
 	default:
 		return nil
 	}
--- a/pkentry/callers.go
+++ b/pkentry/callers.go
@@ -50,11 +50,11 @@
 	id    pkid.RequestID
 	began time.Time
 	view  *pkmanifest.View
-	// holding is what the call holds of the memory for callers, unread is set if it was not read whole.
-	holding *pkserver.Holding
-	unread  bool
-	account *pkmanifest.Account
-	span    trace.Span
+	// holding is what the call holds of the memory for callers, bodyRead is set once its body was read to its end.
+	holding  *pkserver.Holding
+	bodyRead bool
+	account  *pkmanifest.Account
+	span     trace.Span
 	// resource is what the request addresses, for logs and metrics: "models:", "model:ID" or
 	// "service:ID".
 	resource string
@@ -70,7 +70,10 @@
 		c := &call{Entry: e, w: w, r: r.WithContext(ctx), id: pkid.RequestID(ulid.Make().String()), began: time.Now(), span: span, holding: pkserver.HoldingOf(r.Context())}
 		w.Header().Set(pkopenai.HeaderRequestID, c.requestID())
 		span.SetAttributes(attribute.String("request_id", c.requestID()))
-		err := c.authenticate()
+		err := c.boundBody()
+		if err == nil {
+			err = c.authenticate()
+		}
 		if err == nil {
 			err = do(c)
 		}
@@ -244,7 +247,7 @@
 	if errors.Is(err, errResponseStarted) {
 		return nil
 	}
-	if !c.unread {
+	if !c.leavesBody() {
 		return f.Write(c.w)
 	}
 	var written error
--- a/pklab/lab_test.go
+++ b/pklab/lab_test.go
@@ -133,6 +133,31 @@
 
 const chatBody = `{"model":"budget-de","max_tokens":3,"messages":[{"role":"user","content":"hi"}]}`
 
+// Guards against callers who learn that they are refused only once the rest of their body has come.
+func TestRefusedCallersNeedNotSendTheirBody(t *testing.T) {
+	l := startLab(t, 1)
+	for name, head := range map[string]string{
+		"no key":          "POST /v1/chat/completions HTTP/1.1\r\n",
+		"unknown service": "POST /services/none/x HTTP/1.1\r\nAuthorization: Bearer " + apiKey(t) + "\r\n",
+	} {
+		for framing, lines := range map[string]string{"announced": "Content-Length: 100000\r\n\r\n", "chunked": "Transfer-Encoding: chunked\r\n\r\n186a0\r\n"} {
+			t.Run(name+" "+framing, func(t *testing.T) {
+				conn, err := net.Dial("tcp", l.Addresses()[0].Callers)
+				assert.NilError(t, err)
+				defer func() { assert.NilError(t, conn.Close()) }()
+				_, err = io.WriteString(conn, head+"Host: lab\r\n"+lines+strings.Repeat("a", 99_999))
+				assert.NilError(t, err)
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				assert.NilError(t, err)
+				_, err = io.Copy(io.Discard, resp.Body)
+				assert.NilError(t, err)
+				assert.NilError(t, resp.Body.Close())
+				assert.Equal(t, resp.Header.Get(pkopenai.HeaderVerdict), "not_run")
+			})
+		}
+	}
+}
+
 // An invalid request must fail with its error code and the verdict that nothing ran, and must not
 // affect other requests.
 func TestBadInput(t *testing.T) {
