pkserver: connections have small receive buffers before they are accepted

Cause: the buffer was made small after a connection was accepted. Under load 450 clients had sent 57 KB each before.

Change: the listener has the buffer of 32 KB, which connections inherit; it also bounds their window, so that a large body asks for a larger one. One system call an accepted connection less.

--- a/pkserver/conn.go
+++ b/pkserver/conn.go
@@ -33,7 +33,6 @@
 		return nil
 	}
 	h.hold = decision.Hold
-	h.setReceiveBuffer(smallBuffer)
 	return &conn{TCPConn: tcp, holding: h}
 }
 
--- a/pkserver/holding.go
+++ b/pkserver/holding.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"peridotknot.example/pkbudget"
 )
 
@@ -257,9 +259,16 @@
 	return out, nil
 }
 
-// setReceiveBuffer sets the size of the connection's receive buffer.
+// setReceiveBuffer sets the size of the connection's receive buffer. Its window was bounded by that of the listener.
 func (h *Holding) setReceiveBuffer(bytes int) {
-	_ = h.conn.SetReadBuffer(bytes) // the connection may be closed
+	raw, err := h.conn.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { // the connection may be closed
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes)
+	})
 }
 
 const (
--- a/pkserver/listener.go
+++ b/pkserver/listener.go
@@ -1,16 +1,25 @@
 package pkserver
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
-// Listen listens on a TCP address.
+// Listen listens on a TCP address. Its connections have small receive buffers, also before they are accepted.
 func Listen(addr string) (*net.TCPListener, error) {
-	l, err := net.Listen("tcp", addr)
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) { failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, smallBuffer) })
+		return errors.Join(err, failed)
+	}}
+	l, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
