--- a/peridotknot/crowd_test.go
+++ b/peridotknot/crowd_test.go
@@ -154,12 +154,7 @@
 	}
 	setMaxBody(crowdMaxBody)
 	d := &crowdDaemon{
-		head: func() string {
-			return strings.Join([]string{
-				"POST /book/1 HTTP/1.1", "Host: " + platformtest.Host, "Authorization: Bearer " + platformtest.Key,
-				"Peridotknot-Attempt-Id: " + requestID(), "Peridotknot-Time-Budget-Ms: 20000", "",
-			}, "\r\n")
-		},
+		head:       func() string { return platformtest.Head("/book/1", requestID(), platformtest.Key, waitTimeout) },
 		fill:       func(size int) string { return strings.Repeat("a", size) },
 		setMaxBody: setMaxBody,
 		hold: func() (release func()) {
--- a/pkedge/refusedbody_test.go
+++ b/pkedge/refusedbody_test.go
@@ -38,15 +38,13 @@
 				conn, err := net.Dial("tcp", n.CallersAddr())
 				assert.NilError(t, err)
 				defer func() { assert.NilError(t, conn.Close()) }()
-				_, err = io.WriteString(conn, strings.Join([]string{
-					"POST " + row.path + " HTTP/1.1", "Host: " + platformtest.Host, "Authorization: Bearer " + row.key, "Peridotknot-Attempt-Id: refused", lines,
-				}, "\r\n")+strings.Repeat("a", size-1))
+				_, err = io.WriteString(conn, platformtest.Head(row.path, "refused", row.key, waitTimeout)+lines+strings.Repeat("a", size-1))
 				assert.NilError(t, err)
 				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 				assert.NilError(t, err)
 				assert.NilError(t, resp.Body.Close())
 				assert.Equal(t, resp.StatusCode, row.status)
-				assert.Equal(t, resp.Header.Get("Peridotknot-Attempt-Id"), "refused")
+				assert.Equal(t, resp.Header.Get(platformtest.IDHeader), "refused")
 			})
 		}
 	}
--- a/pkserver/holding.go
+++ b/pkserver/holding.go
@@ -278,8 +278,8 @@
 	lingerBytes = 256 << 20
 )
 
-// Refuse answers a request that was not read whole with what write writes, with its length, and closes its connection once the client has
-// had the time to read the answer. A client that is still sending would lose it with a reset.
+// Refuse answers a request that was not read whole with what write writes, which must send its length, and closes the
+// connection once the client has had the time to read the answer: one that is still sending would lose it with a reset.
 func (h *Holding) Refuse(w http.ResponseWriter, write func()) error {
 	control := http.NewResponseController(w)
 	// Else net/http reads the rest of the body before it sends the answer.
