pkserver, pkbudget: connections hold no more than is counted, also before they are accepted

Connections that the process has not accepted were not counted, and the backlog was that of the system (4,096). A receive buffer of 32 KB that is set takes up to 48 to 61 KB, one of 128 KB up to 252 (own trial on loopback, pieces of 100 bytes, 1,460 and 1 MB): the system doubles what is set. So 2,406 connections could hold 146 MB where 75 were counted.

Change: half of what a connection may hold is set, and a connection that is not accepted may hold 16 KB. As many as a quarter of those that the memory has room for may wait to be accepted; the listener's backlog bounds them (601 at 284 MB, 72 at 64 MB). pkserver.Guard listens, as it has the limits.

A large body has a window of 128 KB at most (252 before): slower over a long link, not measured.

--- a/peridotknot/crowd_test.go
+++ b/peridotknot/crowd_test.go
@@ -39,6 +39,8 @@
 	patience = 5 * time.Second
 	// crowdTimeout is how long a crowd may take to send what it sends; a daemon may have stopped to read it by then.
 	crowdTimeout = 30 * time.Second
+	// suspendedTime is how long a daemon stands still while a crowd connects.
+	suspendedTime = 3 * time.Second
 )
 
 // crowdDaemon is a daemon with low limits.
@@ -254,6 +256,14 @@
 
 // gather starts the clients of a crowd, and waits until they have sent what they send or the daemon has stopped to read it.
 func (d *crowdDaemon) gather(t *testing.T, n int, send sends, reopens bool) (c *crowd, leave func()) {
+	t.Helper()
+	c, leave = d.start(t, n, send, reopens)
+	c.awaitSent()
+	return c, leave
+}
+
+// start starts the clients of a crowd.
+func (d *crowdDaemon) start(t *testing.T, n int, send sends, reopens bool) (c *crowd, leave func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	c = &crowd{d: d, ctx: ctx, reopens: reopens}
@@ -266,6 +276,11 @@
 		c.clients.Wait()
 	})
 	t.Cleanup(leave)
+	return c, leave
+}
+
+// awaitSent waits until all have sent what they send, or crowdTimeout.
+func (c *crowd) awaitSent() {
 	sent := make(chan struct{})
 	go func() {
 		c.sending.Wait()
@@ -275,7 +290,6 @@
 	case <-sent:
 	case <-time.After(crowdTimeout):
 	}
-	return c, leave
 }
 
 func (c *crowd) run(send sends) {
@@ -291,7 +305,8 @@
 
 // connect sends over one connection, and returns when it is closed.
 func (c *crowd) connect(send sends, sent func()) {
-	conn, err := net.Dial("tcp", c.d.addr)
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(c.ctx, "tcp", c.d.addr)
 	if err != nil {
 		sent()
 		time.Sleep(10 * time.Millisecond)
@@ -357,6 +372,19 @@
 	return c
 }
 
+// outlivesSuspended sends a crowd while the daemon stands still, and checks it once it goes on.
+func (d *crowdDaemon) outlivesSuspended(t *testing.T, n int, send sends) {
+	t.Helper()
+	d.p.signal(syscall.SIGSTOP)
+	c, leave := d.start(t, n, send, false)
+	time.Sleep(suspendedTime)
+	d.p.signal(syscall.SIGCONT)
+	c.awaitSent()
+	d.check(t)
+	leave()
+	d.check(t)
+}
+
 // announced sends a body of a legal size but for its last bytes, in pieces.
 func announced(missing, piece int, pause time.Duration) sends {
 	return func(d *crowdDaemon, conn io.Writer) error {
@@ -457,12 +485,13 @@
 
 // The numbers of clients in the crowds.
 const (
-	bodiesCrowd  = 150
-	overCrowd    = 60
-	headersCrowd = 1200
-	silentCrowd  = 2000
-	floodCrowd   = 600
-	mixedCrowd   = 40
+	bodiesCrowd    = 150
+	overCrowd      = 60
+	headersCrowd   = 1200
+	silentCrowd    = 2000
+	floodCrowd     = 600
+	mixedCrowd     = 40
+	suspendedCrowd = 1200
 )
 
 // kinds are what the clients of a mixed crowd send.
@@ -583,6 +612,13 @@
 	d.end(t)
 }
 
+// Guards against connections that exceed the memory of the machine before the process accepts them.
+func TestEdgeOutlivesACrowdWhileSuspended(t *testing.T) {
+	d := startEdge(t, crowdDescriptors)
+	d.outlivesSuspended(t, suspendedCrowd, announced(1, crowdMaxBody, 0))
+	d.end(t)
+}
+
 // Guards against a process that runs out of memory by a crowd of all kinds.
 func TestEdgeOutlivesAMixedCrowd(t *testing.T) {
 	d := startEdge(t, crowdDescriptors)
@@ -698,6 +734,13 @@
 	d.end(t)
 }
 
+// Guards against connections that exceed the memory of the machine before the process accepts them.
+func TestOwnOutlivesACrowdWhileSuspended(t *testing.T) {
+	d := startOwn(t, crowdDescriptors, false)
+	d.outlivesSuspended(t, suspendedCrowd, announced(1, crowdMaxBody, 0))
+	d.end(t)
+}
+
 // Guards against a process that runs out of memory by a crowd of all kinds.
 func TestOwnOutlivesAMixedCrowd(t *testing.T) {
 	d := startOwn(t, crowdDescriptors, false)
--- a/pkbudget/limits.go
+++ b/pkbudget/limits.go
@@ -6,8 +6,10 @@
 const (
 	// ConnectionBytes is what a connection without a request holds.
 	ConnectionBytes Bytes = 8 << 10
-	// ReceiveBytes is what a connection may have received that is not read yet, in the memory of the system.
+	// ReceiveBytes is what a connection may have received that is not read yet, in the memory of the system, and PendingBytes
+	// is the same for one that is not accepted yet.
 	ReceiveBytes Bytes = 32 << 10
+	PendingBytes Bytes = 16 << 10
 	// RequestBytes is what a request holds beside its header, body and answer.
 	RequestBytes Bytes = 16 << 10
 	// SmallBytes is the size up to which a request may use the reserve.
@@ -23,6 +25,9 @@
 	receiveShare = 0.5
 	// programBytes is what the program takes outside of the memory of the process.
 	programBytes Bytes = 10 << 20
+	// pendingShare is how many connections may wait to be accepted, as a fraction of those that the memory has room for.
+	pendingShare = 0.25
+	minPending   = 16
 	// reserveShare is the fraction of the memory of requests that only small ones may use.
 	reserveShare = 0.25
 	// descriptorShare is the fraction of the descriptors of a process that its callers may hold.
@@ -32,6 +37,8 @@
 // Limits bound what callers hold. Zero means no bound.
 type Limits struct {
 	Connections int
+	// Pending bounds the connections that wait to be accepted.
+	Pending int
 	// Requests bounds the bytes of all requests, Large those of requests over SmallBytes.
 	Requests, Large Bytes
 }
@@ -54,6 +61,7 @@
 	callers := Bytes(callerShare * float64(m.Memory))
 	received := Bytes(receiveShare*float64(m.Memory)) - programBytes
 	byMemory := max(int(min(Bytes(connectionShare*float64(callers))/ConnectionBytes, received/ReceiveBytes)), 1)
+	l.Pending = max(int(pendingShare*float64(byMemory)), minPending)
 	if l.Connections == 0 || byMemory < l.Connections {
 		l.Connections = byMemory
 	}
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -168,7 +168,7 @@
 	d.server.guard = pkserver.Guard{Budget: &d.server.Budget, Memory: memory, Descriptors: s.MaxDescriptors, Largest: d.largestRequest, Log: log}
 	d.metrics = newMetrics(d)
 	d.relayClient = pkrelay.NewClient(pkconn.DefaultOptions())
-	if d.callers, err = pkserver.Listen(s.Listen.Callers); err != nil {
+	if d.callers, err = d.server.guard.Listen(s.Listen.Callers); err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
 	d.prepareServer()
--- a/pkentry/entry.go
+++ b/pkentry/entry.go
@@ -101,7 +101,7 @@
 
 func (e *Entry) listen() error {
 	var err error
-	if e.callerListener, err = pkserver.Listen(e.settings.Listen.Callers); err != nil {
+	if e.callerListener, err = e.guard.Listen(e.settings.Listen.Callers); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	if e.adminListener, err = net.Listen("tcp", e.settings.Listen.Admin); err != nil {
--- a/pkserver/conn.go
+++ b/pkserver/conn.go
@@ -33,6 +33,7 @@
 		return nil
 	}
 	h.hold = decision.Hold
+	h.setReceiveBuffer(smallBuffer)
 	return &conn{TCPConn: tcp, holding: h}
 }
 
--- a/pkserver/guard.go
+++ b/pkserver/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -31,21 +32,32 @@
 	oversized atomic.Bool
 }
 
+// Listen listens on a TCP address, within the limit on connections that wait to be accepted.
+func (g *Guard) Listen(addr string) (*net.TCPListener, error) {
+	limits, _ := g.machine().Limits()
+	return listen(addr, limits.Pending)
+}
+
 // Apply applies the limits.
 func (g *Guard) Apply() {
 	if g.Budget == nil {
 		return
 	}
+	m := g.machine()
+	limits, fits := m.Limits()
+	g.Budget.SetLimits(limits)
+	if before := g.oversized.Swap(!fits); !fits && !before {
+		g.Log.Warn("a request of the largest legal size does not fit into the memory of callers", "request_bytes", int64(m.LargestRequest), "memory_bytes", int64(limits.Large))
+	}
+}
+
+// machine returns what the process may use now.
+func (g *Guard) machine() pkbudget.Machine {
 	descriptors, err := pkmachine.Descriptors(g.Descriptors)
 	if err != nil {
 		g.Log.Error("limit of descriptors not read", "error", err)
 	}
-	largest := g.Largest()
-	limits, fits := pkbudget.Machine{Memory: g.Memory, Descriptors: descriptors, LargestRequest: largest}.Limits()
-	g.Budget.SetLimits(limits)
-	if before := g.oversized.Swap(!fits); !fits && !before {
-		g.Log.Warn("a request of the largest legal size does not fit into the memory of callers", "request_bytes", int64(largest), "memory_bytes", int64(limits.Large))
-	}
+	return pkbudget.Machine{Memory: g.Memory, Descriptors: descriptors, LargestRequest: g.Largest()}
 }
 
 // Run applies limits that change and logs when callers hold too much, until ctx ends.
--- a/pkserver/holding.go
+++ b/pkserver/holding.go
@@ -28,8 +28,9 @@
 	freeHeader = 4 << 10
 	// headerFactor is how many times its size a header takes while it is read and once it is parsed.
 	headerFactor = 2
-	// smallBuffer is the size of a connection's receive buffer in bytes, which bounds what it holds unread, and largeBuffer
-	// that of a connection with a body over bufferThreshold bytes: a small one would slow it down over a long link.
+	// smallBuffer is how many bytes a connection may have received and not read, and largeBuffer the same with a body over
+	// bufferThreshold bytes, which a small one would slow down over a long link. pendingBuffer is for one that is not accepted.
+	pendingBuffer   = int(pkbudget.PendingBytes)
 	smallBuffer     = int(pkbudget.ReceiveBytes)
 	largeBuffer     = 128 << 10
 	bufferThreshold = 64 << 10
@@ -259,15 +260,15 @@
 	return out, nil
 }
 
-// setReceiveBuffer sets the size of the connection's receive buffer. Its window was bounded by that of the listener.
+// setReceiveBuffer bounds what the connection may have received and not read, and its window, which that of the listener
+// has bounded.
 func (h *Holding) setReceiveBuffer(bytes int) {
 	raw, err := h.conn.SyscallConn()
 	if err != nil {
 		return
 	}
-	_ = raw.Control(func(fd uintptr) { // the connection may be closed
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes)
+	_ = onSocket(raw, func(fd int) error { // the connection may be closed
+		return errors.Join(setReceiveBuffer(fd, bytes), unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes))
 	})
 }
 
--- a/pkserver/listener.go
+++ b/pkserver/listener.go
@@ -12,12 +12,11 @@
 	"golang.org/x/sys/unix"
 )
 
-// Listen listens on a TCP address. Its connections have small receive buffers, also before they are accepted.
-func Listen(addr string) (*net.TCPListener, error) {
+// listen listens on a TCP address. At most pending connections wait to be accepted, those of the system's default if that
+// is zero, and each has received at most pendingBuffer bytes.
+func listen(addr string, pending int) (*net.TCPListener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		var failed error
-		err := c.Control(func(fd uintptr) { failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, smallBuffer) })
-		return errors.Join(err, failed)
+		return onSocket(c, func(fd int) error { return setReceiveBuffer(fd, pendingBuffer) })
 	}}
 	l, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
@@ -27,9 +26,37 @@
 	if !isTCP {
 		return nil, errors.Join(fmt.Errorf("%s: not a TCP listener: %T", addr, l), l.Close())
 	}
+	if pending <= 0 {
+		return tcp, nil
+	}
+	if err := boundPending(tcp, pending); err != nil {
+		return nil, errors.Join(fmt.Errorf("%s: bound connections that wait: %w", addr, err), tcp.Close())
+	}
 	return tcp, nil
 }
 
+// boundPending bounds the connections that wait to be accepted.
+func boundPending(l *net.TCPListener, pending int) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return onSocket(raw, func(fd int) error { return unix.Listen(fd, pending) }) // again, with another bound
+}
+
+// onSocket calls do with the descriptor of a socket.
+func onSocket(c syscall.RawConn, do func(fd int) error) error {
+	var failed error
+	err := c.Control(func(fd uintptr) { failed = do(int(fd)) })
+	return errors.Join(err, failed)
+}
+
+// setReceiveBuffer bounds what a socket may have received and not read to a number of bytes: the system takes up to twice
+// the size that is set.
+func setReceiveBuffer(fd, bytes int) error {
+	return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes/2)
+}
+
 // errRetired is the error of Accept once a listener is retired.
 var errRetired = errors.New("another server accepts the connections")
 
