pkbudget, pkserver: as many connections may wait as before, with smaller buffers

A full backlog drops the packet that opens a connection, which its client sends again after 1, 3 and 7 s; a queue of 4,096 lets each have its turn in 0.2 s.

Change: the number stays near that of the system, 4,096, and their buffers shrink: 0.15 of the process's memory divided by them, 2 to 32 KB each (6.4 KB on a VM of 284 MB, 3.1 at 136), fewer only where that is too much (2,949 at 64 MB).

Conclusion: a request over the buffer of the listener takes more round trips on a new connection over a long link; reasoned, not measured.

--- a/pkbudget/budget_test.go
+++ b/pkbudget/budget_test.go
@@ -374,7 +374,7 @@
 		assert.Assert(t, l.Large >= m.LargestRequest && l.Requests > l.Large, "%+v", l)
 		assert.Assert(t, l.Requests+Bytes(l.Connections)*ConnectionBytes <= m.Memory, "%+v", l)
 		assert.Assert(t, l.Connections > 0 && l.Connections < m.Descriptors, "%+v", l)
-		received := Bytes(l.Connections)*ReceiveBytes + Bytes(l.Pending)*PendingBytes
+		received := Bytes(l.Connections)*ReceiveBytes + Bytes(l.Pending)*l.PendingBytes
 		assert.Assert(t, l.Pending > 0 && received+programBytes <= m.Memory*2/3, "%+v", l) // what is left of the machine
 	}
 	_, fits := Machine{Memory: 38 * mb, LargestRequest: 64 * mb}.Limits()
--- a/pkbudget/limits.go
+++ b/pkbudget/limits.go
@@ -6,10 +6,8 @@
 const (
 	// ConnectionBytes is what a connection without a request holds.
 	ConnectionBytes Bytes = 8 << 10
-	// ReceiveBytes is what a connection may have received that is not read yet, in the memory of the system, and PendingBytes
-	// is the same for one that is not accepted yet.
+	// ReceiveBytes is what a connection may have received that is not read yet, in the memory of the system.
 	ReceiveBytes Bytes = 32 << 10
-	PendingBytes Bytes = 16 << 10
 	// RequestBytes is what a request holds beside its header, body and answer.
 	RequestBytes Bytes = 16 << 10
 	// SmallBytes is the size up to which a request may use the reserve.
@@ -25,9 +23,11 @@
 	receiveShare = 0.5
 	// programBytes is what the program takes outside of the memory of the process.
 	programBytes Bytes = 10 << 20
-	// pendingShare is how many connections may wait to be accepted, as a fraction of those that the memory has room for.
-	pendingShare = 0.25
-	minPending   = 16
+	// pendingShare is how much the connections that wait to be accepted may have received, as a fraction of the memory of the
+	// process. There are maxPending at most, each with minPendingBytes to ReceiveBytes.
+	pendingShare          = 0.15
+	maxPending            = 4096
+	minPendingBytes Bytes = 2 << 10
 	// reserveShare is the fraction of the memory of requests that only small ones may use.
 	reserveShare = 0.25
 	// descriptorShare is the fraction of the descriptors of a process that its callers may hold.
@@ -37,8 +37,11 @@
 // Limits bound what callers hold. Zero means no bound.
 type Limits struct {
 	Connections int
-	// Pending bounds the connections that wait to be accepted.
-	Pending int
+	// Descriptors bounds connections and admitted requests together: each of these has a connection to its target.
+	Descriptors int
+	// Pending bounds the connections that wait to be accepted, and PendingBytes what each of them may have received.
+	Pending      int
+	PendingBytes Bytes
 	// Requests bounds the bytes of all requests, Large those of requests over SmallBytes.
 	Requests, Large Bytes
 }
@@ -52,16 +55,25 @@
 	LargestRequest Bytes
 }
 
+// pending returns how many connections may wait to be accepted, and how many bytes each of them may have received. Where
+// memory is scarce, they may receive less: a connection that is refused is opened again only after a second.
+func (m Machine) pending() (connections int, each Bytes) {
+	all := Bytes(pendingShare * float64(m.Memory))
+	each = min(max(all/maxPending, minPendingBytes), ReceiveBytes)
+	return min(max(int(all/each), 1), maxPending), each
+}
+
 // Limits returns the limits for a machine, and whether a request of the largest legal size fits into them.
 func (m Machine) Limits() (limits Limits, fits bool) {
-	l := Limits{Connections: int(descriptorShare * float64(m.Descriptors))}
+	l := Limits{Descriptors: int(descriptorShare * float64(m.Descriptors))}
+	l.Connections = l.Descriptors
 	if m.Memory <= 0 {
 		return l, true
 	}
 	callers := Bytes(callerShare * float64(m.Memory))
 	received := Bytes(receiveShare*float64(m.Memory)) - programBytes
 	byMemory := max(int(min(Bytes(connectionShare*float64(callers))/ConnectionBytes, received/ReceiveBytes)), 1)
-	l.Pending = max(int(pendingShare*float64(byMemory)), minPending)
+	l.Pending, l.PendingBytes = m.pending()
 	if l.Connections == 0 || byMemory < l.Connections {
 		l.Connections = byMemory
 	}
--- a/pkserver/guard.go
+++ b/pkserver/guard.go
@@ -35,7 +35,7 @@
 // Listen listens on a TCP address, within the limit on connections that wait to be accepted.
 func (g *Guard) Listen(addr string) (*net.TCPListener, error) {
 	limits, _ := g.machine().Limits()
-	return listen(addr, limits.Pending)
+	return listen(addr, limits)
 }
 
 // Apply applies the limits.
--- a/pkserver/holding.go
+++ b/pkserver/holding.go
@@ -29,8 +29,7 @@
 	// headerFactor is how many times its size a header takes while it is read and once it is parsed.
 	headerFactor = 2
 	// smallBuffer is how many bytes a connection may have received and not read, and largeBuffer the same with a body over
-	// bufferThreshold bytes, which a small one would slow down over a long link. pendingBuffer is for one that is not accepted.
-	pendingBuffer   = int(pkbudget.PendingBytes)
+	// bufferThreshold bytes, which a small one would slow down over a long link.
 	smallBuffer     = int(pkbudget.ReceiveBytes)
 	largeBuffer     = 128 << 10
 	bufferThreshold = 64 << 10
--- a/pkserver/listener.go
+++ b/pkserver/listener.go
@@ -10,13 +10,19 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"peridotknot.example/pkbudget"
 )
 
-// listen listens on a TCP address. At most pending connections wait to be accepted, those of the system's default if that
-// is zero, and each has received at most pendingBuffer bytes.
-func listen(addr string, pending int) (*net.TCPListener, error) {
+// listen listens on a TCP address, within the limits on connections that wait to be accepted. Without limits these are the
+// system's number of connections with smallBuffer bytes each.
+func listen(addr string, limits pkbudget.Limits) (*net.TCPListener, error) {
+	buffer := smallBuffer
+	if limits.PendingBytes > 0 {
+		buffer = int(limits.PendingBytes)
+	}
 	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		return onSocket(c, func(fd int) error { return setReceiveBuffer(fd, pendingBuffer) })
+		return onSocket(c, func(fd int) error { return setReceiveBuffer(fd, buffer) })
 	}}
 	l, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
@@ -26,10 +32,10 @@
 	if !isTCP {
 		return nil, errors.Join(fmt.Errorf("%s: not a TCP listener: %T", addr, l), l.Close())
 	}
-	if pending <= 0 {
+	if limits.Pending <= 0 {
 		return tcp, nil
 	}
-	if err := boundPending(tcp, pending); err != nil {
+	if err := boundPending(tcp, limits.Pending); err != nil {
 		return nil, errors.Join(fmt.Errorf("%s: bound connections that wait: %w", addr, err), tcp.Close())
 	}
 	return tcp, nil
--- a/pkserver/receive_test.go
+++ b/pkserver/receive_test.go
@@ -34,9 +34,10 @@
 
 // Guards against connections that have received more than the limits count for them, before and after they are accepted.
 func TestConnectionsReceiveNoMoreThanTheirBound(t *testing.T) {
+	const pendingBuffer = 2 << 10
 	for name, piece := range map[string]int{"small": 100, "segments": 1460, "large": 1 << 20} {
 		t.Run(name, func(t *testing.T) {
-			l, err := listen("127.0.0.1:0", 0)
+			l, err := listen("127.0.0.1:0", pkbudget.Limits{PendingBytes: pendingBuffer})
 			assert.NilError(t, err)
 			defer func() { assert.NilError(t, l.Close()) }()
 			client, err := net.Dial("tcp", l.Addr().String())
--- a/pkserver/server_test.go
+++ b/pkserver/server_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"peridotknot.example/pkbudget"
 )
 
 const (
@@ -27,7 +29,7 @@
 // start starts a server with low limits and returns its URL and a function that returns the result of Serve.
 func start(t *testing.T, s *Server) (url string, served func() error) {
 	t.Helper()
-	l, err := listen("127.0.0.1:0", 0)
+	l, err := listen("127.0.0.1:0", pkbudget.Limits{})
 	assert.NilError(t, err)
 	assert.NilError(t, s.SetLimits(limitsOf(low)))
 	done := make(chan error, 1)
