pkbudget, pkserver: requests in progress count towards the descriptors of callers

What callers saw: 600 whole, legal requests whose targets do not answer took all descriptors of a process with 400: no connection to the store, another entry or readiness could be opened, 991 sends failed with "too many open files", and callers read no_target. At the defaults 2,406 connections with a request each need 4,812 of 4,100.

Cause: callers' connections were bounded (three quarters), the connections to targets that their requests open were not.

Change: an admitted request counts one descriptor beside its connection, and one that another entry relays one. Connections that are silent or idle yield to it; where all have requests it is refused as not run, 503 with Retry-After. Two gauges, two keys of the log line.

TestAdmittedRequestsTakeDescriptors states the order.

--- a/peridotknot/crowd_test.go
+++ b/peridotknot/crowd_test.go
@@ -33,6 +33,8 @@
 	crowdMaxBody     = 1 << 20
 	crowdDescriptors = 4000
 	fewDescriptors   = 400
+	// spareDescriptors are those that a crowd leaves to the store, other entries and readiness.
+	spareDescriptors = 20
 	overLimit        = 100 << 20
 	bytesPerMB       = 1 << 20
 	// patience is how long an ordinary caller waits for an answer before it asks again.
@@ -60,9 +62,10 @@
 	peak       peakMemory
 }
 
-// peakMemory is the largest sum of a process's resident memory and of the bytes that it has received and not read.
+// peakMemory is the largest sum of a process's resident memory and of the bytes that it has received and not read, and the
+// largest number of its descriptors.
 type peakMemory struct {
-	bytes, unread atomic.Int64
+	bytes, unread, descriptors atomic.Int64
 	stop          context.CancelFunc
 	done          sync.WaitGroup
 }
@@ -76,6 +79,7 @@
 			unread := unreadBytes(port)
 			m.unread.Store(max(m.unread.Load(), unread))
 			m.bytes.Store(max(m.bytes.Load(), memoryOf(pid, "VmRSS")+unread))
+			m.descriptors.Store(max(m.descriptors.Load(), descriptorsOf(pid)))
 			time.Sleep(10 * time.Millisecond)
 		}
 	})
@@ -100,6 +104,15 @@
 	return 0
 }
 
+// descriptorsOf returns how many descriptors a process has open, zero if it has ended.
+func descriptorsOf(pid int) int64 {
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	if err != nil {
+		return 0
+	}
+	return int64(len(open))
+}
+
 // unreadBytes returns the bytes in the receive queues of the connections to a port.
 func unreadBytes(port string) int64 {
 	raw, err := os.ReadFile("/proc/net/tcp")
@@ -396,6 +409,14 @@
 	}
 }
 
+// whole sends a request with a body of a size.
+func whole(size int) sends {
+	return func(d *crowdDaemon, conn io.Writer) error {
+		_, err := fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", d.head(), size, d.fill(size))
+		return err
+	}
+}
+
 func inPieces(conn io.Writer, body string, piece int, pause time.Duration) error {
 	for len(body) > 0 {
 		n := min(piece, len(body))
@@ -492,6 +513,7 @@
 	floodCrowd     = 600
 	mixedCrowd     = 40
 	suspendedCrowd = 1200
+	waitingCrowd   = 600
 )
 
 // kinds are what the clients of a mixed crowd send.
@@ -600,6 +622,25 @@
 	d.end(t)
 }
 
+// Guards against requests that take all descriptors with their connections to targets that do not answer.
+func TestEdgeOutlivesRequestsThatWait(t *testing.T) {
+	d := startEdge(t, fewDescriptors)
+	release := d.hold()
+	defer release()
+	_, leave := d.gather(t, waitingCrowd, whole(1<<10), false)
+	defer leave()
+	time.Sleep(suspendedTime) // requests reach their targets
+	eventually(t, "readiness", func() bool { return !d.p.running() || answersOK(d.ready) })
+	release()
+	d.check(t)
+	leave()
+	d.check(t)
+	used := d.peak.descriptors.Load()
+	t.Logf("%d descriptors of %d were used", used, fewDescriptors)
+	assert.Assert(t, used <= fewDescriptors-spareDescriptors, "%d descriptors of %d were used", used, fewDescriptors)
+	d.end(t)
+}
+
 // Guards against a process that exceeds its memory by bytes that it has received and does not read.
 func TestEdgeOutlivesUnreadBytes(t *testing.T) {
 	d := startEdge(t, crowdDescriptors)
--- a/pkbudget/budget.go
+++ b/pkbudget/budget.go
@@ -12,6 +12,8 @@
 	holds  []*Hold[O]
 	// connections counts the connections that are not being closed.
 	connections int
+	// admitted counts the requests that may have a connection to their target.
+	admitted int
 	// used is the sum of all bytes, large the part of requests over SmallBytes, byAccount that of each client account.
 	used, large Bytes
 	byAccount   map[string]Bytes
@@ -27,6 +29,7 @@
 // Usage is what callers hold.
 type Usage struct {
 	Connections int
+	Admitted    int
 	Bytes       Bytes
 	LargeBytes  Bytes
 	Waiting     int
@@ -46,7 +49,7 @@
 func (b *Budget[O]) Usage() Usage {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return Usage{Connections: b.connections, Bytes: b.used, LargeBytes: b.large, Waiting: len(b.waiting), Limits: b.limits, Counts: b.counts}
+	return Usage{Connections: b.connections, Admitted: b.admitted, Bytes: b.used, LargeBytes: b.large, Waiting: len(b.waiting), Limits: b.limits, Counts: b.counts}
 }
 
 // Connect is the decision on a new connection.
@@ -62,16 +65,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out Connect[O]
-	if b.limits.Connections > 0 && b.connections >= b.limits.Connections {
-		victim := b.chooseConnection(now)
+	if b.outOfDescriptors() || (b.limits.Connections > 0 && b.connections >= b.limits.Connections) {
+		victim := b.closeConnection(now, nil)
 		if victim == nil {
 			b.recordShort(now, &b.counts.RefusedConnections)
 			return out
 		}
-		b.evict(victim)
-		victim.closing = true
-		b.connections--
-		b.recordShort(now, &b.counts.EvictedConnections)
 		out.Evicted = []O{victim.owner}
 	}
 	out.Hold = b.add(now, owner)
@@ -80,6 +79,25 @@
 	return out
 }
 
+// outOfDescriptors reports whether callers have all descriptors that they may have; the caller holds mu.
+func (b *Budget[O]) outOfDescriptors() bool {
+	return b.limits.Descriptors > 0 && b.connections+b.admitted >= b.limits.Descriptors
+}
+
+// closeConnection evicts the least useful connection but that of a request at now and returns it, nil if there is none; the
+// caller holds mu.
+func (b *Budget[O]) closeConnection(now time.Time, request *Hold[O]) *Hold[O] {
+	victim := b.chooseConnection(now, request)
+	if victim == nil {
+		return nil
+	}
+	b.evict(victim)
+	victim.closing = true
+	b.connections--
+	b.recordShort(now, &b.counts.EvictedConnections)
+	return victim
+}
+
 // Request returns the hold of a request that arrives over a connection without a hold.
 func (b *Budget[O]) Request(now time.Time, owner O) *Hold[O] {
 	b.mu.Lock()
--- a/pkbudget/budget_test.go
+++ b/pkbudget/budget_test.go
@@ -34,9 +34,9 @@
 }
 
 func (s *schedule) setLimits() {
-	next := Limits{Connections: 1 + s.r.IntN(12), Requests: SmallBytes * Bytes(2+s.r.IntN(12))}
+	next := Limits{Connections: 1 + s.r.IntN(12), Descriptors: 1 + s.r.IntN(16), Requests: SmallBytes * Bytes(2+s.r.IntN(12))}
 	next.Large = next.Requests * 3 / 4
-	s.lowered = s.lowered || next.Requests < s.limits.Requests || next.Large < s.limits.Large || next.Connections < s.limits.Connections
+	s.lowered = s.lowered || next.Requests < s.limits.Requests || next.Large < s.limits.Large || next.Connections < s.limits.Connections || next.Descriptors < s.limits.Descriptors
 	s.limits = next
 	s.b.SetLimits(next)
 }
@@ -113,7 +113,7 @@
 
 func (s *schedule) act(i int) {
 	o := s.owners[i]
-	switch s.r.IntN(10) {
+	switch s.r.IntN(11) {
 	case 0:
 		o.hold.Begin(s.now)
 		if s.r.IntN(2) == 0 {
@@ -139,6 +139,10 @@
 			s.end(o, w)
 		}
 		o.waits = nil
+	case 9:
+		evicted, admitted := o.hold.Admit(s.now)
+		s.abort(evicted)
+		assert.Equal(s.t, admitted, o.hold.admitted && !o.hold.evicted)
 	default:
 		s.close(i)
 	}
@@ -148,8 +152,11 @@
 func (s *schedule) check() {
 	s.settle()
 	var used, large Bytes
-	connections := 0
+	connections, admitted := 0, 0
 	for _, o := range s.owners {
+		if o.hold.admitted {
+			admitted++
+		}
 		assert.Equal(s.t, o.hold.bytes, o.held)
 		used += o.held
 		large += largePart(o.held)
@@ -161,9 +168,10 @@
 	assert.Equal(s.t, u.Bytes, used)
 	assert.Equal(s.t, u.LargeBytes, large)
 	assert.Equal(s.t, u.Connections, connections)
-	within := used <= s.limits.Requests && large <= s.limits.Large && connections <= s.limits.Connections
+	assert.Equal(s.t, u.Admitted, admitted)
+	within := used <= s.limits.Requests && large <= s.limits.Large && connections <= s.limits.Connections && connections+admitted <= s.limits.Descriptors
 	s.lowered = s.lowered && !within
-	assert.Assert(s.t, within || s.lowered, "%d bytes, %d of large requests, %d connections of %+v", used, large, connections, s.limits)
+	assert.Assert(s.t, within || s.lowered, "%d bytes, %d of large requests, %d connections, %d admitted of %+v", used, large, connections, admitted, s.limits)
 }
 
 // Guards against callers that hold more than their budget, and against bytes that are not given back.
@@ -197,6 +205,7 @@
 		assert.Equal(t, s.b.freeing, Bytes(0))
 		assert.Equal(t, s.b.freeingLarge, Bytes(0))
 		assert.Equal(t, s.b.Usage().Waiting, 0)
+		assert.Equal(t, s.b.Usage().Admitted, 0)
 	}
 }
 
@@ -361,6 +370,38 @@
 	assert.Equal(t, b.Usage().Counts.RefusedConnections, int64(1))
 }
 
+// Guards against requests that are admitted without a descriptor for the connection to their target.
+func TestAdmittedRequestsTakeDescriptors(t *testing.T) {
+	var b Budget[string]
+	b.SetLimits(Limits{Descriptors: 4})
+	idle := b.Connect(start, "idle").Hold
+	first := b.Connect(start, "first").Hold
+	second := b.Connect(start, "second").Hold
+	for _, h := range []*Hold[string]{first, second} {
+		h.Begin(start)
+		h.Arrive()
+	}
+	evicted, admitted := first.Admit(start)
+	assert.Assert(t, admitted && len(evicted) == 0)
+	evicted, admitted = second.Admit(start)
+	assert.Assert(t, admitted)
+	assert.DeepEqual(t, evicted, []string{"idle"})
+	idle.Close()
+
+	decision := b.Connect(start, "third")
+	assert.Assert(t, decision.Hold == nil, "a connection beyond the descriptors of requests in progress")
+	h := b.Request(start, "relayed")
+	_, admitted = h.Admit(start)
+	assert.Assert(t, !admitted)
+	second.End(start)
+	_, admitted = h.Admit(start)
+	assert.Assert(t, admitted)
+	for _, one := range []*Hold[string]{first, second, h} {
+		one.Close()
+	}
+	assert.Equal(t, b.Usage().Admitted, 0)
+}
+
 // Guards against limits that refuse a single request of the largest legal size.
 func TestLimitsHaveRoomForTheLargestRequest(t *testing.T) {
 	for _, m := range []Machine{
--- a/pkbudget/hold.go
+++ b/pkbudget/hold.go
@@ -33,6 +33,8 @@
 	// evicted is set once the owner must release what the request holds, closing once it must close the connection.
 	evicted, closing bool
 	closed           bool
+	// admitted is set while the request may have a connection to its target.
+	admitted bool
 }
 
 // Grant is the decision on more bytes. The zero value refuses them.
@@ -67,6 +69,40 @@
 // arriving reports whether the request has not arrived whole.
 func (h *Hold[O]) arriving() bool { return h.stage == opening || h.stage == arriving }
 
+// Admit decides at now whether the request may have a connection to its target. The owners that it returns must close
+// their connections.
+func (h *Hold[O]) Admit(now time.Time) (evicted []O, admitted bool) {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.evicted || h.closed {
+		return nil, false
+	}
+	h.movedAt = now
+	if h.admitted {
+		return nil, true
+	}
+	if b.outOfDescriptors() {
+		victim := b.closeConnection(now, h)
+		if victim == nil {
+			b.recordShort(now, &b.counts.RefusedRequests)
+			return nil, false
+		}
+		evicted = []O{victim.owner}
+	}
+	h.admitted = true
+	b.admitted++
+	return evicted, true
+}
+
+// dismiss ends the admission of the request; the caller holds mu.
+func (h *Hold[O]) dismiss() {
+	if h.admitted {
+		h.admitted = false
+		h.budget.admitted--
+	}
+}
+
 // SetAccount sets the client account of the request.
 func (h *Hold[O]) SetAccount(account string) {
 	b := h.budget
@@ -157,6 +193,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.charge(h, -h.bytes)
+	h.dismiss()
 	h.evicted = h.closing
 	h.stage, h.account, h.movedAt = next, "", now
 	b.grantWaiting()
@@ -173,6 +210,7 @@
 	h.closed = true
 	b.stopWaiting(func(w *Wait[O]) bool { return w.hold == h })
 	b.charge(h, -h.bytes)
+	h.dismiss()
 	if h.connection && !h.closing {
 		b.connections--
 	}
--- a/pkbudget/victim.go
+++ b/pkbudget/victim.go
@@ -43,13 +43,13 @@
 	}
 }
 
-// chooseConnection returns the connection to close in favour of a new one, the longest idle one of the lowest rank; nil
-// if all have requests. The caller holds mu.
-func (b *Budget[O]) chooseConnection(now time.Time) *Hold[O] {
+// chooseConnection returns the connection to close in favour of a new one, or of the request of another hold: the longest
+// idle one of the lowest rank; nil if all have requests. The caller holds mu.
+func (b *Budget[O]) chooseConnection(now time.Time, other *Hold[O]) *Hold[O] {
 	var victim *Hold[O]
 	lowest := rankActive
 	for _, h := range b.holds {
-		if !h.connection || h.closing {
+		if !h.connection || h.closing || h == other {
 			continue
 		}
 		r := h.rank(now)
--- a/pkserver/conn.go
+++ b/pkserver/conn.go
@@ -25,7 +25,7 @@
 	}}
 	decision := b.Connect(time.Now(), h)
 	for _, other := range decision.Evicted {
-		_ = other.conn.Close() // its client may have closed it
+		other.closeConnection()
 	}
 	if decision.Hold == nil {
 		_, _ = tcp.Write([]byte(refusal)) // a new connection has room for it
--- a/pkserver/guard.go
+++ b/pkserver/guard.go
@@ -76,7 +76,7 @@
 		message = "callers hold too much no more"
 	}
 	g.Log.Warn(message, "lasted_ms", r.Lasted.Milliseconds(), "bytes", int64(u.Bytes), "max_bytes", int64(u.Limits.Requests),
-		"connections", u.Connections, "max_connections", u.Limits.Connections,
+		"connections", u.Connections, "max_connections", u.Limits.Connections, "requests", u.Admitted, "max_descriptors", u.Limits.Descriptors,
 		"refused_requests", r.Counts.RefusedRequests, "evicted_requests", r.Counts.EvictedRequests,
 		"refused_connections", r.Counts.RefusedConnections, "evicted_connections", r.Counts.EvictedConnections)
 }
@@ -96,6 +96,8 @@
 		gauge("peridotknot_caller_bytes", "Bytes that requests and answers of callers hold.", func(u pkbudget.Usage) int64 { return int64(u.Bytes) }),
 		gauge("peridotknot_caller_bytes_max", "Bytes that they may hold.", func(u pkbudget.Usage) int64 { return int64(u.Limits.Requests) }),
 		gauge("peridotknot_caller_connections", "Connections of callers.", func(u pkbudget.Usage) int64 { return int64(u.Connections) }),
+		gauge("peridotknot_caller_requests", "Requests of callers, and of other entries, that may have a connection to a target.", func(u pkbudget.Usage) int64 { return int64(u.Admitted) }),
+		gauge("peridotknot_caller_descriptors_max", "Connections and requests of callers that there may be together.", func(u pkbudget.Usage) int64 { return int64(u.Limits.Descriptors) }),
 		gauge("peridotknot_caller_connections_max", "Connections that callers may have.", func(u pkbudget.Usage) int64 { return int64(u.Limits.Connections) }),
 		count("request_refused", func(c pkbudget.Counts) int64 { return c.RefusedRequests }),
 		count("request_evicted", func(c pkbudget.Counts) int64 { return c.EvictedRequests }),
--- a/pkserver/holding.go
+++ b/pkserver/holding.go
@@ -84,6 +84,9 @@
 	return h
 }
 
+// closeConnection closes the connection, whose client may have closed it.
+func (h *Holding) closeConnection() { _ = h.conn.Close() }
+
 // Close releases all that is held.
 func (h *Holding) Close() {
 	if h != nil {
@@ -147,11 +150,19 @@
 	}
 }
 
-// Admit takes what a request holds beside its body and its answer. The error is ErrBusy if there is no room.
+// Admit takes what a request holds beside its body and its answer, with a connection to its target. The error is ErrBusy
+// if there is no room.
 func (h *Holding) Admit(ctx context.Context) error {
 	if h == nil {
 		return nil
 	}
+	evicted, admitted := h.hold.Admit(time.Now())
+	for _, other := range evicted {
+		other.closeConnection()
+	}
+	if !admitted {
+		return ErrBusy
+	}
 	return h.grow(ctx, pkbudget.RequestBytes+headerFactor*pkbudget.Bytes(min(h.header.Load(), freeHeader)))
 }
 
