--- a/peridotknot/crowd_test.go
+++ b/peridotknot/crowd_test.go
@@ -66,8 +66,8 @@
 // largest number of its descriptors.
 type peakMemory struct {
 	bytes, unread, descriptors atomic.Int64
-	stop          context.CancelFunc
-	done          sync.WaitGroup
+	stop                       context.CancelFunc
+	done                       sync.WaitGroup
 }
 
 // watch samples the memory of a process that listens on a port until the test ends.
