--- a/pkbudget/limits.go
+++ b/pkbudget/limits.go
@@ -55,8 +55,9 @@
 	LargestRequest Bytes
 }
 
-// pending returns how many connections may wait to be accepted, and how many bytes each of them may have received. Where
-// memory is scarce, they may receive less: a connection that is refused is opened again only after a second.
+// pending returns how many connections may wait to be accepted, and how many bytes each of them may have received. Scarce
+// memory lowers the bytes first: beyond the number, the packet that opens a connection is dropped, and sent again after
+// a second.
 func (m Machine) pending() (connections int, each Bytes) {
 	all := Bytes(pendingShare * float64(m.Memory))
 	each = min(max(all/maxPending, minPendingBytes), ReceiveBytes)
