peridotknot: the programs are built once for all tests

None had failed.

Cause: each of 30 tests linked all programs anew, about 3 s each at rest.

Change: TestMain gives them one folder, built on first use. No check changes.

--- a/peridotknot/main_test.go
+++ b/peridotknot/main_test.go
@@ -2,23 +2,50 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
 )
 
-// buildPrograms builds all programs of the project and returns their folder.
+// programs is the folder of the project's programs, which all tests share.
+var programs struct {
+	dir   string
+	build func() error
+}
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "peridotknot-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	programs.dir = dir
+	programs.build = sync.OnceValue(func() error {
+		out, err := exec.Command("go", "build", "-o", dir, ".", "../peridotknotd", "../peridotknot-edge", "../peridotknot-standin").CombinedOutput()
+		if err != nil {
+			return fmt.Errorf("%w: %s", err, out)
+		}
+		return nil
+	})
+	return m.Run()
+}
+
+// buildPrograms builds all programs of the project once and returns their folder.
 func buildPrograms(t *testing.T) string {
 	t.Helper()
-	dir := t.TempDir()
-	build := exec.CommandContext(t.Context(), "go", "build", "-o", dir, ".", "../peridotknotd", "../peridotknot-edge", "../peridotknot-standin")
-	out, err := build.CombinedOutput()
-	assert.NilError(t, err, string(out))
-	return dir
+	assert.NilError(t, programs.build())
+	return programs.dir
 }
 
 // Guards against wrong exit codes and panics: help must exit with code 0, and a mistake on the
