peridotknot: a crowd after requests that waited takes all descriptors (KNOWN-RED)

Traced now: 319 while the targets hold and after their answers (150 connections of callers, 150 idle ones to targets), then 400 beside 600 silent clients, as callers may have 300 again. An ordinary request is answered, after about ten seconds.

Cause: idle connections to targets count nowhere; the pool keeps up to 256 a target.

--- a/peridotknot/crowd_test.go
+++ b/peridotknot/crowd_test.go
@@ -641,6 +641,25 @@
 	d.end(t)
 }
 
+// Guards against idle connections to targets, left by answered requests, that take the last descriptors beside a crowd.
+func TestEdgeOutlivesACrowdAfterRequestsThatWaited(t *testing.T) {
+	d := startEdge(t, fewDescriptors)
+	release := d.hold()
+	defer release()
+	_, leave := d.gather(t, waitingCrowd, whole(1<<10), false)
+	defer leave()
+	time.Sleep(suspendedTime) // requests reach their targets
+	release()
+	time.Sleep(suspendedTime) // they are answered
+	_, leaveSilent := d.gather(t, waitingCrowd, silent, false)
+	defer leaveSilent()
+	time.Sleep(suspendedTime) // the process accepts them
+	used := d.peak.descriptors.Load()
+	assert.Assert(t, used <= fewDescriptors-spareDescriptors, "%d descriptors of %d were used", used, fewDescriptors)
+	d.check(t)
+	d.end(t)
+}
+
 // Guards against a process that exceeds its memory by bytes that it has received and does not read.
 func TestEdgeOutlivesUnreadBytes(t *testing.T) {
 	d := startEdge(t, crowdDescriptors)
