--- a/review/_case2/main.go
+++ b/review/_case2/main.go
@@ -34,6 +34,7 @@
 
 // scripts are the scripts by name.
 var scripts = map[string]func(w *world) (broken bool, err error){
+	"lost":      lost,
 	"truncated": truncated,
 	"encoded":   encoded,
 	"drill":     drill,
--- a/review/_case2/scripts.go
+++ b/review/_case2/scripts.go
@@ -110,6 +110,56 @@
 	return broken, nil
 }
 
+// lost: the machine of a replica is lost in the middle of an answer without a length: its process ends, which ends its
+// connections, and from then on nothing answers at its address.
+func lost(w *world) (bool, error) {
+	const (
+		pieces = 10
+		work   = 1500 * time.Millisecond
+	)
+	w.machines = true
+	w.start(nil)
+	for n := range 6 { // one of them is a share of 0.167
+		if err := w.addReplica(fmt.Sprintf("i-7f3a91c%d", n+1), modeUnframed); err != nil {
+			return false, err
+		}
+	}
+	if err := w.addEdges(2); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * time.Second)
+	broken := false
+	for _, round := range []struct{ method, path string }{{"POST", "/ballot/"}, {"GET", "/record/"}, {"POST", "/question/"}} {
+		path := fmt.Sprintf("%s%d/%d", round.path, work.Milliseconds(), pieces)
+		before := len(w.recorded("runs", path))
+		got := make(chan answer, 1)
+		go func() { got <- w.request(w.edges[0], round.method, path, apiKey, 4500*time.Millisecond, 0, nil) }()
+		r, found := w.lastRunner(path, before)
+		if !found {
+			return false, errors.New("the request does not run")
+		}
+		time.Sleep(400 * time.Millisecond)
+		if w.trouble {
+			if err := r.machine.turnOff(); err != nil {
+				return false, err
+			}
+			w.killReplica(r)
+			w.note("replica %s: its machine is lost", r.id)
+		}
+		a := <-got
+		whole := wholeAnswer(a.id, pieces)
+		if round.path == "/question/" {
+			whole = wholeStream(1, pieces)
+		}
+		if a.err == nil && a.status == 200 && a.body != whole {
+			broken = true
+			w.note("MIXED: the answer to %s is a success that looks complete and has %d of %d bytes", a.id, len(a.body), len(whole))
+		}
+		time.Sleep(6 * time.Second) // longer than contact_ms, and than the entry of the replica is listed
+	}
+	return broken, nil
+}
+
 // freeze stops a process for a time, while meanwhile is called.
 func (w *world) freeze(e *edge, d time.Duration, meanwhile func() error) error {
 	if err := e.signal(syscall.SIGSTOP); err != nil {
--- a/review/_case2/world.go
+++ b/review/_case2/world.go
@@ -48,6 +48,8 @@
 	replicas  map[string]*replica
 	beats     context.CancelFunc
 	paused    bool
+	// machines is set if each replica has a machine that can be lost.
+	machines bool
 }
 
 // edge is a process of the system.
@@ -60,7 +62,9 @@
 type replica struct {
 	id, addr, mode string
 	// service is that of its entry; service of the world if empty.
-	service  string
+	service string
+	// machine lies between callers and the replica; nil if they reach it directly.
+	machine  *machine
 	born     int64
 	cmd      *exec.Cmd
 	entry    map[string]any
@@ -202,6 +206,11 @@
 		return err
 	}
 	r := &replica{id: id, addr: addr, mode: mode, service: name}
+	if w.machines {
+		if r.machine, err = newMachine(addr); err != nil {
+			return err
+		}
+	}
 	w.mu.Lock()
 	w.replicas[id] = r
 	w.mu.Unlock()
@@ -236,8 +245,12 @@
 	if name == "" {
 		name = service
 	}
+	addr := r.addr
+	if r.machine != nil {
+		addr = r.machine.addr()
+	}
 	r.entry = map[string]any{
-		"service": name, "address": r.addr, "zone": dataCenter, "version": "v1", "capacity_slots": 6, "state": "ready",
+		"service": name, "address": addr, "zone": dataCenter, "version": "v1", "capacity_slots": 6, "state": "ready",
 		"cold_left_ms": 0, "sequence": 0, "born": r.born,
 	}
 	r.beating = true
@@ -378,6 +391,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, r := range w.replicas {
+		if r.machine != nil {
+			r.machine.close()
+		}
 		if r.cmd != nil && r.cmd.Process != nil && r.cmd.ProcessState == nil {
 			_ = r.cmd.Process.Kill()
 			_ = r.cmd.Wait()
