--- a/review/_case2/world.go
+++ b/review/_case2/world.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -269,13 +270,16 @@
 	w.note("replica %s: killed", r.id)
 }
 
+// freeAddr returns a free loopback address, with a port below those that the system gives to outgoing connections.
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12_000+rand.IntN(18_000)))
+		if err != nil {
+			continue
+		}
+		return l.Addr().String(), l.Close()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // addEdges starts processes of the system and waits until they are ready.
