--- a/review/_case2/scripts.go
+++ b/review/_case2/scripts.go
@@ -119,7 +119,7 @@
 	)
 	w.machines = true
 	w.start(nil)
-	for n := range 6 { // one of them is a share of 0.167
+	for n := range 8 { // one of them is a share of 0.125
 		if err := w.addReplica(fmt.Sprintf("i-7f3a91c%d", n+1), modeUnframed); err != nil {
 			return false, err
 		}
