--- a/review/_case2/main.go
+++ b/review/_case2/main.go
@@ -37,6 +37,7 @@
 	"lost":      lost,
 	"truncated": truncated,
 	"encoded":   encoded,
+	"crowd":     crowd,
 	"drill":     drill,
 	"tenants":   tenants,
 	"timeout":   raisedTimeout,
--- a/review/_case2/world.go
+++ b/review/_case2/world.go
@@ -51,6 +51,10 @@
 	paused    bool
 	// machines is set if each replica has a machine that can be lost.
 	machines bool
+	// descriptors is how many each process of the system may have; zero leaves it as it is.
+	descriptors uint64
+	// memoryMB is the memory limit in the settings, with descriptors.
+	memoryMB int
 }
 
 // edge is a process of the system.
@@ -327,6 +331,11 @@
 	if err := e.cmd.Start(); err != nil {
 		return err
 	}
+	if w.descriptors > 0 {
+		if err := limitDescriptors(e, w.descriptors); err != nil {
+			return err
+		}
+	}
 	w.note("%s: started, clients at %s", e.name, e.front)
 	return nil
 }
@@ -342,6 +351,9 @@
 		"seed_nodes": seeds, "provider.address": w.store.Addr(), "limits.cpu_share": 0.4, "bootstrap": true, "limits.memory_mb": 284, "limits.max_fds": 4100,
 		"contract_params.grace_s": 8, "contract_params.budget_ratio": 0.2, "contract_params.budget_window_s": 10, "contract_params.budget_slack": 200,
 	}
+	if w.descriptors > 0 {
+		values["limits.max_fds"], values["limits.memory_mb"] = w.descriptors, w.memoryMB
+	}
 	raw, err := os.ReadFile("deploy/settings.yaml")
 	if err != nil {
 		return "", err
