pkconn: a request that cannot be written leaves no complete answer without a length

Callers saw status 200 and a part of a body as a complete answer (MIXED): the target had answered a long upload without a length, and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once for a socket. Where the write of the upload takes that error, the reader sees a plain end of the input, which is also how an answer with neither a length nor chunks ends. net/http closes the connection after a failed write, but a read may come first.

Change: a connection whose input ends waits until its request is written, for 500 ms at most, and fails the read if the write has failed. A target that ends its side in order and reads on is still taken for complete, and gets its upload; one that ends its side and does not read is not. All clients over pkconn that track their exchange have it, in both daemons, for calls and streams.

--- a/pkconn/conn.go
+++ b/pkconn/conn.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -26,12 +29,23 @@
 	avoided atomic.Bool
 	// Memory is what the connection remembers of its exchanges.
 	Memory pkexchange.Memory
+
+	// exchange tracks the last exchange on the connection; nil if it had none.
+	exchange atomic.Pointer[Tracker]
+	closed   chan struct{}
+	// writing is held during a write, and guards writeErr, the first error of one.
+	writing  sync.Mutex
+	writeErr error
 }
 
+// maxUploadAfterEnd is how long a request may still be written after the end of the connection's input.
+const maxUploadAfterEnd = 500 * time.Millisecond
+
 // Close closes the connection and removes it from its registry.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
 	c.closeOnce.Do(func() {
+		close(c.closed)
 		if c.onClose != nil {
 			c.onClose()
 		}
@@ -46,7 +60,48 @@
 	}
 	// Counted first, since a write that fails may have sent a part of p.
 	c.written.Add(int64(len(p)))
-	return c.Conn.Write(p)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read reads from the connection. The end of the input is an error that wraps io.ErrUnexpectedEOF if the request of the
+// exchange cannot be written to its end.
+//
+// The kernel reports a reset once. If a write fails with it, the input just ends, like that of a peer that has closed the
+// connection after a complete response.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if cause := c.writeFailure(); cause != nil {
+		return n, fmt.Errorf("%w: write request: %w", io.ErrUnexpectedEOF, cause)
+	}
+	return n, err
+}
+
+// writeFailure waits until the request of the exchange is written, for at most maxUploadAfterEnd, and returns the error
+// of the write.
+func (c *Conn) writeFailure() error {
+	t := c.exchange.Load()
+	if t == nil {
+		return nil
+	}
+	if err := c.SetWriteDeadline(time.Now().Add(maxUploadAfterEnd)); err != nil {
+		return err
+	}
+	select {
+	case <-t.wroteRequest:
+	case <-c.closed:
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeErr
 }
 
 // Options sets the timeouts and the pool limits of connections.
@@ -117,7 +172,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Conn{Conn: raw}
+	c := &Conn{Conn: raw, closed: make(chan struct{})}
 	c.busy.Store(true)
 	o.Registry.add(addr, c)
 	return c, nil
--- a/pkconn/transport.go
+++ b/pkconn/transport.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 
 	"peridotknot.example/pkid"
@@ -72,11 +73,18 @@
 	startWritten atomic.Int64
 	// untracked is set if the connection does not count its bytes.
 	untracked atomic.Bool
+	// wroteRequest is closed once net/http has written the request, or has failed to.
+	wroteRequest chan struct{}
 }
 
 // Trace returns ctx with client trace hooks that feed the tracker.
 func (t *Tracker) Trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn, PutIdleConn: t.putIdle})
+	t.wroteRequest = make(chan struct{})
+	written := sync.OnceFunc(func() { close(t.wroteRequest) })
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: t.gotConn, PutIdleConn: t.putIdle,
+		WroteRequest: func(httptrace.WroteRequestInfo) { written() },
+	})
 }
 
 func (t *Tracker) gotConn(info httptrace.GotConnInfo) {
@@ -92,6 +100,7 @@
 	c.busy.Store(true)
 	t.startWritten.Store(c.written.Load())
 	t.conn.Store(c)
+	c.exchange.Store(t)
 	if !c.Memory.MayCarry(t.Request) {
 		t.avoided.Store(true)
 		c.avoided.Store(true)
