pkexchange: a response whose head HTTP does not allow is no answer, for all clients

Callers saw status 200 for a response in whose head the name of a field had a blank, with that line left out, and with `Content-Length : 5` a body that was not the target's (MIXED). Clients of peridotknotd also got a status 000 as a connection that ended, since its handler cannot write that.

Cause: net/http refuses control bytes in names and keeps names with blanks as they are spelled, so that the length, the encoding or the connection option that such a line gives is not seen. It takes any three digits for a status. pkforward alone refused a status below 100; 101, 600 and 999 passed.

Change: pkexchange.CheckHead decides which head is one of a final response: status 200 to 599, or 101 after a request for an upgrade, and names that are tokens (golang.org/x/net/http/httpguts, so far an indirect dependency). The transport of pkconn asks it for each response, so that it holds for all that read one: calls, streams, relays, reports, orders, health checks and the store in peridotknot-edge, engines, services, the store and the VM list in peridotknotd. The connection is closed. What was sent may have run.

TestHeadOutsideOfTheProtocol: 9 of 18 heads passed before (6 with a blank, status 101, 600 and 999), none after; 000, 099, control bytes, tabs, parentheses and empty names were refused already and keep their rows. The adversary of TestExchangesWithAnAdversary sends three of them.

--- a/pkconn/transport.go
+++ b/pkconn/transport.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 
+	"peridotknot.example/pkexchange"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkverdict"
 )
@@ -16,9 +17,36 @@
 // maxResponseHeaderBytes bounds the head of a response, which a faulty target may send without end.
 const maxResponseHeaderBytes = 64 << 10
 
-// Transport returns an HTTP/1.1 transport over connections that count the bytes written.
-func (o Options) Transport() *http.Transport {
-	return &http.Transport{
+// Transport is an HTTP/1.1 transport that returns only responses whose head HTTP allows.
+type Transport struct{ *http.Transport }
+
+// RoundTrip sends a request and returns the head of its response, or an error of pkexchange.CheckHead.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := pkexchange.CheckHead(req.Header, resp.StatusCode, resp.Header); err != nil {
+		t.discard(req.Context(), resp)
+		return nil, err
+	}
+	return resp, nil
+}
+
+// discard closes a response and its connection, which may be idle already if the response has no body.
+func (t *Transport) discard(ctx context.Context, resp *http.Response) {
+	_ = resp.Body.Close() // nothing of it is used
+	tracker, tracked := ctx.Value(trackerKey{}).(*Tracker)
+	if !tracked || tracker.Conn() == nil {
+		t.CloseIdleConnections()
+		return
+	}
+	_ = tracker.Conn().Close()
+}
+
+// Transport returns a transport over connections that count the bytes written.
+func (o Options) Transport() *Transport {
+	return &Transport{&http.Transport{
 		DialContext:            o.DialContext,
 		MaxIdleConnsPerHost:    o.MaxIdlePerHost,
 		IdleConnTimeout:        o.IdleTimeout,
@@ -29,7 +57,7 @@
 		ForceAttemptHTTP2: false,
 		TLSNextProto:      map[string]func(string, *tls.Conn) http.RoundTripper{},
 		Protocols:         http1(),
-	}
+	}}
 }
 
 func http1() *http.Protocols {
@@ -77,10 +105,14 @@
 	wroteRequest chan struct{}
 }
 
+// trackerKey is the context key of the tracker of an exchange.
+type trackerKey struct{}
+
 // Trace returns ctx with client trace hooks that feed the tracker.
 func (t *Tracker) Trace(ctx context.Context) context.Context {
 	t.wroteRequest = make(chan struct{})
 	written := sync.OnceFunc(func() { close(t.wroteRequest) })
+	ctx = context.WithValue(ctx, trackerKey{}, t)
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: t.gotConn, PutIdleConn: t.putIdle,
 		WroteRequest: func(httptrace.WroteRequestInfo) { written() },
--- a/pkexchange/exchange_test.go
+++ b/pkexchange/exchange_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -44,6 +45,32 @@
 	}
 }
 
+// Guards against a response that HTTP does not allow and that passes for an answer.
+func TestHeadsOfResponses(t *testing.T) {
+	upgrade := http.Header{"Upgrade": {"websocket"}}
+	for _, row := range []struct {
+		request  http.Header
+		status   int
+		response http.Header
+		cause    error
+	}{
+		{nil, 200, nil, nil},
+		{nil, 599, http.Header{"X-Good": {"1"}, "!#$%&'*+.^_`|~": {"1"}}, nil},
+		{nil, 0, nil, ErrStatus},
+		{nil, 199, nil, ErrStatus},
+		{nil, 600, nil, ErrStatus},
+		{nil, 101, nil, ErrStatus},
+		{upgrade, 101, nil, nil},
+		{upgrade, 102, nil, ErrStatus},
+		{upgrade, 101, http.Header{"X Bad": {"1"}}, ErrField},
+		{nil, 200, http.Header{"X-Bad ": {"1"}}, ErrField},
+		{nil, 503, http.Header{"X\x00": {"1"}}, ErrField},
+		{nil, 200, http.Header{"": {"1"}}, ErrField},
+	} {
+		check(t, CheckHead(row.request, row.status, row.response), row.cause, pkverdict.MayHaveRun)
+	}
+}
+
 // Guards against a refusal that counts as a run, and a run that counts as refused.
 func TestRefusals(t *testing.T) {
 	assert.NilError(t, Head{Status: 503}.CheckRun())
--- a/pkexchange/head.go
+++ b/pkexchange/head.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 
+	"golang.org/x/net/http/httpguts"
+
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkverdict"
 )
@@ -15,12 +17,34 @@
 	ErrForeign = errors.New("response has the id of another request")
 	// ErrStatus means that a response has a status that HTTP does not allow.
 	ErrStatus = errors.New("response has an invalid status")
+	// ErrField means that a response has a header field whose name HTTP does not allow.
+	ErrField = errors.New("response has a header field with an invalid name")
 	// ErrTargetFailed means that the target itself answered with an error.
 	ErrTargetFailed = errors.New("target answered with an error status")
 	// ErrAltered means that something between the target and this entry has changed an answer.
 	ErrAltered = errors.New("answer is not sealed by the target or has a content encoding")
 )
 
+// maxStatus is the largest status that HTTP allows.
+const maxStatus = 599
+
+// CheckHead returns ErrStatus or ErrField as the cause of a *pkverdict.Error if HTTP does not allow the status or the header
+// of a final response to a request with the given header. The connection cannot be used again then.
+//
+// A field name with a blank hides what the field says, also of the length of the body: net/http keeps such a name as it is.
+func CheckHead(request http.Header, status int, response http.Header) error {
+	switched := status == http.StatusSwitchingProtocols && len(request["Upgrade"]) > 0
+	if !switched && (status < http.StatusOK || status > maxStatus) {
+		return pkverdict.Lost(fmt.Errorf("%w: %03d", ErrStatus, status))
+	}
+	for name := range response {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return pkverdict.Lost(ErrField)
+		}
+	}
+	return nil
+}
+
 // Head is the head of a response.
 type Head struct {
 	Status int
--- a/pkforward/adversary_test.go
+++ b/pkforward/adversary_test.go
@@ -52,6 +52,9 @@
 	garbage         misdeed = "garbage"
 	statusZero      misdeed = "status 000"
 	statusLow       misdeed = "status 042"
+	statusHigh      misdeed = "status 600"
+	blankName       misdeed = "blank in a name"
+	blankLength     misdeed = "blank after the length"
 	early           misdeed = "answer before the body is read"
 	hints           misdeed = "early hints and the answer"
 	lengthTwice     misdeed = "two lengths"
@@ -66,7 +69,7 @@
 
 var misdeeds = []misdeed{
 	whole, whole, whole, chunked, unframed, unframedCut, refuse, refuse, refuseTwice, refuseLater, refuseThenClose, truncated, truncatedChunk, doubled,
-	foreignAfter, foreignBefore, interleaved, lateExtra, closeUnread, closeRun, resetRun, halfClose, garbage, statusZero, statusLow, early, hints, lengthTwice,
+	foreignAfter, foreignBefore, interleaved, lateExtra, closeUnread, closeRun, resetRun, halfClose, garbage, statusZero, statusLow, statusHigh, blankName, blankLength, early, hints, lengthTwice,
 	negativeLength, hugeLength, surplus, unframedKilled, unsealed, encoded, failing,
 }
 
@@ -283,6 +286,13 @@
 		write(answerHead("000 Nothing", id, lengthOf(0)))
 	case statusLow:
 		write(answerHead("042 Nothing", id, lengthOf(0)))
+	case statusHigh:
+		write(answerHead("600 Nothing", id, lengthOf(0)))
+	case blankName:
+		write(answerHead("200 OK", id, "X Bad: 1\r\n", lengthOf(len(text))) + text)
+	case blankLength:
+		write(answerHead("200 OK", id, fmt.Sprintf("Content-Length : %d\r\n", len(text))) + text)
+		return false
 	case hints:
 		write("HTTP/1.1 103 Early Hints\r\n\r\n" + framedAnswer(id, method))
 	case lengthTwice:
--- a/pkforward/faulty_test.go
+++ b/pkforward/faulty_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -97,6 +98,49 @@
 	assert.Equal(t, failure.Verdict, pkverdict.MayHaveRun)
 }
 
+// Guards against a response that passes for an answer though HTTP does not allow its head, with the offending line left out or
+// with a body of another length.
+func TestHeadOutsideOfTheProtocol(t *testing.T) {
+	const sealed = "HTTP/1.1 200 OK\r\nId: one\r\nSeal: s\r\n"
+	for name, head := range map[string]string{
+		"blank in a name":                sealed + "X Bad: 1\r\nContent-Length: 0\r\n\r\n",
+		"blank after a name":             sealed + "X-Bad : 1\r\nContent-Length: 0\r\n\r\n",
+		"blank after the length":         sealed + "Content-Length : 5\r\n\r\nwhole and more",
+		"two lengths, one with a blank":  sealed + "Content-Length: 5\r\nContent-Length : 3\r\n\r\nwhole",
+		"blank after the encoding":       sealed + "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"blank after the content coding": sealed + "Content-Encoding : gzip\r\nContent-Length: 0\r\n\r\n",
+		"control byte in a name":         sealed + "X\x01Bad: 1\r\nContent-Length: 0\r\n\r\n",
+		"tab after a name":               sealed + "X-Bad\t: 1\r\nContent-Length: 0\r\n\r\n",
+		"delete in a name":               sealed + "X\x7fBad: 1\r\nContent-Length: 0\r\n\r\n",
+		"no name":                        sealed + ": 1\r\nContent-Length: 0\r\n\r\n",
+		"parenthesis in a name":          sealed + "X(Bad): 1\r\nContent-Length: 0\r\n\r\n",
+		"control byte in a value":        sealed + "X-Bad: \x01\r\nContent-Length: 0\r\n\r\n",
+		"line without a name":            sealed + "bad\r\nContent-Length: 0\r\n\r\n",
+		"status 000":                     strings.Replace(sealed, "200", "000", 1) + "Content-Length: 0\r\n\r\n",
+		"status 099":                     strings.Replace(sealed, "200", "099", 1) + "Content-Length: 0\r\n\r\n",
+		"status 600":                     strings.Replace(sealed, "200", "600", 1) + "Content-Length: 0\r\n\r\n",
+		"status 999":                     strings.Replace(sealed, "200", "999", 1) + "Content-Length: 0\r\n\r\n",
+		"status 101 without an upgrade":  strings.Replace(sealed, "200", "101", 1) + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, _ := rawTarget(t, head, "")
+			o := pkconn.DefaultOptions()
+			o.Registry = new(pkconn.Registry)
+			s := NewSender(plainDialect{}, o)
+			defer func() { assert.NilError(t, s.Close()) }()
+			r := &Request{Method: http.MethodPost, Host: "host.example", URI: "/", Header: http.Header{}, Body: []byte("body")}
+			r.Meta.ID = "one"
+			_, err := s.Do(t.Context(), addr, r, SendOptions{})
+			var failure *pkverdict.Error
+			assert.Assert(t, errors.As(err, &failure), "%v", err)
+			assert.Equal(t, failure.Verdict, pkverdict.MayHaveRun)
+			for end := time.Now().Add(*adversaryBound); o.Registry.Open(addr) > 0; time.Sleep(time.Millisecond) {
+				assert.Assert(t, time.Now().Before(end), "the connection is kept")
+			}
+		})
+	}
+}
+
 // Guards against the length of the answer to HEAD being taken for that of a body.
 func TestHeadHasNoBody(t *testing.T) {
 	addr, _ := rawTarget(t, "HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 10\r\n\r\n", "")
--- a/pkforward/sender.go
+++ b/pkforward/sender.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -29,7 +30,7 @@
 // Sender makes HTTP exchanges with targets.
 type Sender struct {
 	dialect   Dialect
-	transport *http.Transport
+	transport *pkconn.Transport
 }
 
 // NewSender returns a sender whose connections are made with o.
@@ -112,6 +113,10 @@
 		if err == nil {
 			return s.response(resp, tracker.Conn()), nil
 		}
+		var failure *pkverdict.Error
+		if errors.As(err, &failure) {
+			return nil, failure // what came is not a response of HTTP
+		}
 		progress := tracker.Progress()
 		reason := pkverdict.ReasonTargetLost
 		if !progress.Connected {
--- a/pkrelay/client.go
+++ b/pkrelay/client.go
@@ -12,7 +12,7 @@
 
 // Client sends requests to other entries.
 type Client struct {
-	transport *http.Transport
+	transport *pkconn.Transport
 }
 
 // NewClient returns a client whose connections are made with o.
