pkservice: a response that ends with its connection is whole only if its service still runs

Clients of peridotknotd saw a part of a response of a plain service as the whole (MIXED): the service's process had ended in the middle of a body with neither a length nor chunks.

Cause: such a body ends with the connection, which the end of the process ends as well. peridotknot-edge asks the target before it takes the body for whole; pkservice, which reads the responses for peridotknotd, did not.

Change: at the end of such a body the proxy requests the service's load report, over a new connection. What counts as an error of the connection moves from pkedge to pkexchange, for both.

TestUnframedResponseOfAServiceThatEnds failed before (the service resets what it accepts); the rows of services that run passed and pass.

--- a/pkedge/bodyend.go
+++ b/pkedge/bodyend.go
@@ -22,7 +22,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	err := c.probeLink(ctx, t)
-	body.TargetGone = isConnError(err)
+	body.TargetGone = pkexchange.IsConnectionError(err)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		c.suspect(t, err)
 	}
--- a/pkedge/delivery.go
+++ b/pkedge/delivery.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"peridotknot.example/pkexchange"
 	"peridotknot.example/pkforward"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkverdict"
@@ -30,7 +31,7 @@
 		budget.Confirm(now, window, t.ID)
 	case errors.Is(err, syscall.ECONNREFUSED):
 		budget.Drop(t.ID)
-	case isConnError(err):
+	case pkexchange.IsConnectionError(err):
 		budget.StopAwaiting(t.ID)
 	case ctx.Err() == nil || !errors.As(err, &failure) || failure.Verdict != pkverdict.MayHaveRun:
 	case c.failed.Delivered() > 0:
--- a/pkedge/links.go
+++ b/pkedge/links.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
+	"peridotknot.example/pkexchange"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkreach"
 	"peridotknot.example/pkreplica"
@@ -112,7 +111,7 @@
 		return pkreach.Answered
 	case errors.Is(err, errUnanswered):
 		return pkreach.Unanswered
-	case isConnError(err):
+	case pkexchange.IsConnectionError(err):
 		return pkreach.Refused
 	default:
 		return pkreach.Silent
@@ -167,7 +166,7 @@
 	settled := false
 	for missing := len(targets) - 1; missing >= 0 && !settled; missing-- {
 		one := receive(pauses, results)
-		if one.err != nil && !isConnError(one.err) && !errors.Is(one.err, errUnanswered) {
+		if one.err != nil && !pkexchange.IsConnectionError(one.err) && !errors.Is(one.err, errUnanswered) {
 			silent = append(silent, one.target)
 		}
 		settled = !next(one.target, one.err, missing)
@@ -231,7 +230,7 @@
 		_, err = d.Engines.Leaving(ctx, t.Addr, d.healthPath(t.Service))
 	}
 	switch {
-	case isConnError(err):
+	case pkexchange.IsConnectionError(err):
 		return err
 	case err != nil && ctx.Err() != nil:
 		return errUnanswered
@@ -240,11 +239,6 @@
 	}
 }
 
-// isConnError reports whether an exchange failed for its connection, which was reset or ended.
-func isConnError(err error) bool {
-	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
-}
-
 // healthPath returns the path of the health checks of a service.
 func (d *Daemon) healthPath(s pkid.ServiceID) string {
 	if table := d.configs.Table(); table != nil {
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -193,7 +193,7 @@
 	if !errors.As(err, &failure) {
 		failure = pkverdict.Lost(err)
 	}
-	if failure.Reason == pkverdict.ReasonUnreachable && !isConnError(failure.Err) && !slices.Contains(c.unanswered, t.ID) {
+	if failure.Reason == pkverdict.ReasonUnreachable && !pkexchange.IsConnectionError(failure.Err) && !slices.Contains(c.unanswered, t.ID) {
 		c.unanswered = append(c.unanswered, t.ID)
 	} else {
 		c.tried = append(c.tried, t.ID)
--- a/pkedge/suspect.go
+++ b/pkedge/suspect.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"peridotknot.example/pkexchange"
 	"peridotknot.example/pkid"
 	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkshare"
@@ -117,7 +118,7 @@
 		select {
 		case err := <-results:
 			ended++
-			if err == nil || isConnError(err) || ended == sent {
+			if err == nil || pkexchange.IsConnectionError(err) || ended == sent {
 				return err
 			}
 		case <-hedge.C:
--- a/pkexchange/body.go
+++ b/pkexchange/body.go
@@ -1,7 +1,9 @@
 package pkexchange
 
 import (
+	"errors"
 	"io"
+	"syscall"
 
 	"peridotknot.example/pkverdict"
 )
@@ -23,3 +25,8 @@
 	}
 	return pkverdict.Lost(io.ErrUnexpectedEOF)
 }
+
+// IsConnectionError reports whether an exchange failed for its connection, which was refused, was reset or has ended.
+func IsConnectionError(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
--- a/pkservice/proxy.go
+++ b/pkservice/proxy.go
@@ -123,6 +123,7 @@
 	t.Begin()
 	resp, err := p.http.Do(req)
 	if err == nil {
+		p.checkEnd(ctx, t.Info.Addr, resp)
 		return resp, nil
 	}
 	t.Done()
--- a/pkservice/response_test.go
+++ b/pkservice/response_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"peridotknot.example/pkconn"
 	"peridotknot.example/pkid"
+	"peridotknot.example/pkplatform"
 	"peridotknot.example/pktarget"
 	"peridotknot.example/pkverdict"
 )
@@ -85,3 +87,73 @@
 		})
 	}
 }
+
+// Guards against a part of a response that counts as whole: the service answers without a length, and resets the connection
+// while the call is still being written.
+func TestResponseResetDuringACallIsNotComplete(t *testing.T) {
+	const (
+		callBytes     = 3 << 20
+		callReadBytes = 1 << 20
+		calls         = 75
+		atOnce        = 4
+	)
+	target := startAnswering(t, func(conn *net.TCPConn, req *http.Request) {
+		if req.URL.Path == pkplatform.PathServiceLoad {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			return
+		}
+		_, _ = io.CopyN(io.Discard, req.Body, callReadBytes)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\na part")
+		_ = conn.SetLinger(0)
+	})
+	p := New(pkconn.DefaultOptions(), 1)
+	defer func() { assert.NilError(t, p.Close()) }()
+	body := make([]byte, callBytes)
+	var whole atomic.Int64
+	var callers sync.WaitGroup
+	for range atOnce {
+		callers.Go(func() {
+			for range calls {
+				if _, err := callOnce(t, p, target, body); err == nil {
+					whole.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	assert.Equal(t, whole.Load(), int64(0), "responses that count as whole, of %d", calls*atOnce)
+}
+
+// Guards against a part of a response that counts as whole: the service ends in the middle of a body with neither a length
+// nor chunks, whose end is that of the connection.
+func TestUnframedResponseOfAServiceThatEnds(t *testing.T) {
+	for name, row := range map[string]struct {
+		probe string
+		whole bool
+	}{
+		"runs":                   {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", true},
+		"has no load report":     {"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", true},
+		"is full":                {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", true},
+		"resets what it accepts": {"", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := startAnswering(t, func(conn *net.TCPConn, req *http.Request) {
+				_, _ = io.Copy(io.Discard, req.Body)
+				if req.URL.Path == pkplatform.PathServiceLoad {
+					_, _ = io.WriteString(conn, row.probe)
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\ntext")
+			})
+			p := New(pkconn.DefaultOptions(), 1)
+			defer func() { assert.NilError(t, p.Close()) }()
+			text, err := callOnce(t, p, target, []byte("body"))
+			assert.Equal(t, text, "text")
+			if row.whole {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		})
+	}
+}
