pkedge: responses without end to streams count towards the memory of callers

A process of peridotknot-edge ran out of memory, and with it the requests of all other callers were lost: faulty targets answered many streams with a response that does not end.

Cause: the memory of callers bounds what calls hold of their answers. The body of a response to a stream that is no success was read beside it, up to 1 MiB for each stream and twice that while its buffer grows, and so was an event of up to 256 KiB.

Change: both take their room from the request's holding, as the answers of calls do; an event does from 8 KiB on, so that ordinary events cost nothing. A stream that finds no room fails as one whose answer broke off: it may have run.

--- a/peridotknot/crowd_test.go
+++ b/peridotknot/crowd_test.go
@@ -155,9 +155,15 @@
 // startEdge starts the entry daemon on the users' platform before a plain service.
 func startEdge(t *testing.T, descriptors uint64) *crowdDaemon {
 	t.Helper()
-	programs := buildPrograms(t)
 	w := platformtest.NewPlatform()
 	t.Cleanup(w.Close)
+	return startEdgeBefore(t, w, descriptors)
+}
+
+// startEdgeBefore starts the entry daemon before a plain service of a platform.
+func startEdgeBefore(t *testing.T, w *platformtest.Platform, descriptors uint64) *crowdDaemon {
+	t.Helper()
+	programs := buildPrograms(t)
 	var replicas []*platformtest.Replica
 	for i := range 4 {
 		replicas = append(replicas, w.Add(platformtest.App, fmt.Sprintf("a-%d", i), "a"))
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -11,6 +11,7 @@
 	"peridotknot.example/pkconfig"
 	"peridotknot.example/pkexchange"
 	"peridotknot.example/pkforward"
+	"peridotknot.example/pkserver"
 	"peridotknot.example/pktimer"
 	"peridotknot.example/pkverdict"
 )
@@ -221,14 +222,7 @@
 	}
 	defer resp.Close()
 	if resp.Status/100 != 2 {
-		body, err := resp.ReadAll(maxBufferedAnswer)
-		if err != nil {
-			return err
-		}
-		if c.headSent || (resp.Status >= http.StatusInternalServerError && a.canRetry) {
-			return pkverdict.Lost(pkexchange.ErrTargetFailed)
-		}
-		return c.forward(resp.Status, resp.Header, body)
+		return c.forwardFailure(ctx, a, resp)
 	}
 	if err := resp.CheckAnswer(); err != nil {
 		return err
@@ -248,6 +242,22 @@
 	return err
 }
 
+// forwardFailure forwards the answer of a target that does not begin a stream. The error is a *pkverdict.Error if the
+// request may be sent again, or if the answer cannot be read whole.
+func (c *call) forwardFailure(ctx context.Context, a *attempt, resp *pkforward.Response) error {
+	body, err := c.readAnswer(ctx, resp.Body, resp.Length)
+	if errors.Is(err, pkserver.ErrBusy) {
+		return pkverdict.Lost(err)
+	}
+	if err != nil {
+		return err
+	}
+	if c.headSent || (resp.Status >= http.StatusInternalServerError && a.canRetry) {
+		return pkverdict.Lost(pkexchange.ErrTargetFailed)
+	}
+	return c.forward(resp.Status, resp.Header, body)
+}
+
 // answerHead is the status and the header of an answer.
 type answerHead struct {
 	status int
@@ -258,6 +268,8 @@
 // when no more events are buffered.
 func (c *call) forwardEvents(ctx context.Context, head answerHead, body io.Reader, state *streamState, onEvent func(now time.Time)) error {
 	events := pkforward.NewEventReader(body)
+	events.Grow = func(n int) error { return c.holding.Grow(ctx, n) }
+	defer func() { c.holding.Shrink(events.Grown()) }()
 	control := http.NewResponseController(c.w)
 	for {
 		ev, err := events.Next()
--- a/pkforward/events_test.go
+++ b/pkforward/events_test.go
@@ -62,3 +62,33 @@
 		}
 	})
 }
+
+// Guards against long events that take memory for which there is no room, and against short ones that are refused.
+func TestLongEventsNeedRoom(t *testing.T) {
+	errFull := errors.New("full")
+	for size, room := range map[int]int{
+		freeEventSize - 100: 0,
+		100 << 10:           256 << 10,
+		100<<10 + 1:         64 << 10,
+	} {
+		stream := "data: " + strings.Repeat("x", size) + "\n\n"
+		e := NewEventReader(strings.NewReader(stream))
+		left := room
+		e.Grow = func(n int) error {
+			if n > left {
+				return errFull
+			}
+			left -= n
+			return nil
+		}
+		ev, err := e.Next()
+		assert.Equal(t, e.Grown(), room-left)
+		if room > 0 && room < size {
+			assert.ErrorIs(t, err, errFull)
+			continue
+		}
+		assert.NilError(t, err)
+		assert.Equal(t, string(ev.Raw), stream)
+		assert.Assert(t, e.Grown() >= cap(e.raw) || cap(e.raw) <= 2*freeEventSize, "%d of %d", e.Grown(), cap(e.raw))
+	}
+}
