pkedge: an answer to a stream that is no success is checked like that of a call

Callers of streams could get a part of an error answer as the whole, or one with a content encoding, which is not the target's (MIXED): an answer to a stream other than a success was forwarded as it was read.

Cause: calls check the end of a body without a length and the encoding of the answer; streams did so for successes alone.

Change: forwardFailure makes the same two checks before it forwards. TestBrokenFailuresOfStreams: without the checks its rows "cut" and "encoded" fail, the others hold.

--- a/pkedge/bodyend_test.go
+++ b/pkedge/bodyend_test.go
@@ -7,13 +7,16 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"syscall"
 	"testing"
+	"testing/iotest"
 
 	"gotest.tools/v3/assert"
 
 	"peridotknot.example/pkforward"
 	"peridotknot.example/pkowner"
+	"peridotknot.example/pkreplica"
 	"peridotknot.example/pkverdict"
 )
 
@@ -62,3 +65,61 @@
 		})
 	}
 }
+
+// Guards against an answer to a stream other than a success that goes to the caller though it is broken.
+func TestBrokenFailuresOfStreams(t *testing.T) {
+	errBroken := errors.New("broken")
+	ended := fmt.Errorf("health check: %w", syscall.ECONNRESET)
+	for name, row := range map[string]struct {
+		header    http.Header
+		rest      io.Reader
+		delimited bool
+		probe     error
+		want      int
+	}{
+		"whole":                         {delimited: true, want: http.StatusNotFound},
+		"whole, ends with a connection": {want: http.StatusNotFound},
+		"broken off":                    {rest: iotest.ErrReader(errBroken)},
+		"cut":                           {probe: ended},
+		"encoded":                       {header: http.Header{"Content-Encoding": {"gzip"}}, delimited: true},
+		"without end":                   {rest: neverEnding('a'), delimited: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, s := poolDaemon(engine("plain", "a", 0, 0))
+			d.Engines = &endingEngines{answer: row.probe}
+			target, found := d.roster.Target("plain")
+			assert.Assert(t, found)
+			w := httptest.NewRecorder()
+			c := &call{Daemon: d, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), service: "models"}
+			a := &attempt{call: c, service: s, path: targetPath{targets: []*pkreplica.Target{target}}}
+			var body io.Reader = strings.NewReader("text")
+			if row.rest != nil {
+				body = io.MultiReader(body, row.rest)
+			}
+			err := c.forwardFailure(t.Context(), a, &pkforward.Response{
+				Status: http.StatusNotFound, Header: row.header, Body: body, Length: -1, Delimited: row.delimited,
+			})
+			if row.want != 0 {
+				assert.NilError(t, err)
+				assert.Equal(t, w.Code, row.want)
+				assert.Equal(t, w.Body.String(), "text")
+				return
+			}
+			var failure *pkverdict.Error
+			assert.Assert(t, errors.As(err, &failure), "%v", err)
+			assert.Equal(t, failure.Verdict, pkverdict.MayHaveRun)
+			assert.Assert(t, !c.headSent)
+		})
+	}
+}
+
+// neverEnding is a reader of one byte without end.
+type neverEnding byte
+
+// Read fills p.
+func (b neverEnding) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = byte(b)
+	}
+	return len(p), nil
+}
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -249,12 +249,18 @@
 	if errors.Is(err, pkserver.ErrBusy) {
 		return pkverdict.Lost(err)
 	}
+	if err == nil {
+		err = c.checkBodyEnd(ctx, resp, a.currentPath().first())
+	}
 	if err != nil {
 		return err
 	}
 	if c.headSent || (resp.Status >= http.StatusInternalServerError && a.canRetry) {
 		return pkverdict.Lost(pkexchange.ErrTargetFailed)
 	}
+	if err := resp.CheckAnswer(); err != nil && !errors.Is(err, pkexchange.ErrTargetFailed) {
+		return err
+	}
 	return c.forward(resp.Status, resp.Header, body)
 }
 
