pkstop: a stopping entry sends only requests that end within its grace period

Callers of a peridotknot-edge that was stopped as planned got no answer: their requests were passed on late in the grace period and cut at its end, also those that may not be repeated (LOST).

Cause: a stop closes idle connections after 3 s, but a request whose head had come by then was passed on whenever its body ended, up to the end of service. At that end the server closed the connections of all requests in progress, answered or not.

Change: before each send of a request without an answer, pkstop.Schedule.Allows compares what is left of the grace period with how long requests of its service and kind take (mean and two deviations, pkstop.Durations). One that would not end is refused as not run, with a status and a Retry-After, since other entries can serve it at once. A kind that was never served is sent in the first 3 s only. Waiting for a target, a path or room in a queue does not get round it, nor does passing the request on to a peer, and a grace period that grows during the stop counts. 0.2 s before the end, requests that still have no answer get one: 503 if none was sent, else 502. Streams that have begun go on to the end.

--- a/pkedge/answer.go
+++ b/pkedge/answer.go
@@ -54,8 +54,7 @@
 	if length >= 0 && c.r.Method != http.MethodHead {
 		h["Content-Length"] = []string{strconv.FormatInt(length, 10)}
 	}
-	c.headSent = true
-	c.w.WriteHeader(status)
+	c.writeHead(status)
 	if _, err := c.w.Write(read); err != nil {
 		return errCallerLeft
 	}
--- a/pkedge/call.go
+++ b/pkedge/call.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"peridotknot.example/pkconfig"
@@ -57,8 +58,9 @@
 	unconfirmed pkid.TargetID
 	// charges are the retries that were charged to the retry budget for the request.
 	charges pkretry.Charges
-	// headSent is set once the head of the answer was sent to the caller.
-	headSent bool
+	// headSent is set once the head of the answer was sent to the caller, answering too, for other goroutines.
+	headSent  bool
+	answering atomic.Bool
 	// path is the path of the last send of a stream, firstEvent the time from the start of the
 	// request to the first event, and events the number of events sent to the caller.
 	path       string
@@ -261,6 +263,8 @@
 	switch {
 	case errors.Is(cause, errQuarantined):
 		return c.quarantineRejection(time.Now(), verdict)
+	case errors.Is(cause, errStopping) || errors.Is(context.Cause(ctx), errStopping):
+		return stopRejection(verdict)
 	case verdict == pkverdict.NotRun && errors.As(cause, &busy):
 		return &rejection{status: http.StatusServiceUnavailable, retryAfter: busy.retryAfter, reason: busy.reason}
 	case verdict == pkverdict.NotRun && late:
--- a/pkedge/callerserver.go
+++ b/pkedge/callerserver.go
@@ -139,6 +139,8 @@
 	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
+	ctx, end := c.untilStop(ctx)
+	defer end()
 	if c.relayed == nil { // the entry that passed it on has counted it
 		c.budgets.of(c.service).RecordRequest(c.began, c.retryLimits(c.began))
 	}
--- a/pkedge/daemon.go
+++ b/pkedge/daemon.go
@@ -144,6 +144,7 @@
 	listed       atomic.Bool
 	linksChecked atomic.Bool
 	stopping     atomic.Bool
+	stopState    stop
 	active       atomic.Int64
 	// lastRestEnd is when the last rest of a target ends, in nanoseconds since started.
 	lastRestEnd atomic.Int64
@@ -157,6 +158,7 @@
 	d.retry.Store(&s.Retry)
 	d.seeds.Store(&s.Seeds)
 	d.stop.Store(&s.Stop)
+	d.stopState.ending, d.stopState.giveUp = context.WithCancel(context.Background())
 	d.streams.wake = make(chan struct{}, 1)
 	d.rooms.wake = make(chan struct{}, 1)
 	d.refusalCauses = make(chan refusalCause, maxRefusalCauses)
--- a/pkedge/plain.go
+++ b/pkedge/plain.go
@@ -1,6 +1,7 @@
 package pkedge
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"hash/fnv"
@@ -84,7 +85,7 @@
 // sendPlain sends a call to a target, or passes it on if this entry is cut off; verdict is that of the
 // sends before.
 func (c *call) sendPlain(ctx context.Context, verdict pkverdict.Verdict) sendResult {
-	if held := c.checkQuarantine(time.Now()); held != nil {
+	if held := cmp.Or(c.checkQuarantine(time.Now()), c.checkStop(time.Now())); held != nil {
 		return sendResult{verdict: verdict, last: true, err: held}
 	}
 	if err := c.passedBack(verdict); err != nil {
@@ -107,6 +108,9 @@
 	if errors.Is(err, errNoTarget) && !impaired && c.findsLinksImpaired(ctx) {
 		return sendResult{verdict: verdict, err: err}
 	}
+	if err == nil {
+		err = c.checkStop(time.Now())
+	}
 	if err != nil || !c.maySend(verdict) {
 		return sendResult{verdict: verdict, last: true, err: err}
 	}
@@ -252,6 +256,7 @@
 		return nil, nil, err
 	}
 	t.RecordSuccess(began, took)
+	c.stopState.durations.Record(c.kind(), took)
 	return resp, body, nil
 }
 
@@ -295,8 +300,7 @@
 	if c.r.Method != http.MethodHead { // whose answer has the length that the target names
 		h["Content-Length"] = []string{strconv.Itoa(len(body))}
 	}
-	c.headSent = true
-	c.w.WriteHeader(status)
+	c.writeHead(status)
 	if _, err := c.w.Write(body); err != nil {
 		return errCallerLeft
 	}
--- a/pkedge/quarantine.go
+++ b/pkedge/quarantine.go
@@ -133,7 +133,7 @@
 	switch {
 	case !errors.As(err, &failure) || failure.Verdict == pkverdict.NotRun:
 	case errors.Is(err, pkexchange.ErrTargetFailed) || errors.Is(err, pkexchange.ErrAltered):
-	case errors.Is(err, context.DeadlineExceeded) || c.r.Context().Err() != nil:
+	case errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errStopping) || c.r.Context().Err() != nil:
 	default:
 		c.recordInterrupted(now, t, true)
 	}
--- a/pkedge/stop.go
+++ b/pkedge/stop.go
@@ -3,14 +3,91 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"sync/atomic"
 	"time"
 
+	"peridotknot.example/pkconfig"
+	"peridotknot.example/pkid"
+	"peridotknot.example/pkrelay"
 	"peridotknot.example/pkstop"
 	"peridotknot.example/pktimer"
+	"peridotknot.example/pkverdict"
 )
 
-// relayedPollInterval is how often a stopping daemon looks for relayed requests in progress.
-const relayedPollInterval = 20 * time.Millisecond
+const (
+	// relayedPollInterval is how often a stopping daemon looks for relayed requests in progress.
+	relayedPollInterval = 20 * time.Millisecond
+	// retryAfterStopping is the Retry-After delay of a stopping daemon; others can serve the request at once.
+	retryAfterStopping = 100 * time.Millisecond
+	// reasonStopped is the outcome of requests that may have run and have no answer when the daemon stops.
+	reasonStopped = "stopped"
+)
+
+// errStopping ends a request that cannot be answered before the daemon stops.
+var errStopping = errors.New("the daemon stops before the request could be answered")
+
+// requestKind is a kind of requests that take about as long.
+type requestKind struct {
+	service pkid.ServiceID
+	kind    pkconfig.Kind
+}
+
+// stop is the state of a daemon's stop.
+type stop struct {
+	// schedule is nil until the stop begins.
+	schedule  atomic.Pointer[pkstop.Schedule]
+	durations pkstop.Durations[requestKind]
+	// ending is done once requests without an answer are given up, by giveUp.
+	ending context.Context
+	giveUp context.CancelFunc
+}
+
+// kind returns the kind of the request, by how long it takes.
+func (c *call) kind() requestKind { return requestKind{service: c.service, kind: c.route.Kind} }
+
+// checkStop returns errStopping if the daemon stops and the request, sent at now, would not end before. A request whose
+// answer has begun is sent in any case.
+func (c *call) checkStop(now time.Time) error {
+	schedule := c.stopState.schedule.Load()
+	if schedule == nil || c.headSent {
+		return nil
+	}
+	expected, known := c.stopState.durations.Expected(c.kind())
+	if schedule.Extend(c.grace()).Allows(now, expected, known) {
+		return nil
+	}
+	return errStopping
+}
+
+// untilStop returns a context that ends with the cause errStopping if the request has no answer when the daemon stops.
+func (c *call) untilStop(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(c.stopState.ending, func() {
+		if !c.answering.Load() {
+			cancel(errStopping)
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// writeHead sends the head of the answer.
+func (c *call) writeHead(status int) {
+	c.headSent = true
+	c.answering.Store(true)
+	c.w.WriteHeader(status)
+}
+
+// stopRejection returns the answer to a request that is given up since the daemon stops.
+func stopRejection(verdict pkverdict.Verdict) *rejection {
+	if verdict == pkverdict.NotRun {
+		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterStopping, reason: pkrelay.ReasonStopping}
+	}
+	return &rejection{status: http.StatusBadGateway, reason: reasonStopped}
+}
 
 // waitAndStop waits for the end of ctx and stops gracefully. The daemon reports that it is not
 // ready but accepts requests for a while, since the load balancer keeps sending them. Then
@@ -19,6 +96,7 @@
 func (d *Daemon) waitAndStop(ctx context.Context) error {
 	<-ctx.Done()
 	schedule := pkstop.Schedule{Began: time.Now(), Grace: d.grace()}
+	d.stopState.schedule.Store(&schedule)
 	d.stopping.Store(true)
 	d.log.Info("stopping", "grace_s", schedule.Grace.Seconds(), "active", d.active.Load())
 	drain, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -40,11 +118,18 @@
 	return err
 }
 
-// awaitEnd waits until the schedule ends, also if the grace period grows meanwhile, or until ctx is done.
+// awaitEnd waits until the schedule ends, or until ctx is done. It gives up the requests without an answer before.
 func (d *Daemon) awaitEnd(ctx context.Context, schedule pkstop.Schedule) {
+	d.awaitTime(ctx, schedule, pkstop.Schedule.AnswersAt)
+	d.stopState.giveUp()
+	d.awaitTime(ctx, schedule, pkstop.Schedule.EndsAt)
+}
+
+// awaitTime waits until a time of the schedule, also if the grace period grows meanwhile, or until ctx is done.
+func (d *Daemon) awaitTime(ctx context.Context, schedule pkstop.Schedule, at func(pkstop.Schedule) time.Time) {
 	for {
 		schedule = schedule.Extend(d.grace())
-		left := time.Until(schedule.EndsAt())
+		left := time.Until(at(schedule))
 		if left <= 0 || !pktimer.Sleep(ctx, left) {
 			return
 		}
--- a/pkedge/stream.go
+++ b/pkedge/stream.go
@@ -113,6 +113,9 @@
 	if err := c.passedBack(verdict); err != nil {
 		return sendResult{final: true, err: err}
 	}
+	if err := c.checkStop(time.Now()); err != nil {
+		return sendResult{verdict: verdict, last: true, err: err}
+	}
 	if r, found := c.nextRelay(ctx); found {
 		defer r.end()
 		if c.queues(c.table, s) && !c.maySend(verdict) && !c.waitForBudget(ctx, verdict) {
@@ -139,10 +142,13 @@
 	return c.sendStreamOver(ctx, s, p, verdict, state)
 }
 
-// admitToPath returns an error if the request is suspected to crash engines and may not use a path at now, whose load it
-// releases.
+// admitToPath returns an error if the request may not use a path at now, whose load it releases: it is suspected to crash
+// engines, or the daemon stops before it would end.
 func (c *call) admitToPath(now time.Time, s *pkconfig.Service, p targetPath) error {
-	err := c.admitSuspect(now)
+	err := c.checkStop(now)
+	if err == nil {
+		err = c.admitSuspect(now)
+	}
 	if err != nil && p.reserved {
 		p.release(c.estimatedTokens(s.Engine))
 	}
@@ -236,6 +242,9 @@
 	if err == nil {
 		err = c.checkBodyEnd(ctx, resp, p.first())
 	}
+	if err == nil && send.LastEventID == "" {
+		c.stopState.durations.Record(c.kind(), time.Since(a.began))
+	}
 	if err == nil && !a.isProven() {
 		c.recordCompletion(time.Now(), p.first(), a.firstEvent())
 	}
@@ -289,14 +298,13 @@
 			return pkverdict.Lost(err)
 		}
 		if !c.headSent {
-			c.headSent = true
 			c.firstEvent = time.Since(c.began)
 			c.metrics.firstEvent.Observe(c.firstEvent.Seconds())
 			// Headers are copied only now: if the attempt failed before its first event, they would
 			// put the target's seal on an error answer of the router.
 			pkforward.CopyHeaders(c.w.Header(), head.header)
 			delete(c.w.Header(), "Content-Length")
-			c.w.WriteHeader(head.status)
+			c.writeHead(head.status)
 		}
 		if _, err := c.w.Write(ev.Raw); err != nil {
 			return errCallerLeft
--- a/pkstop/doc.go
+++ b/pkstop/doc.go
@@ -1,2 +1,3 @@
-// Package pkstop decides how long a stopping daemon accepts new connections and when it ends.
+// Package pkstop decides how long a stopping daemon accepts new connections, which requests it still sends to targets, and
+// when it ends.
 package pkstop
--- a/pkstop/schedule.go
+++ b/pkstop/schedule.go
@@ -8,6 +8,8 @@
 	acceptTime = 3 * time.Second
 	// exitMargin is the part of the grace period that is left for the process to exit by itself.
 	exitMargin = 700 * time.Millisecond
+	// answerMargin is the time before the end in which requests without an answer are answered.
+	answerMargin = 200 * time.Millisecond
 )
 
 // Schedule is the course of one stop.
@@ -30,6 +32,18 @@
 	return s.Began.Add(min(acceptTime, s.serveTime()))
 }
 
+// AnswersAt returns when requests that have no answer yet are given up and answered.
+func (s Schedule) AnswersAt() time.Time { return s.Began.Add(max(s.serveTime()-answerMargin, 0)) }
+
+// Allows reports whether a request may be sent to a target at now. It must end before AnswersAt, as far as its duration is
+// known; a request of unknown duration must be sent before AcceptsUntil.
+func (s Schedule) Allows(now time.Time, duration time.Duration, known bool) bool {
+	if !known {
+		return now.Before(s.AcceptsUntil())
+	}
+	return now.Add(duration).Before(s.AnswersAt())
+}
+
 // EndsAt returns when requests still in progress are broken off.
 func (s Schedule) EndsAt() time.Time { return s.Began.Add(s.serveTime()) }
 
