pkplatform: one odd entry of the VM list does not hide the others

Report of other operators: an odd entry among those of the replicas kept the machines that read the list from following it (LOST).

Cause in peridotknotd: the platform's VM list was decoded as a whole, so that one entry with a number for a text, or a value that is too large, failed the read; the entry kept its last list for as long as the odd one stood. An address whose port is out of range became a target that no call can reach.

Change: entries are decoded one by one. Those without an id, a pool or an address with a port from 0 to 65535 are left out, with one warning for each list. A value nested deeper than 10,000 levels still fails the whole list, as encoding/json refuses the document.

--- a/pkentry/targets.go
+++ b/pkentry/targets.go
@@ -31,6 +31,10 @@
 		if errors.Is(err, pkplatform.ErrUnchanged) {
 			return
 		}
+		if errors.Is(err, pkplatform.ErrInvalidEntries) {
+			e.log.Warn("entries of the VM list are ignored", "error", err)
+			err = nil
+		}
 		if err != nil {
 			if ctx.Err() == nil {
 				e.log.Warn("failed to read the VM list; keeping the last one", "error", err)
--- a/pkplatform/client.go
+++ b/pkplatform/client.go
@@ -1,12 +1,15 @@
 package pkplatform
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strconv"
 
 	"peridotknot.example/pkconn"
 	"peridotknot.example/pktarget"
@@ -48,6 +51,9 @@
 // ErrUnchanged is returned if the list has not changed since it was last read.
 var ErrUnchanged = errors.New("the VM list is unchanged")
 
+// ErrInvalidEntries is returned with the other entries if some of the VM list cannot be used.
+var ErrInvalidEntries = errors.New("the VM list has invalid entries")
+
 var _ VMList = (*Client)(nil)
 
 // New returns a client of the platform at addr, given as host:port.
@@ -61,15 +67,57 @@
 	return nil
 }
 
-// VMs returns the platform's list, or ErrUnchanged. The list is polled often and changes
-// rarely, so the request is conditional on the ETag of the last list.
+// VMs returns the platform's list, or ErrUnchanged. If the error is ErrInvalidEntries, the list has the other entries. The
+// list is polled often and changes rarely, so the request is conditional on the ETag of the last list.
 func (c *Client) VMs(ctx context.Context) ([]pktarget.ListedTarget, error) {
-	var out List
-	etag, err := c.read(ctx, "http://"+c.addr+PathVMs, c.etag, &out)
+	var raw struct {
+		VMs []json.RawMessage `json:"vms"`
+	}
+	etag, err := c.read(ctx, "http://"+c.addr+PathVMs, c.etag, &raw)
+	if err != nil {
+		return nil, err
+	}
+	c.etag = etag
+	return decodeVMs(raw.VMs)
+}
+
+// decodeVMs decodes the entries of a list one by one.
+func decodeVMs(entries []json.RawMessage) ([]pktarget.ListedTarget, error) {
+	out := make([]pktarget.ListedTarget, 0, len(entries))
+	var first error
+	invalid := 0
+	for _, raw := range entries {
+		var one pktarget.ListedTarget
+		err := json.Unmarshal(raw, &one)
+		if err == nil {
+			err = check(one.Info)
+		}
+		if err != nil {
+			invalid++
+			first = cmp.Or(first, err)
+			continue
+		}
+		out = append(out, one)
+	}
+	if invalid > 0 {
+		return out, fmt.Errorf("%w: %d of %d, first: %w", ErrInvalidEntries, invalid, len(entries), first)
+	}
+	return out, nil
+}
+
+// check returns an error if an entry names no target to use.
+func check(i pktarget.Info) error {
+	if i.ID == "" || i.Pool == "" {
+		return errors.New("an entry has no id or no pool")
+	}
+	_, port, err := net.SplitHostPort(i.Addr)
 	if err == nil {
-		c.etag = etag
+		_, err = strconv.ParseUint(port, 10, 16)
 	}
-	return out.VMs, err
+	if err != nil {
+		return fmt.Errorf("address of %s: %w", i.ID, err)
+	}
+	return nil
 }
 
 // Forget drops the ETag, so that the next read returns the list even if it has not
