pketcd: a response of a watch is bounded

A store, or what answers in its place, could take all memory of peridotknotd with one response of a watch that does not end: each other response has a bound, that of a watch had none.

Change: 16 MiB for each response of a watch; beyond it the watch fails, and its owner reads the list again. TestWatchResponseWithoutEnd never ended before (killed after 10 s), and ends after 16 MiB now.

--- a/pketcd/client.go
+++ b/pketcd/client.go
@@ -19,6 +19,8 @@
 	// maxResponseBytes bounds a response, which can list many values of up to a
 	// megabyte each, in base64.
 	maxResponseBytes = 64 << 20
+	// maxWatchBytes bounds a response of a watch, which has the events since the last one.
+	maxWatchBytes = 16 << 20
 	// maxErrorBytes bounds the part of an error response that is put into an error.
 	maxErrorBytes = 300
 )
@@ -133,8 +135,10 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	dec := json.NewDecoder(resp.Body)
+	limited := &io.LimitedReader{R: resp.Body}
+	dec := json.NewDecoder(limited)
 	for {
+		limited.N = maxWatchBytes // for each response
 		var line WatchResponse
 		if err := dec.Decode(&line); err != nil {
 			return fmt.Errorf("watch %s: %w", prefix, err)
--- a/pketcd/client_test.go
+++ b/pketcd/client_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -67,3 +68,24 @@
 	t.Cleanup(srv.Close)
 	return pketcd.New(strings.TrimPrefix(srv.URL, "http://"), pkconn.DefaultOptions())
 }
+
+// Guards against a client that holds a response of a watch without end in its memory.
+func TestWatchResponseWithoutEnd(t *testing.T) {
+	var written atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		filler := []byte(strings.Repeat("a", 1<<20))
+		_, err := io.WriteString(w, `{"result":{"events":[{"kv":{"key":"`)
+		for err == nil {
+			var n int
+			n, err = w.Write(filler)
+			written.Add(int64(n))
+		}
+	}))
+	defer srv.Close()
+	c := pketcd.New(strings.TrimPrefix(srv.URL, "http://"), pkconn.DefaultOptions())
+	defer func() { assert.NilError(t, c.Close()) }()
+	err := c.Watch(t.Context(), "p/", 1, func(pkstore.Event) { t.Error("an event") })
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	const buffers = 16 << 20 // the largest response, and what both ends of the connection hold
+	assert.Assert(t, written.Load() <= 2*buffers, "%d bytes", written.Load())
+}
