platform, pkedge: tests of odd entries in the list of replicas

Report of other operators: entries that are very deeply nested, with a number too large or with a port out of range end the machines that read them, or stop them from following the list. Not so here: peridotknot-edge decodes each entry by itself, and takes an invalid one for a replica that cannot be used.

--- a/pkedge/replicas_test.go
+++ b/pkedge/replicas_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -103,3 +104,36 @@
 	})
 	assert.Equal(t, len(connected), 0)
 }
+
+// Guards against an odd entry in the list of replicas that ends the entries which read it, or keeps them from following those
+// that come after it.
+func TestEntriesFollowTheListBehindAnOddOne(t *testing.T) {
+	t.Parallel()
+	const odd = `{"service":"app","address":%s,"zone":"a","version":"v1","capacity_slots":%s,"state":"ready","sequence":1,"cold_left_ms":0,"layers":%s}`
+	deep := strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000)
+	w := platformtest.NewPlatform()
+	t.Cleanup(w.Close)
+	a := w.Add(platformtest.App, "i-a", "a")
+	n := start(t, w, "one")
+	served := func(n *node, id string) func() bool {
+		return func() bool {
+			return n.do(t, http.MethodGet, "/read/1", id, platformtest.Key, 0).status == http.StatusOK
+		}
+	}
+	eventually(t, "a call", served(n, "warm"))
+	for i, raw := range []string{
+		fmt.Sprintf(odd, deep, "6", "null"), fmt.Sprintf(odd, `"127.0.0.1:1"`, deep, "null"), fmt.Sprintf(odd, `"127.0.0.1:1"`, "6", deep),
+		fmt.Sprintf(odd, `"127.0.0.1:1"`, "1e999", "null"), fmt.Sprintf(odd, `"127.0.0.1:1"`, "12345678901234567890123456", "null"),
+		fmt.Sprintf(odd, `"127.0.0.1:70000"`, "6", "null"), fmt.Sprintf(odd, `"127.0.0.1:-1"`, "6", "null"),
+		fmt.Sprintf(odd, `"127.0.0.1:1"`, "6", `{"from":0,"target":1e999}`),
+	} {
+		w.Store.PutRaw(fmt.Sprintf("servers/i-odd-%d", i), []byte(raw))
+	}
+	b := w.Add(platformtest.App, "i-b", "a")
+	a.Kill()
+	w.Store.Delete("servers/i-a")
+	eventually(t, "a call of the next replica", served(n, "after"))
+	restarted := start(t, w, "two")
+	eventually(t, "a call of an entry that starts", served(restarted, "started"))
+	assert.Equal(t, w.Runs("started")[0].Replica, b.ID)
+}
