pkstop: until the listener closes, a stop goes by the mean duration of requests

Change: as long as the load balancer still sends requests, only the mean decides; later the mean and two deviations do, and a kind without an estimate is refused, as before.

--- a/pkedge/stop.go
+++ b/pkedge/stop.go
@@ -53,8 +53,7 @@
 	if schedule == nil || c.headSent {
 		return nil
 	}
-	expected, known := c.stopState.durations.Expected(c.kind())
-	if schedule.Extend(c.grace()).Allows(now, expected, known) {
+	if schedule.Extend(c.grace()).Allows(now, c.stopState.durations.Of(c.kind())) {
 		return nil
 	}
 	return errStopping
--- a/pkstop/schedule.go
+++ b/pkstop/schedule.go
@@ -10,6 +10,8 @@
 	exitMargin = 700 * time.Millisecond
 	// answerMargin is the time before the end in which requests without an answer are answered.
 	answerMargin = 200 * time.Millisecond
+	// deviations is how many mean deviations above the mean most requests end by.
+	deviations = 2
 )
 
 // Schedule is the course of one stop.
@@ -35,13 +37,14 @@
 // AnswersAt returns when requests that have no answer yet are given up and answered.
 func (s Schedule) AnswersAt() time.Time { return s.Began.Add(max(s.serveTime()-answerMargin, 0)) }
 
-// Allows reports whether a request may be sent to a target at now. It must end before AnswersAt, as far as its duration is
-// known; a request of unknown duration must be sent before AcceptsUntil.
-func (s Schedule) Allows(now time.Time, duration time.Duration, known bool) bool {
-	if !known {
-		return now.Before(s.AcceptsUntil())
+// Allows reports whether a request that takes e may be sent to a target at now. Until AcceptsUntil the load balancer still
+// sends requests here, and they need only end before AnswersAt if they take as long as the mean. Later ones must also if they
+// take longer than most, and may not be sent if nothing is known of their kind.
+func (s Schedule) Allows(now time.Time, e Estimate) bool {
+	if now.Before(s.AcceptsUntil()) {
+		return now.Add(e.Mean).Before(s.AnswersAt())
 	}
-	return now.Add(duration).Before(s.AnswersAt())
+	return e != Estimate{} && now.Add(e.Mean+deviations*e.Deviation).Before(s.AnswersAt())
 }
 
 // EndsAt returns when requests still in progress are broken off.
