pkconn: an answer that ends with its connection is whole only once its request is received

The test of answers that are reset during an upload failed once in a soak with the race detector (load 23, some 90,000 uploads): a part counted as whole where the target closes with unread bytes.

Cause, by a row of its own: a target that closes while nothing has arrived that it has not read sends an end, and a reset only when the next piece of the upload arrives. The rest of the upload may be in this side's buffers by then, so that all writes have ended well before the reset comes.

Change: once its input ends, a connection also waits until the peer's kernel has acknowledged all that was written (SIOCOUTQ), within the same 500 ms, and takes the pending error of the socket (SO_ERROR) for the failure. The end of a connection whose target has received the request acknowledges it, so that nothing waits there. A connection that cannot be asked counts as received.

--- a/pkconn/conn.go
+++ b/pkconn/conn.go
@@ -38,7 +38,7 @@
 	writeErr error
 }
 
-// maxUploadAfterEnd is how long a request may still be written after the end of the connection's input.
+// maxUploadAfterEnd is how long the peer may take to receive the request after the end of the connection's input.
 const maxUploadAfterEnd = 500 * time.Millisecond
 
 // Close closes the connection and removes it from its registry.
@@ -69,8 +69,8 @@
 	return n, err
 }
 
-// Read reads from the connection. The end of the input is an error that wraps io.ErrUnexpectedEOF if the request of the
-// exchange cannot be written to its end.
+// Read reads from the connection. The end of the input is an error that wraps io.ErrUnexpectedEOF if the peer does not
+// receive the whole request of the exchange.
 //
 // The kernel reports a reset once. If a write fails with it, the input just ends, like that of a peer that has closed the
 // connection after a complete response.
@@ -79,20 +79,20 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if cause := c.writeFailure(); cause != nil {
+	if cause := c.awaitRequest(time.Now().Add(maxUploadAfterEnd)); cause != nil {
 		return n, fmt.Errorf("%w: write request: %w", io.ErrUnexpectedEOF, cause)
 	}
 	return n, err
 }
 
-// writeFailure waits until the request of the exchange is written, for at most maxUploadAfterEnd, and returns the error
-// of the write.
-func (c *Conn) writeFailure() error {
+// awaitRequest waits until the peer has received the request of the exchange, and returns an error if it cannot or does
+// not by a time.
+func (c *Conn) awaitRequest(until time.Time) error {
 	t := c.exchange.Load()
 	if t == nil {
 		return nil
 	}
-	if err := c.SetWriteDeadline(time.Now().Add(maxUploadAfterEnd)); err != nil {
+	if err := c.SetWriteDeadline(until); err != nil {
 		return err
 	}
 	select {
@@ -100,8 +100,12 @@
 	case <-c.closed:
 	}
 	c.writing.Lock()
-	defer c.writing.Unlock()
-	return c.writeErr
+	err := c.writeErr
+	c.writing.Unlock()
+	if err != nil {
+		return err
+	}
+	return c.awaitReceipt(until)
 }
 
 // Options sets the timeouts and the pool limits of connections.
--- a/pkforward/upload_test.go
+++ b/pkforward/upload_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"peridotknot.example/pkconn"
@@ -21,6 +22,8 @@
 	largeUploadBytes = 32 << 20
 	// uploadReadBytes is the part of an upload that a target reads before it answers.
 	uploadReadBytes = 1 << 20
+	// closeUploadBytes is the size of an upload of which the buffers of a connection can hold the rest.
+	closeUploadBytes = 2 << 20
 )
 
 // earlyAnswer is how a target answers an upload with neither a length nor chunks, and ends the connection.
@@ -77,6 +80,24 @@
 	return string(answer), err
 }
 
+// closeEmpty closes a connection once all bytes that have arrived are read, so that it is not reset at once. If the upload
+// has nearly ended by then, it resets the connection.
+func closeEmpty(conn *net.TCPConn, upload io.Reader) {
+	const nearEnd = 256 << 10
+	left := int64(closeUploadBytes - uploadReadBytes)
+	raw, err := conn.SyscallConn()
+	for queued := 1; err == nil && queued > 0; {
+		n, _ := io.CopyN(io.Discard, upload, int64(queued)) // the client may be gone
+		left -= n
+		err = raw.Control(func(fd uintptr) { queued, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+		if left < nearEnd {
+			reset(conn)
+			return
+		}
+	}
+	_ = conn.Close()
+}
+
 // Guards against a part of an answer that counts as whole: the target answers without a length and resets the connection
 // while the upload is still being written, and the kernel reports the reset to the writer alone.
 func TestAnswerResetDuringAnUploadIsNotComplete(t *testing.T) {
@@ -96,7 +117,8 @@
 			time.Sleep(resetGap)
 			reset(conn)
 		}}, uploadBytes, 75},
-		"closed with unread bytes": {earlyAnswer{read: uploadReadBytes, end: func(conn *net.TCPConn, _ io.Reader) { _ = conn.Close() }}, uploadBytes, 75},
+		"closed with unread bytes":    {earlyAnswer{read: uploadReadBytes, end: func(conn *net.TCPConn, _ io.Reader) { _ = conn.Close() }}, uploadBytes, 75},
+		"closed without unread bytes": {earlyAnswer{read: uploadReadBytes, end: closeEmpty}, closeUploadBytes, 75},
 		"ended, then reset": {earlyAnswer{read: uploadReadBytes, end: func(conn *net.TCPConn, _ io.Reader) {
 			_ = conn.CloseWrite()
 			time.Sleep(resetGap)
